--- /dev/null
+++ b/internal/command/entry.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cyclamenward/cyclamenward/internal/daemon"
+	"github.com/cyclamenward/cyclamenward/internal/entry"
+	"github.com/cyclamenward/cyclamenward/registrar"
+	"github.com/urfave/cli/v3"
+)
+
+func entrySettings() []setting {
+	return append(commonSettings(),
+		setting{name: "caller-address", usage: "IP address and TCP port for callers", required: true, check: checkAddress},
+		setting{name: "operator-token-hash", usage: "SHA-256 of the operators' token in hexadecimal; without it the operator API refuses all", check: checkHash},
+		setting{name: "settle", usage: "time to go on serving after SIGTERM while the balancer learns of it", value: "3s", check: checkDuration},
+	)
+}
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run the daemon that callers talk to",
+		Flags: flags(entrySettings()),
+		Action: func(_ context.Context, c *cli.Command) error {
+			if err := checkSettings(c, entrySettings()); err != nil {
+				return err
+			}
+			return runEntry(c)
+		},
+	}
+}
+
+func runEntry(c *cli.Command) error {
+	p, err := newParts(c, true)
+	if err != nil {
+		return err
+	}
+	settings := entry.Settings{
+		CallerAddress:     c.String("caller-address"),
+		OperatorTokenHash: c.String("operator-token-hash"),
+		Settle:            duration(c, "settle"),
+	}
+	e, err := entry.New(settings, entry.Dependencies{
+		Common:   p.common,
+		Register: registrar.New(p.store, p.clock),
+		TLS:      p.bundle.Server(),
+		Clock:    p.clock,
+		Logger:   p.logger,
+	})
+	if err != nil {
+		return fmt.Errorf("start entry: %w", err)
+	}
+	operators, err := daemon.NewOperatorServer(c.String("operator-address"), e.HandleOperator)
+	if err != nil {
+		return fmt.Errorf("start entry: %w", err)
+	}
+	p.logger.Info("entry: serving.", "callers", e.CallerAddr(), "incarnation", p.common.Identity().Incarnation)
+	return serve(c, p, operators, e.Ready, e.Drain)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,280 @@
+// Package daemon holds what entries and sidecars have in common: their identity,
+// the book of configuration with its spreading over links, the list of hosts and
+// the operator address with health and metrics.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/keeper"
+	"github.com/cyclamenward/cyclamenward/peer/hosts"
+	"github.com/cyclamenward/cyclamenward/peer/link"
+	"github.com/cyclamenward/cyclamenward/registrar"
+	"github.com/cyclamenward/cyclamenward/spreader"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/google/uuid"
+)
+
+const (
+	// hostsPeriod is the longest time between two readings of the list of hosts.
+	hostsPeriod = 5 * time.Second
+	// exchangeLimit bounds one exchange with a peer.
+	exchangeLimit = time.Second
+	// startLimit bounds the wait for peers at the start.
+	startLimit = 500 * time.Millisecond
+)
+
+// Identity tells who a daemon is. It comes from settings.
+type Identity struct {
+	// Name is unique in the fleet.
+	Name string
+	// Incarnation is new at every start.
+	Incarnation string
+	// LinkAddress is where other daemons reach this one.
+	LinkAddress              string
+	AvailabilityZone, Region string
+}
+
+// NewIncarnation returns an incarnation that was never used before.
+func NewIncarnation() string { return uuid.NewString() }
+
+// Book is the book of service documents.
+type Book = spreader.Book[*decoder.Document]
+
+// Options are the dependencies of Common.
+type Options struct {
+	Identity Identity
+	// Seeds are link addresses of other daemons from the settings.
+	Seeds []string
+	// Store is read by the watchers; entries only, zero for sidecars.
+	Store keeper.Store
+	// Hosts reads the list of hosts; nil if there is none.
+	Hosts  func() ([]hosts.Host, error)
+	TLS    *tls.Config
+	Clock  timekeeper.Clock
+	Logger *log.Logger
+	// Spread are the times of the spreading.
+	Spread spreader.Options
+}
+
+// Common is the part that entries and sidecars share.
+type Common struct {
+	identity Identity
+	seeds    []string
+	clock    timekeeper.Clock
+	logger   *log.Logger
+	book     *Book
+	client   *link.Client
+	gossip   *spreader.Gossip[*decoder.Document]
+	list     func() ([]hosts.Host, error)
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	// hosts is the last list read, replaced whole.
+	hosts atomic.Pointer[[]hosts.Host]
+}
+
+// New starts to spread configuration and asks peers for theirs, waiting for at
+// most half a second. Close ends it.
+func New(options Options) (*Common, error) {
+	client, err := link.NewClient(options.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("make link client: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Common{
+		identity: options.Identity,
+		seeds:    options.Seeds,
+		clock:    options.Clock,
+		logger:   options.Logger,
+		book:     spreader.New(decoder.Decode),
+		client:   client,
+		list:     options.Hosts,
+		cancel:   cancel,
+	}
+	c.hosts.Store(&[]hosts.Host{})
+	c.readHosts()
+	peers := spreader.Peers{Self: options.Identity.LinkAddress, All: c.Peers, Region: c.regionEntries, Exchange: c.exchange}
+	source := spreader.Source{Store: options.Store, Prefix: registrar.Prefix, Parse: parse}
+	c.gossip = spreader.NewGossip(c.book, options.Clock, rand.Uint64, peers, source, options.Spread, c.reportGossip)
+	c.ask(ctx)
+	c.done.Add(1)
+	go func() {
+		defer c.done.Done()
+		c.hostsLoop(ctx)
+	}()
+	return c, nil
+}
+
+// Close ends the background work and all links opened by this daemon.
+func (c *Common) Close() {
+	c.cancel()
+	c.gossip.Close()
+	c.done.Wait()
+	c.client.Close()
+}
+
+// Identity returns who this daemon is.
+func (c *Common) Identity() Identity { return c.identity }
+
+// Book returns the configuration known here.
+func (c *Common) Book() *Book { return c.book }
+
+// Client returns the client for links to other daemons.
+func (c *Common) Client() *link.Client { return c.client }
+
+// Clock returns the daemon's clock.
+func (c *Common) Clock() timekeeper.Clock { return c.clock }
+
+// Logger returns the daemon's logger.
+func (c *Common) Logger() *log.Logger { return c.logger }
+
+// Gossip returns the spreading, for its counters.
+func (c *Common) Gossip() *spreader.Gossip[*decoder.Document] { return c.gossip }
+
+// Hosts returns the last list of hosts that was read.
+func (c *Common) Hosts() []hosts.Host { return *c.hosts.Load() }
+
+// Peers returns the link addresses that take part in the spreading: the entries
+// that the platform lists and the seeds. They are asked in a random order.
+func (c *Common) Peers() []string {
+	var peers []string
+	for _, host := range c.Hosts() {
+		if host.Role == hosts.Entry && host.Address != c.identity.LinkAddress {
+			peers = append(peers, host.Address)
+		}
+	}
+	for _, seed := range c.seeds {
+		if seed != c.identity.LinkAddress && !slices.Contains(peers, seed) {
+			peers = append(peers, seed)
+		}
+	}
+	return peers
+}
+
+// regionEntries returns the entries of this daemon's region, itself included.
+func (c *Common) regionEntries() []string {
+	result := []string{c.identity.LinkAddress}
+	for _, host := range c.Hosts() {
+		if host.Role == hosts.Entry && host.Region == c.identity.Region && host.Address != c.identity.LinkAddress {
+			result = append(result, host.Address)
+		}
+	}
+	return result
+}
+
+// CatchUp fetches newer revisions from the daemon at the address.
+func (c *Common) CatchUp(ctx context.Context, address string) {
+	if err := c.gossip.Exchange(ctx, address); err != nil {
+		c.reportGossip(err)
+	}
+}
+
+// AnswerSync answers a Sync request of another daemon.
+func (c *Common) AnswerSync(request *link.Request) *link.Frame {
+	state := spreader.State{}
+	if request.Sync != nil {
+		state = fromLink(request.Sync)
+	}
+	return &link.Frame{Kind: link.Result, Sync: c.toLink(c.gossip.Answer(state))}
+}
+
+// ask exchanges with all known peers at once and returns when one has answered
+// with configuration, all have failed, or the limit is reached.
+func (c *Common) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	changed := c.book.Changed()
+	var group sync.WaitGroup
+	peers := c.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), 8)] {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			c.CatchUp(ctx, peer)
+		}()
+	}
+	finished := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(finished)
+	}()
+	select {
+	case <-changed:
+	case <-finished:
+	case <-ctx.Done():
+	}
+}
+
+func (c *Common) exchange(ctx context.Context, peer string, state spreader.State) (spreader.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
+	defer cancel()
+	frame, err := c.client.Ask(ctx, peer, &link.Request{Kind: link.Sync, Sync: c.toLink(state)})
+	if err != nil {
+		c.client.Drop(peer)
+		return spreader.State{}, fmt.Errorf("sync: %w", err)
+	}
+	if frame.Sync == nil {
+		return spreader.State{}, fmt.Errorf("sync with %s: answer without state", peer)
+	}
+	return fromLink(frame.Sync), nil
+}
+
+func (c *Common) toLink(state spreader.State) *link.SyncState {
+	result := &link.SyncState{Daemon: c.identity.Name, Digest: state.Digest, Full: state.Full, Revisions: state.Revisions}
+	for _, document := range state.Documents {
+		result.Documents = append(result.Documents, link.Document(document))
+	}
+	return result
+}
+
+func fromLink(state *link.SyncState) spreader.State {
+	result := spreader.State{Digest: state.Digest, Full: state.Full, Revisions: state.Revisions}
+	for _, document := range state.Documents {
+		result.Documents = append(result.Documents, spreader.Document(document))
+	}
+	return result
+}
+
+func parse(entry keeper.Entry) (spreader.Document, error) {
+	record, err := registrar.Parse(entry)
+	if err != nil {
+		return spreader.Document{}, fmt.Errorf("parse entry: %w", err)
+	}
+	return spreader.Document{Service: registrar.ServiceOf(entry.Key), Revision: record.Revision, Text: []byte(record.Text)}, nil
+}
+
+func (c *Common) hostsLoop(ctx context.Context) {
+	for {
+		wait := hostsPeriod/2 + time.Duration(rand.Int64N(int64(hostsPeriod/2)))
+		select {
+		case <-c.clock.After(wait):
+			c.readHosts()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Common) readHosts() {
+	if c.list == nil {
+		return
+	}
+	list, err := c.list()
+	if err != nil {
+		c.logger.Debug("hosts: list not read", "err", err)
+		return
+	}
+	c.hosts.Store(&list)
+}
+
+func (c *Common) reportGossip(err error) { c.logger.Debug("spread: exchange failed", "err", err) }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,189 @@
+// Package entry is the daemon that callers talk to.
+//
+// An entry authenticates the caller, decides where a request goes, and relays
+// the answer. It keeps nothing that it could not do without: a restarted entry
+// asks its peers for the configuration and serves. What replicas have cached and
+// how busy they are it learns from their replies.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/chooser"
+	"github.com/cyclamenward/cyclamenward/internal/daemon"
+	"github.com/cyclamenward/cyclamenward/limiter"
+	"github.com/cyclamenward/cyclamenward/listener"
+	"github.com/cyclamenward/cyclamenward/peer/link"
+	"github.com/cyclamenward/cyclamenward/registrar"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxRequestBody bounds the body of a caller's request.
+	maxRequestBody = 4 << 20
+	// headerLimit bounds the time in which a request must arrive.
+	headerLimit = 10 * time.Second
+	// callerIdle is how long an idle caller's connection is kept.
+	callerIdle = 90 * time.Second
+	// callerWrite bounds the wait for a caller that does not read.
+	callerWrite = 30 * time.Second
+	// memoryBlocks bounds what is remembered about replicas' caches.
+	memoryBlocks = 100_000
+	// retryShare and retryCeiling keep retries to a tenth of all requests.
+	retryShare   = 0.1
+	retryCeiling = 20
+	// regionDelay is a round trip between regions.
+	regionDelay = 40 * time.Millisecond
+	// zoneDelay is a round trip between availability zones.
+	zoneDelay = 4 * time.Millisecond
+	// linkBytesPerSecond is the share of the link between regions that one
+	// request may assume.
+	linkBytesPerSecond = 1 << 20
+	// linkPenalty weighs time on the paid link against time in a queue.
+	linkPenalty = 1
+)
+
+// Settings are the fixed values of an entry.
+type Settings struct {
+	// CallerAddress is where callers connect.
+	CallerAddress string
+	// OperatorTokenHash is the SHA-256 of the operators' token; empty refuses all.
+	OperatorTokenHash string
+	// Settle is how long a draining entry goes on serving after it has told the
+	// balancer that it is not ready.
+	Settle time.Duration
+}
+
+// Dependencies are what an entry works with.
+type Dependencies struct {
+	Common   *daemon.Common
+	Register *registrar.Register
+	TLS      *tls.Config
+	Clock    timekeeper.Clock
+	Logger   *log.Logger
+}
+
+// Entry is one daemon.
+type Entry struct {
+	settings Settings
+	common   *daemon.Common
+	register *registrar.Register
+	clock    timekeeper.Clock
+	logger   *log.Logger
+	links    *link.Server
+	listener *listener.Listener
+	server   *fasthttp.Server
+	memory   *chooser.Memory
+	retries  *limiter.Budget
+	inFlight *limiter.InFlight
+	metrics  metrics
+	served   chan struct{}
+	// draining tells callers to use another connection next time.
+	draining atomic.Bool
+
+	// catalog is the view of the configuration, replaced whole.
+	catalog atomic.Pointer[catalog]
+	// catalogMu is held while the catalog is replaced.
+	catalogMu sync.Mutex
+}
+
+// New starts an entry.
+func New(settings Settings, d Dependencies) (*Entry, error) {
+	e := &Entry{
+		settings: settings,
+		common:   d.Common,
+		register: d.Register,
+		clock:    d.Clock,
+		logger:   d.Logger,
+		memory:   chooser.NewMemory(memoryBlocks),
+		retries:  limiter.NewBudget(retryShare, retryCeiling),
+		inFlight: limiter.NewInFlight(),
+		served:   make(chan struct{}),
+	}
+	e.catalog.Store(&catalog{})
+	links, err := link.NewServer(d.Common.Identity().LinkAddress, d.TLS, e.handleLink)
+	if err != nil {
+		return nil, fmt.Errorf("start link: %w", err)
+	}
+	e.links = links
+	e.listener, err = listener.New(settings.CallerAddress, 2*maxRequestBody)
+	if err != nil {
+		links.Close()
+		return nil, fmt.Errorf("caller address: %w", err)
+	}
+	e.server = &fasthttp.Server{
+		Name:               "cyclamenward",
+		Handler:            e.handle,
+		MaxRequestBodySize: maxRequestBody,
+		ReadTimeout:        headerLimit,
+		WriteTimeout:       callerWrite,
+		IdleTimeout:        callerIdle,
+		CloseOnShutdown:    true,
+		Logger:             quiet{},
+		ErrorHandler:       e.refuseUnreadable,
+	}
+	e.publishMetrics()
+	go func() {
+		defer close(e.served)
+		_ = e.server.Serve(e.listener)
+	}()
+	return e, nil
+}
+
+// CallerAddr returns the address on which callers are served.
+func (e *Entry) CallerAddr() net.Addr { return e.listener.Addr() }
+
+// Ready reports whether the entry can serve: it knows a configuration and is not
+// draining.
+func (e *Entry) Ready() bool {
+	return !e.draining.Load() && len(e.common.Book().Snapshot().Services()) > 0
+}
+
+// Drain goes on serving for the settle time, while Ready is false, and then ends
+// once every request has ended or ctx ends.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	e.logger.Info("entry: draining.")
+	select {
+	case <-e.clock.After(e.settings.Settle):
+	case <-ctx.Done():
+	}
+	err := e.server.ShutdownWithContext(ctx)
+	if waitErr := e.links.Wait(ctx); err == nil {
+		err = waitErr
+	}
+	e.links.Close()
+	if stopErr := e.listener.Stop(context.WithoutCancel(ctx)); err == nil {
+		err = stopErr
+	}
+	if err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	<-e.served
+	return nil
+}
+
+// handleLink answers other daemons.
+func (e *Entry) handleLink(_ context.Context, request *link.Request, stream *link.Stream) {
+	if request.Kind == link.Sync {
+		_ = stream.Send(e.common.AnswerSync(request))
+		return
+	}
+	stream.Cancel()
+}
+
+func random() uint64 { return rand.Uint64() }
+
+// quiet drops the HTTP library's own messages, which name callers' addresses.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/sidecar/admit.go
@@ -0,0 +1,118 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/admitter"
+	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/peer/link"
+)
+
+// busyRetry is when a new try may succeed after a refusal for lack of room.
+const busyRetry = time.Second
+
+// refuse sends a refusal. The attempt is recorded as given up first, so that a
+// late copy of it is refused as well.
+func (s *Sidecar) refuse(request *link.Request, stream *link.Stream, code link.Code, detail string, retryAfter time.Duration) {
+	frame := s.refusal(request, code, detail, retryAfter)
+	if request.SidecarIncarnation == s.table.Incarnation() {
+		frame.Outcome = s.table.Resolve(request.AttemptID, request.SidecarIncarnation)
+		if frame.Outcome != admitter.NotRun {
+			frame.Code = link.CodeRepeated
+		}
+	}
+	s.logger.Info("sidecar: refused attempt.", "request", request.RequestID, "attempt", request.AttemptID, "workspace", request.Workspace, "code", frame.Code, "detail", detail)
+	_ = stream.Send(frame)
+}
+
+// checkRequest makes the checks that are common to all attempts. It answers the
+// attempt itself and returns nil if the attempt must not run.
+func (s *Sidecar) checkRequest(ctx context.Context, request *link.Request, stream *link.Stream) *decoder.Document {
+	revised := s.document()
+	if revised == nil || revised.Revision < request.Revision {
+		s.common.CatchUp(ctx, request.Sender)
+		revised = s.document()
+	}
+	switch {
+	case request.AttemptID == "" || request.RequestID == "":
+		s.refuse(request, stream, link.CodeBadRequest, "attempt without ids", 0)
+		return nil
+	case revised == nil || request.Service != s.settings.Service:
+		s.refuse(request, stream, link.CodeService, "service not known here", busyRetry)
+		return nil
+	case request.Revision < revised.Revision:
+		s.refuse(request, stream, link.CodeRevision, "decided on an earlier revision", 0)
+		return nil
+	case request.SidecarIncarnation != s.table.Incarnation():
+		s.refuse(request, stream, link.CodeIncarnation, "sidecar was restarted", 0)
+		return nil
+	case s.table.Leaving():
+		s.refuse(request, stream, link.CodeLeaving, "backend server is leaving", 0)
+		return nil
+	case findWorkspace(revised.Value, request.Workspace) == nil:
+		s.refuse(request, stream, link.CodeBadRequest, "workspace not in the document", 0)
+		return nil
+	}
+	return revised.Value
+}
+
+// admit records the attempt as running. It answers the attempt itself and
+// returns false if the attempt must not run.
+func (s *Sidecar) admit(request *link.Request, stream *link.Stream) bool {
+	err := s.table.Admit(request.AttemptID, request.SidecarIncarnation)
+	switch {
+	case err == nil:
+		s.metrics.admitted.Add(1)
+		return true
+	case errors.Is(err, admitter.ErrRepeated):
+		// The first copy of the attempt runs; this one must not speak for it.
+		stream.Cancel()
+	case errors.Is(err, admitter.ErrTombstone):
+		s.refuse(request, stream, link.CodeTombstone, "attempt was given up", 0)
+	case errors.Is(err, admitter.ErrLeaving):
+		s.refuse(request, stream, link.CodeLeaving, "backend server is leaving", 0)
+	case errors.Is(err, admitter.ErrFull):
+		s.refuse(request, stream, link.CodeFull, "attempt table is full", busyRetry)
+	default:
+		s.refuse(request, stream, link.CodeIncarnation, err.Error(), 0)
+	}
+	return false
+}
+
+// attach sends the rest of an attempt's answer over a new connection. An attempt
+// that has not arrived is given up, which proves that it did not run.
+func (s *Sidecar) attach(ctx context.Context, request *link.Request, stream *link.Stream) {
+	j := s.jobs.get(request.AttemptID)
+	if j != nil && j.request.Workspace == request.Workspace && request.From >= j.request.From {
+		s.logger.Info("sidecar: attached again.", "request", request.RequestID, "attempt", request.AttemptID, "from", request.From)
+		s.follow(ctx, j, stream, request.From)
+		return
+	}
+	frame := s.refusal(request, link.CodeUnknown, "no answer held for the attempt", 0)
+	frame.Outcome = admitter.Unknown
+	if j == nil {
+		frame.Outcome = s.table.Resolve(request.AttemptID, request.SidecarIncarnation)
+	}
+	_ = stream.Send(frame)
+}
+
+// follow relays a job to one connection and cancels the job if the other side
+// gives it up on purpose.
+func (s *Sidecar) follow(_ context.Context, j *job, stream *link.Stream, from int) {
+	j.attach()
+	defer func() { j.detach(s.clock.Now()) }()
+	if err := j.relay(stream, from); link.Canceled(err) && j.request.Kind == link.Infer {
+		j.cancel()
+	}
+}
+
+func findWorkspace(document *decoder.Document, name string) *decoder.Workspace {
+	i := slices.IndexFunc(document.Workspaces, func(w decoder.Workspace) bool { return w.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &document.Workspaces[i]
+}
--- /dev/null
+++ b/internal/sidecar/infer.go
@@ -0,0 +1,214 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/admitter"
+	"github.com/cyclamenward/cyclamenward/chainer"
+	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/limiter"
+	"github.com/cyclamenward/cyclamenward/peer/engine"
+	"github.com/cyclamenward/cyclamenward/peer/link"
+)
+
+// inference is one admitted model request.
+type inference struct {
+	job       *job
+	scope     chainer.Scope
+	chain     []chainer.Hash
+	workspace *decoder.Workspace
+	// incarnation is the engine that the request was admitted for.
+	incarnation string
+	// missing is the number of prompt tokens that are not known to be cached.
+	missing int
+}
+
+// infer admits and runs a model request and relays its answer.
+func (s *Sidecar) infer(ctx context.Context, request *link.Request, stream *link.Stream) {
+	document := s.checkRequest(ctx, request, stream)
+	if document == nil {
+		return
+	}
+	work := s.checkInference(request, stream, document)
+	if work == nil || !s.admit(request, stream) {
+		return
+	}
+	runCtx, cancel := context.WithTimeout(context.Background(), request.Remaining)
+	work.job = s.jobs.add(request, cancel)
+	go func() {
+		defer cancel()
+		s.generate(runCtx, work)
+	}()
+	s.follow(ctx, work.job, stream, request.From)
+}
+
+// checkInference makes the checks of a model request. It answers the attempt
+// itself and returns nil if the attempt must not run.
+func (s *Sidecar) checkInference(request *link.Request, stream *link.Stream, document *decoder.Document) *inference {
+	state := s.state.Load()
+	waiting, running := s.queue.Len()
+	switch {
+	case request.Infer == nil || document.Model == nil:
+		s.refuse(request, stream, link.CodeBadRequest, "not a model request", 0)
+		return nil
+	case state == nil || state.Loading:
+		s.refuse(request, stream, link.CodeBackend, "engine is not serving", busyRetry)
+		return nil
+	case request.Infer.WeightsVersion != state.WeightsVersion:
+		s.refuse(request, stream, link.CodeWeights, "engine serves "+state.WeightsVersion, 0)
+		return nil
+	case request.ExpectedBlocks > 0 && request.EngineIncarnation != state.Incarnation:
+		s.refuse(request, stream, link.CodeIncarnation, "engine was restarted", 0)
+		return nil
+	case waiting+running >= document.Model.QueueLimit:
+		s.refuse(request, stream, link.CodeFull, "queue is full", busyRetry)
+		return nil
+	}
+	work := s.plan(request, document, state.Incarnation)
+	wait := s.expectedWait(work.missing, document.Model)
+	if wait > request.Remaining {
+		s.refuse(request, stream, link.CodeDeadline, "expected wait "+wait.Round(time.Millisecond).String(), wait)
+		return nil
+	}
+	return work
+}
+
+// plan works out what of the prompt has to be computed.
+func (s *Sidecar) plan(request *link.Request, document *decoder.Document, incarnation string) *inference {
+	infer := request.Infer
+	scope := chainer.Scope{Workspace: request.Workspace, Model: infer.Model, Adapter: infer.Adapter, WeightsVersion: infer.WeightsVersion}
+	work := &inference{
+		scope:       scope,
+		chain:       chainer.Chain(nil, scope, infer.Prompt),
+		workspace:   findWorkspace(document, request.Workspace),
+		incarnation: incarnation,
+	}
+	depth, _ := s.picture.Depth(incarnation, work.chain)
+	work.missing = max(1, chainer.Tokens(len(infer.Prompt))-depth*chainer.BlockTokens)
+	return work
+}
+
+// expectedWait estimates the time to the first token.
+func (s *Sidecar) expectedWait(missing int, model *decoder.Model) time.Duration {
+	tokens := s.queue.Cost() + s.prefills.tokens() + missing
+	return time.Duration(float64(tokens) / float64(model.PrefillTokensPerSecond) * float64(time.Second))
+}
+
+// generate runs an admitted request to its end.
+func (s *Sidecar) generate(ctx context.Context, work *inference) {
+	request := work.job.request
+	total := chainer.Tokens(len(request.Infer.Prompt))
+	missing, leave, err := s.prefills.enter(ctx, work.chain, total, work.missing)
+	if err != nil {
+		s.fail(work.job, admitter.NotRun, link.CodeDeadline, err)
+		return
+	}
+	defer leave()
+	item := limiter.Item{Workspace: request.Workspace, Share: work.workspace.Share, Cost: missing, Priority: request.Priority}
+	if err := s.queue.Acquire(ctx, item); err != nil {
+		s.fail(work.job, admitter.NotRun, link.CodeDeadline, err)
+		return
+	}
+	defer s.queue.Release()
+	err = s.engine.Generate(ctx, generation(work), func(event *engine.Event) error {
+		return s.receive(work, event, leave)
+	})
+	switch {
+	case err == nil:
+	case errors.Is(err, engine.ErrRefused) || errors.Is(err, engine.ErrNotSent):
+		s.wakeEngineLoop()
+		s.fail(work.job, admitter.NotRun, link.CodeBackend, err)
+	default:
+		s.wakeEngineLoop()
+		s.fail(work.job, admitter.Unknown, link.CodeBackend, err)
+	}
+}
+
+func generation(work *inference) *engine.Generation {
+	infer := work.job.request.Infer
+	return &engine.Generation{
+		RequestID:      work.job.request.AttemptID,
+		Model:          infer.Model,
+		Adapter:        infer.Adapter,
+		WeightsVersion: infer.WeightsVersion,
+		Incarnation:    work.incarnation,
+		CacheSalt:      work.scope.Seed().String(),
+		Prompt:         infer.Prompt,
+		MaxTokens:      infer.MaxTokens,
+		From:           work.job.request.From,
+		Generated:      infer.Generated,
+		Priority:       work.job.request.Priority,
+	}
+}
+
+// receive takes one event of the engine. prefilled is called once the prompt has
+// been computed.
+func (s *Sidecar) receive(work *inference, event *engine.Event, prefilled func()) error {
+	request := work.job.request
+	switch event.Type {
+	case "admitted":
+		if event.Incarnation != work.incarnation || event.WeightsVersion != request.Infer.WeightsVersion {
+			return engine.ErrCrossed
+		}
+		s.metrics.cachedBlocks.Add(int64(event.CachedBlocks))
+		s.metrics.promptBlocks.Add(int64(len(work.chain)))
+		work.job.begin(s.admitted(request, event))
+	case "token":
+		prefilled()
+		if !work.job.add(event.Index, event.Text) {
+			return engine.ErrBroken
+		}
+	case "end":
+		if event.Index != work.job.total() {
+			return engine.ErrBroken
+		}
+		s.succeed(work.job)
+	}
+	return nil
+}
+
+func (s *Sidecar) admitted(request *link.Request, event *engine.Event) *link.Frame {
+	news := s.news()
+	news.CachedBlocks = event.CachedBlocks
+	return &link.Frame{
+		Kind:           link.Admitted,
+		RequestID:      request.RequestID,
+		AttemptID:      request.AttemptID,
+		CachedBlocks:   event.CachedBlocks,
+		WeightsVersion: event.WeightsVersion,
+		News:           news,
+	}
+}
+
+// succeed ends a model request with a whole answer.
+func (s *Sidecar) succeed(j *job) {
+	s.table.Finish(j.request.AttemptID, admitter.Answered)
+	s.metrics.answered.Add(1)
+	s.jobs.end(j, &link.Frame{
+		Kind:      link.End,
+		RequestID: j.request.RequestID,
+		AttemptID: j.request.AttemptID,
+		Index:     j.total(),
+		Outcome:   admitter.Answered,
+		News:      s.news(),
+	})
+}
+
+// fail ends an attempt without a whole answer.
+func (s *Sidecar) fail(j *job, outcome admitter.Outcome, code link.Code, err error) {
+	s.table.Finish(j.request.AttemptID, outcome)
+	s.metrics.failed.Add(1)
+	s.logger.Warn("sidecar: attempt failed.", "request", j.request.RequestID, "attempt", j.request.AttemptID, "outcome", outcome, "code", code, "err", err)
+	s.jobs.end(j, &link.Frame{
+		Kind:       link.Failure,
+		RequestID:  j.request.RequestID,
+		AttemptID:  j.request.AttemptID,
+		Outcome:    outcome,
+		Code:       code,
+		Detail:     err.Error(),
+		RetryAfter: busyRetry,
+		News:       s.news(),
+	})
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,246 @@
+// Package sidecar is the daemon beside one backend server.
+//
+// A sidecar shares the fate of its backend server and is the only authority on
+// it: it admits attempts and can prove that one did not run, it sees the
+// engine's incarnation, cache and load without a network between, it is the only
+// giver of orders, and it refuses new work truthfully when it is leaving.
+//
+// Attempts outlive the connection that brought them. Each is a job that
+// collects its answer; any connection may attach to it and read the answer from
+// any index. An attempt ends early only if its entry cancels it on purpose or
+// nobody has been attached for a while.
+package sidecar
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/admitter"
+	"github.com/cyclamenward/cyclamenward/claimer"
+	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/internal/daemon"
+	"github.com/cyclamenward/cyclamenward/keeper"
+	"github.com/cyclamenward/cyclamenward/limiter"
+	"github.com/cyclamenward/cyclamenward/peer/engine"
+	"github.com/cyclamenward/cyclamenward/peer/link"
+	"github.com/cyclamenward/cyclamenward/peer/plainservice"
+	"github.com/cyclamenward/cyclamenward/spreader"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/cyclamenward/cyclamenward/tracker"
+
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// maxAttempts bounds the attempts and tombstones held.
+	maxAttempts = 200_000
+	// keepAttempts is how long an ended attempt is known.
+	keepAttempts = 10 * time.Minute
+	// keepAnswer is how long the answer of an ended attempt can be read again.
+	keepAnswer = 15 * time.Second
+	// attachWindow is how long an attempt goes on with nobody attached.
+	attachWindow = 10 * time.Second
+	// maxBlocks bounds the picture of the engine's cache.
+	maxBlocks = 1 << 20
+	// engineSlots is the number of requests given to the engine at once.
+	engineSlots = 16
+	// sweepPeriod is how often ended jobs are looked through.
+	sweepPeriod = time.Second
+)
+
+// Settings are the fixed values of a sidecar.
+type Settings struct {
+	// Service is the service that the backend server belongs to.
+	Service string
+	// BackendServer is the name of the backend server in the document.
+	BackendServer string
+	// BackendAddress is the IP address and TCP port of the backend server.
+	BackendAddress string
+}
+
+// Dependencies are what a sidecar works with.
+type Dependencies struct {
+	Common *daemon.Common
+	Store  keeper.Store
+	TLS    *tls.Config
+	Clock  timekeeper.Clock
+	Logger *log.Logger
+}
+
+// Sidecar is one daemon.
+type Sidecar struct {
+	settings Settings
+	common   *daemon.Common
+	store    keeper.Store
+	clock    timekeeper.Clock
+	logger   *log.Logger
+	server   *link.Server
+	table    *admitter.Table
+	jobs     *jobs
+	queue    *limiter.Queue
+	engine   *engine.Client
+	picture  *tracker.Picture
+	prefills *prefills
+	plain    *plainservice.Client
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	metrics  metrics
+
+	// state is the engine's last report, nil while it is not reached.
+	state atomic.Pointer[engine.State]
+	// refresh wakes the loop that watches the engine.
+	refresh chan struct{}
+
+	// claimsMu guards claims.
+	claimsMu sync.Mutex
+	// claims is made at the first claim, nil before.
+	claims *claimer.Claims
+}
+
+// New starts a sidecar that listens on the identity's link address.
+func New(settings Settings, d Dependencies) (*Sidecar, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Sidecar{
+		settings: settings,
+		common:   d.Common,
+		store:    d.Store,
+		clock:    d.Clock,
+		logger:   d.Logger,
+		table:    admitter.New(d.Clock, d.Common.Identity().Incarnation, admitter.Limits{Records: maxAttempts, Keep: keepAttempts}),
+		jobs:     newJobs(d.Clock),
+		queue:    limiter.NewQueue(engineSlots, maxAttempts),
+		engine:   engine.New(settings.BackendAddress),
+		picture:  tracker.New(maxBlocks),
+		prefills: newPrefills(),
+		plain:    plainservice.New(settings.BackendAddress),
+		cancel:   cancel,
+		refresh:  make(chan struct{}, 1),
+	}
+	server, err := link.NewServer(d.Common.Identity().LinkAddress, d.TLS, s.handle)
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("start link: %w", err)
+	}
+	s.server = server
+	s.publishMetrics()
+	s.start(func() { s.sweepLoop(ctx) })
+	s.start(func() { s.engineLoop(ctx) })
+	s.start(func() { s.rolloutLoop(ctx) })
+	return s, nil
+}
+
+func (s *Sidecar) start(loop func()) {
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		loop()
+	}()
+}
+
+// Drain refuses new work, waits until everything in flight has ended or ctx
+// ends, and then closes the sidecar.
+func (s *Sidecar) Drain(ctx context.Context) error {
+	s.table.Leave()
+	s.logger.Info("sidecar: leaving", "running", s.table.Running())
+	err := s.server.Wait(ctx)
+	if err == nil {
+		err = s.jobs.wait(ctx)
+	}
+	if claims := s.currentClaims(); claims != nil {
+		if flushErr := claims.Flush(ctx); err == nil {
+			err = flushErr
+		}
+	}
+	s.Close()
+	if err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	return nil
+}
+
+// Close ends the sidecar at once.
+func (s *Sidecar) Close() {
+	s.cancel()
+	s.server.Close()
+	s.jobs.cancelAll()
+	s.done.Wait()
+	if claims := s.currentClaims(); claims != nil {
+		claims.Close()
+	}
+}
+
+// Ready reports whether the sidecar knows its service and takes work.
+func (s *Sidecar) Ready() bool { return s.document() != nil && !s.table.Leaving() }
+
+func (s *Sidecar) document() *spreader.Revised[*decoder.Document] {
+	return s.common.Book().Snapshot().Get(s.settings.Service)
+}
+
+// handle answers one exchange.
+func (s *Sidecar) handle(ctx context.Context, request *link.Request, stream *link.Stream) {
+	switch request.Kind {
+	case link.Infer:
+		s.infer(ctx, request, stream)
+	case link.Call:
+		s.call(ctx, request, stream)
+	case link.Attach:
+		s.attach(ctx, request, stream)
+	case link.Sync:
+		_ = stream.Send(s.common.AnswerSync(request))
+	case link.Probe:
+		_ = stream.Send(&link.Frame{Kind: link.Result, News: s.news()})
+	default:
+		_ = stream.Send(s.refusal(request, link.CodeBadRequest, "unknown kind of request", 0))
+	}
+}
+
+// news is what the sidecar says about itself with every reply.
+func (s *Sidecar) news() *link.News {
+	waiting, running := s.queue.Len()
+	news := &link.News{
+		Sidecar:            s.settings.BackendServer,
+		SidecarIncarnation: s.table.Incarnation(),
+		Leaving:            s.table.Leaving(),
+		Queued:             waiting + running,
+		BacklogTokens:      s.queue.Cost() + s.prefills.tokens(),
+	}
+	if document := s.document(); document != nil {
+		news.Revision = document.Revision
+	}
+	if state := s.state.Load(); state != nil {
+		news.EngineIncarnation = state.Incarnation
+		news.WeightsVersion = state.WeightsVersion
+	}
+	return news
+}
+
+// refusal makes the frame that says that an attempt did not run and never will.
+func (s *Sidecar) refusal(request *link.Request, code link.Code, detail string, retryAfter time.Duration) *link.Frame {
+	s.metrics.refused.Add(1)
+	return &link.Frame{
+		Kind:       link.Failure,
+		RequestID:  request.RequestID,
+		AttemptID:  request.AttemptID,
+		Outcome:    admitter.NotRun,
+		Code:       code,
+		Detail:     detail,
+		RetryAfter: retryAfter,
+		News:       s.news(),
+	}
+}
+
+// sweepLoop drops ended jobs and cancels abandoned ones.
+func (s *Sidecar) sweepLoop(ctx context.Context) {
+	for {
+		select {
+		case <-s.clock.After(sweepPeriod):
+			s.jobs.sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/bookingapp/app.go
@@ -0,0 +1,111 @@
+// Package bookingapp is a stand-in for a plain service whose calls must not run
+// twice. It keeps a record of every run and trusts nobody else to do so.
+package bookingapp
+
+import (
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Paths of the app.
+const (
+	PathBookings = "/bookings"
+	// PathRecord lists every run.
+	PathRecord = "/record"
+	PathFaults = "/faults"
+)
+
+// Faults switches misbehaviour on.
+type Faults struct {
+	// Delay is added to every booking.
+	Delay time.Duration `json:"delayNanoseconds,omitempty"`
+	// LoseReplies makes bookings run without an answer.
+	LoseReplies bool `json:"loseReplies,omitempty"`
+}
+
+// Run is one execution of a booking.
+type Run struct {
+	Number    int    `json:"number"`
+	RequestID string `json:"requestID"`
+	Item      string `json:"item"`
+}
+
+// App holds the record, which all replicas share.
+type App struct {
+	// mu guards the fields below.
+	mu     sync.Mutex
+	runs   []Run
+	faults Faults
+}
+
+// New returns an app with an empty record.
+func New() *App { return &App{} }
+
+// Record returns every run so far.
+func (a *App) Record() []Run {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Run(nil), a.runs...)
+}
+
+// SetFaults replaces the faults in force.
+func (a *App) SetFaults(faults Faults) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.faults = faults
+}
+
+func (a *App) book(requestID, item string) (Run, Faults) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	run := Run{Number: len(a.runs) + 1, RequestID: requestID, Item: item}
+	a.runs = append(a.runs, run)
+	return run, a.faults
+}
+
+// Handler serves the app over HTTP.
+func Handler(a *App) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set("X-Request-Id", string(ctx.Request.Header.Peek("X-Request-Id")))
+		switch {
+		case string(ctx.Path()) == PathFaults:
+			var faults Faults
+			if json.Unmarshal(ctx.PostBody(), &faults) == nil {
+				a.SetFaults(faults)
+			}
+		case string(ctx.Path()) == PathRecord:
+			body, _ := json.Marshal(a.Record())
+			ctx.SetBody(body)
+		case string(ctx.Path()) == PathBookings && ctx.IsPost():
+			serveBooking(ctx, a)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	}
+}
+
+func serveBooking(ctx *fasthttp.RequestCtx, a *App) {
+	var booking struct {
+		Item string `json:"item"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &booking); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	run, faults := a.book(string(ctx.Request.Header.Peek("X-Request-Id")), booking.Item)
+	if faults.Delay > 0 {
+		time.Sleep(faults.Delay)
+	}
+	if faults.LoseReplies {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(closeAtOnce)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusCreated)
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(`{"booking":` + strconv.Itoa(run.Number) + `,"item":` + strconv.Quote(run.Item) + "}")
+}
--- /dev/null
+++ b/keeper/store.go
@@ -0,0 +1,75 @@
+// Package keeper describes the platform's small key-value service as the
+// coordination packages see it: values with versions, compare-and-swap, leases
+// and watches, and errors that keep "did not happen" apart from "unknown".
+//
+// The package holds no transport. A Store is a concrete type whose function
+// fields are filled in by the peer package that speaks the platform's protocol,
+// or by a fake in a test.
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+var faults = errorx.NewNamespace("keeper")
+
+// Errors returned by the functions of a Store.
+var (
+	// ErrConflict means that the version did not match; nothing was written.
+	ErrConflict = faults.NewType("conflict").New("version conflict")
+	// ErrNotFound means that the key has no value.
+	ErrNotFound = faults.NewType("notFound").New("no such key")
+	// ErrUnavailable means that the store did not take the call: nothing was written.
+	ErrUnavailable = faults.NewType("unavailable").New("store unavailable")
+	// ErrUnknown means that the reply was lost: a write may have taken effect.
+	ErrUnknown = faults.NewType("unknown").New("outcome unknown")
+	// ErrLeaseLost means that the lease has expired or never existed.
+	ErrLeaseLost = faults.NewType("leaseLost").New("lease lost")
+)
+
+// Entry is one key with its value.
+type Entry struct {
+	// Key is the full name of the entry.
+	Key string
+	// Value is the stored value, at most one megabyte.
+	Value []byte
+	// Version is the store's revision at the last write of the key. It is never
+	// reused, not even after a deletion.
+	Version uint64
+}
+
+// Swap is one conditional write.
+type Swap struct {
+	// Key is the full name of the entry.
+	Key string
+	// Value is the new value; nil deletes the entry.
+	Value []byte
+	// Expected is the version that the key must have; 0 means that it must not exist.
+	Expected uint64
+	// Lease ties the entry to a lease; the store deletes it when the lease
+	// expires. Empty means that the entry stays.
+	Lease string
+}
+
+// Store gives access to the key-value service. Each call counts against the
+// service's rate, a waiting watch as one.
+type Store struct {
+	// Get returns one entry, or ErrNotFound.
+	Get func(ctx context.Context, key string) (Entry, error)
+	// List returns all entries whose keys start with prefix, in key order.
+	List func(ctx context.Context, prefix string) ([]Entry, error)
+	// Swap writes conditionally and returns the new version. ErrUnknown means
+	// that the caller must read back before concluding anything.
+	Swap func(ctx context.Context, swap Swap) (uint64, error)
+	// Watch waits until an entry below prefix has a version above after, or
+	// until wait has elapsed, and returns the changed entries (deletions
+	// excluded) and the store's revision.
+	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
+	// Grant creates a lease with the given time to live and returns its id.
+	Grant func(ctx context.Context, ttl time.Duration) (string, error)
+	// Renew extends a lease by its time to live, or returns ErrLeaseLost.
+	Renew func(ctx context.Context, lease string) error
+}
--- /dev/null
+++ b/peer/engine/client.go
@@ -0,0 +1,309 @@
+// Package engine speaks the protocol of the model engines: HTTP with JSON
+// bodies and server-sent events.
+//
+// Each exchange has a connection of its own, so that a late answer can never
+// reach another request. A connection that makes no progress within a bound is
+// given up.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialLimit = 500 * time.Millisecond
+	// progressLimit is how long an engine may send nothing while it works.
+	progressLimit = 5 * time.Second
+	// HeaderRequestID carries the request id both ways.
+	HeaderRequestID = "X-Request-Id"
+)
+
+// Paths of an engine.
+const (
+	PathCompletions = "/v1/completions"
+	PathState       = "/v1/state"
+	PathEvents      = "/v1/cacheEvents"
+	PathOrders      = "/v1/orders"
+)
+
+var faults = errorx.NewNamespace("engine")
+
+// Errors of an exchange.
+var (
+	// ErrNotSent means that no connection was made: the engine did nothing.
+	ErrNotSent = faults.NewType("notSent").New("engine was not reached")
+	// ErrRefused means that the engine refused before doing anything.
+	ErrRefused = faults.NewType("refused").New("engine refused")
+	// ErrBroken means that the exchange ended early.
+	ErrBroken = faults.NewType("broken").New("engine exchange broke off")
+	// ErrCrossed means that the answer belongs to another request.
+	ErrCrossed = faults.NewType("crossed").New("answer of another request")
+)
+
+// Generation asks for tokens.
+type Generation struct {
+	RequestID string `json:"requestID"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	// WeightsVersion must be the one the engine serves, or it refuses.
+	WeightsVersion string `json:"weightsVersion"`
+	// Incarnation must be the engine's, or it refuses; empty for any.
+	Incarnation string `json:"incarnation,omitempty"`
+	// CacheSalt separates the caches of different scopes.
+	CacheSalt string `json:"cacheSalt"`
+	Prompt    []byte `json:"prompt"`
+	MaxTokens int    `json:"maxTokens"`
+	// From is the index of the first token wanted.
+	From int `json:"from,omitempty"`
+	// Generated holds the tokens before From.
+	Generated []string `json:"generated,omitempty"`
+	Priority  int      `json:"priority,omitempty"`
+}
+
+// Event is one message of the answer stream.
+type Event struct {
+	// Type is "admitted", "token" or "end".
+	Type           string `json:"type"`
+	RequestID      string `json:"requestID"`
+	Index          int    `json:"index,omitempty"`
+	Text           string `json:"text,omitempty"`
+	CachedBlocks   int    `json:"cachedBlocks,omitempty"`
+	Incarnation    string `json:"incarnation,omitempty"`
+	WeightsVersion string `json:"weightsVersion,omitempty"`
+}
+
+// State is what an engine reports about itself; its load figures lag.
+type State struct {
+	Incarnation    string `json:"incarnation"`
+	Model          string `json:"model"`
+	WeightsVersion string `json:"weightsVersion"`
+	Loading        bool   `json:"loading,omitempty"`
+	Running        int    `json:"running"`
+	Queued         int    `json:"queued"`
+	BacklogTokens  int    `json:"backlogTokens"`
+}
+
+// CacheEvent tells that a block was stored or removed.
+type CacheEvent struct {
+	// Sequence counts the events of one incarnation without gaps, from 1.
+	Sequence uint64 `json:"sequence"`
+	Removed  bool   `json:"removed,omitempty"`
+	// Block is the hexadecimal block hash.
+	Block string `json:"block"`
+}
+
+// CacheEvents is one batch of events, or a whole list after a re-read.
+type CacheEvents struct {
+	Incarnation string       `json:"incarnation"`
+	Events      []CacheEvent `json:"events,omitempty"`
+	// Whole is set if Blocks lists the complete cache as of Sequence.
+	Whole    bool     `json:"whole,omitempty"`
+	Blocks   []string `json:"blocks,omitempty"`
+	Sequence uint64   `json:"sequence"`
+}
+
+// Order asks an engine to serve other weights.
+type Order struct {
+	WeightsVersion string `json:"weightsVersion"`
+	// Fence is the fencing number; engines that check refuse a lower one.
+	Fence uint64 `json:"fence"`
+}
+
+// Client talks to one engine.
+type Client struct {
+	address string
+	http    *fasthttp.Client
+}
+
+// New returns a client of the engine at the given address.
+func New(address string) *Client {
+	return &Client{address: address, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		StreamResponseBody:        true,
+		Dial:                      dialProgress,
+	}}
+}
+
+// progressConn gives up when a single read or write makes no progress.
+type progressConn struct{ net.Conn }
+
+func (c progressConn) Read(p []byte) (int, error) {
+	_ = c.SetReadDeadline(time.Now().Add(progressLimit))
+	return c.Conn.Read(p)
+}
+
+func (c progressConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(progressLimit))
+	return c.Conn.Write(p)
+}
+
+func dialProgress(address string) (net.Conn, error) {
+	connection, err := fasthttp.DialTimeout(address, dialLimit)
+	if err != nil {
+		return nil, fmt.Errorf("dial engine: %w", err)
+	}
+	return progressConn{connection}, nil
+}
+
+// Generate runs a request and gives each event to receive, in the order sent.
+// It returns nil after the end event. Cancelling ctx makes it return between two
+// events and tells the engine to stop by closing the connection.
+func (c *Client) Generate(ctx context.Context, generation *Generation, receive func(*Event) error) error {
+	response, err := c.post(PathCompletions, generation.RequestID, generation)
+	if err != nil {
+		return fmt.Errorf("generate: %w", err)
+	}
+	defer release(response)
+	body := response.BodyStream()
+	reader := bufio.NewReader(body)
+	for {
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("generate: %w", err)
+		}
+		event, err := readEvent(reader)
+		if err != nil {
+			return fmt.Errorf("generate: %w: %w", ErrBroken, err)
+		}
+		if event.RequestID != generation.RequestID {
+			return fmt.Errorf("generate: %w", ErrCrossed)
+		}
+		if err := receive(event); err != nil {
+			return err
+		}
+		if event.Type == "end" {
+			return nil
+		}
+	}
+}
+
+// State reads the engine's report about itself.
+func (c *Client) State() (*State, error) {
+	var state State
+	if err := c.ask(PathState, struct{}{}, &state); err != nil {
+		return nil, fmt.Errorf("read state: %w", err)
+	}
+	return &state, nil
+}
+
+// Events reads the cache events after the given sequence of an incarnation. If
+// they are no longer held, or whole is asked for, the answer lists the cache.
+func (c *Client) Events(incarnation string, after uint64, whole bool) (*CacheEvents, error) {
+	query := struct {
+		Incarnation string `json:"incarnation"`
+		After       uint64 `json:"after"`
+		Whole       bool   `json:"whole"`
+	}{incarnation, after, whole}
+	var events CacheEvents
+	if err := c.ask(PathEvents, query, &events); err != nil {
+		return nil, fmt.Errorf("read cache events: %w", err)
+	}
+	return &events, nil
+}
+
+// Order gives an order. ErrRefused means that the engine did not take it.
+func (c *Client) Order(order Order) error {
+	var taken struct{}
+	if err := c.ask(PathOrders, order, &taken); err != nil {
+		return fmt.Errorf("give order: %w", err)
+	}
+	return nil
+}
+
+func (c *Client) ask(path string, query, answer any) error {
+	response, err := c.post(path, "", query)
+	if err != nil {
+		return err
+	}
+	defer release(response)
+	body, err := io.ReadAll(response.BodyStream())
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return fmt.Errorf("decode answer: %w: %w", ErrBroken, err)
+	}
+	return nil
+}
+
+// post sends one request on a connection of its own and returns a successful
+// response whose body has not been read.
+func (c *Client) post(path, requestID string, message any) (*fasthttp.Response, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI("http://" + c.address + path)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.Header.Set(HeaderRequestID, requestID)
+	request.SetConnectionClose()
+	request.SetBodyRaw(body)
+	if err := c.http.Do(request, response); err != nil {
+		release(response)
+		return nil, transportError(err)
+	}
+	if err := checkHead(response, requestID); err != nil {
+		release(response)
+		return nil, err
+	}
+	return response, nil
+}
+
+func checkHead(response *fasthttp.Response, requestID string) error {
+	if string(response.Header.Peek(HeaderRequestID)) != requestID {
+		return ErrCrossed
+	}
+	switch code := response.StatusCode(); {
+	case code == fasthttp.StatusOK:
+		return nil
+	case code == fasthttp.StatusConflict || code == fasthttp.StatusServiceUnavailable:
+		return fmt.Errorf("status %d: %w", code, ErrRefused)
+	default:
+		return fmt.Errorf("status %d: %w", code, ErrBroken)
+	}
+}
+
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.Is(err, fasthttp.ErrDialTimeout) || (errors.As(err, &op) && op.Op == "dial") {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrBroken, err)
+}
+
+func release(response *fasthttp.Response) {
+	_ = response.CloseBodyStream()
+	fasthttp.ReleaseResponse(response)
+}
+
+// readEvent reads one server-sent event with a JSON body.
+func readEvent(reader *bufio.Reader) (*Event, error) {
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			return nil, fmt.Errorf("read line: %w", err)
+		}
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !ok {
+			continue
+		}
+		var event Event
+		if err := json.Unmarshal(data, &event); err != nil {
+			return nil, fmt.Errorf("decode event: %w", err)
+		}
+		return &event, nil
+	}
+}
--- /dev/null
+++ b/peer/hosts/client.go
@@ -0,0 +1,69 @@
+// Package hosts reads the platform's list of live and leaving hosts. The list
+// lags by up to tens of seconds, so it is used to find peers and to learn of
+// departures early, never as proof that a host is alive.
+package hosts
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	callLimit = 500 * time.Millisecond
+	// Path is where the list is served.
+	Path = "/v1/hosts"
+)
+
+// Role tells what runs on a host.
+type Role string
+
+// The roles of hosts.
+const (
+	Entry   Role = "entry"
+	Sidecar Role = "sidecar"
+)
+
+// Host is one line of the list.
+type Host struct {
+	Name string `json:"name"`
+	// Address is where the daemon's link listens.
+	Address          string `json:"address"`
+	Role             Role   `json:"role"`
+	Region           string `json:"region"`
+	AvailabilityZone string `json:"availabilityZone"`
+	Leaving          bool   `json:"leaving,omitempty"`
+}
+
+// Client reads the list.
+type Client struct {
+	address string
+	http    *fasthttp.Client
+}
+
+// New returns a client of the list at the given address.
+func New(address string) *Client {
+	return &Client{address: address, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		Dial:                      func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, callLimit) },
+	}}
+}
+
+// List returns all hosts known to the platform.
+func (c *Client) List() ([]Host, error) {
+	status, body, err := c.http.GetTimeout(nil, "http://"+c.address+Path, callLimit)
+	if err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	if status != fasthttp.StatusOK {
+		return nil, fmt.Errorf("list hosts: status %d", status)
+	}
+	var list []Host
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, fmt.Errorf("decode hosts: %w", err)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/peer/plainservice/client.go
@@ -0,0 +1,110 @@
+// Package plainservice speaks plain HTTP with a backend server that is not a
+// model engine.
+//
+// Each call has a connection of its own, so that a late answer can never reach
+// another request. The errors keep "did not run" apart from "unknown".
+package plainservice
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialLimit = 500 * time.Millisecond
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 4 << 20
+	// HeaderRequestID carries the request id both ways.
+	HeaderRequestID = "X-Request-Id"
+)
+
+var faults = errorx.NewNamespace("plainservice")
+
+// Errors of a call.
+var (
+	// ErrNotSent means that no connection was made: the call did not run.
+	ErrNotSent = faults.NewType("notSent").New("backend server was not reached")
+	// ErrUnknown means that the call may or may not have run.
+	ErrUnknown = faults.NewType("unknown").New("no whole answer")
+)
+
+// Header is one header field.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// Call is one request.
+type Call struct {
+	RequestID string
+	Method    string
+	Path      string
+	Headers   []Header
+	Body      []byte
+	// Limit bounds the whole exchange.
+	Limit time.Duration
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status  int
+	Headers []Header
+	Body    []byte
+}
+
+// Client talks to one backend server.
+type Client struct {
+	address string
+	http    *fasthttp.Client
+}
+
+// New returns a client of the server at the given address.
+func New(address string) *Client {
+	return &Client{address: address, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxAnswerBytes,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+			return false, false
+		},
+		Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialLimit) },
+	}}
+}
+
+// Do sends the call once and returns the whole answer.
+func (c *Client) Do(call *Call) (*Answer, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + c.address + call.Path)
+	request.Header.SetMethod(call.Method)
+	for _, header := range call.Headers {
+		request.Header.Set(header.Name, header.Value)
+	}
+	request.Header.Set(HeaderRequestID, call.RequestID)
+	request.SetConnectionClose()
+	request.SetBodyRaw(call.Body)
+	if err := c.http.DoTimeout(request, response, call.Limit); err != nil {
+		return nil, fmt.Errorf("%s %s: %w", call.Method, call.Path, transportError(err))
+	}
+	if echoed := string(response.Header.Peek(HeaderRequestID)); echoed != "" && echoed != call.RequestID {
+		return nil, fmt.Errorf("answer of another request: %w", ErrUnknown)
+	}
+	answer := &Answer{Status: response.StatusCode(), Body: append([]byte(nil), response.Body()...)}
+	if contentType := response.Header.ContentType(); len(contentType) > 0 {
+		answer.Headers = append(answer.Headers, Header{"Content-Type", string(contentType)})
+	}
+	return answer, nil
+}
+
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.Is(err, fasthttp.ErrDialTimeout) || (errors.As(err, &op) && op.Op == "dial") {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnknown, err)
+}
--- /dev/null
+++ b/peer/store/client.go
@@ -0,0 +1,197 @@
+// Package store speaks the protocol of the platform's key-value service: HTTP
+// with JSON bodies. It maps every failure to the typed errors of package keeper
+// and keeps "nothing was written" apart from "unknown".
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/keeper"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// callLimit bounds one call; the service answers in milliseconds.
+	callLimit = 500 * time.Millisecond
+	// watchSlack is added to the wait of a watch before it counts as silent.
+	watchSlack = time.Second
+	// maxConnections bounds the pool of connections.
+	maxConnections = 16
+	// requestIDHeader carries an id that the service echoes.
+	requestIDHeader = "X-Request-Id"
+)
+
+// Paths of the service.
+const (
+	PathGet   = "/v1/get"
+	PathList  = "/v1/list"
+	PathSwap  = "/v1/swap"
+	PathWatch = "/v1/watch"
+	PathGrant = "/v1/lease/grant"
+	PathRenew = "/v1/lease/renew"
+)
+
+// Query is the body of every call; each path uses some of its fields.
+type Query struct {
+	Key      string        `json:"key,omitempty"`
+	Prefix   string        `json:"prefix,omitempty"`
+	Value    []byte        `json:"value,omitempty"`
+	Delete   bool          `json:"delete,omitempty"`
+	Expected uint64        `json:"expected,omitempty"`
+	Lease    string        `json:"lease,omitempty"`
+	After    uint64        `json:"after,omitempty"`
+	Wait     time.Duration `json:"waitNanoseconds,omitempty"`
+	TTL      time.Duration `json:"ttlNanoseconds,omitempty"`
+}
+
+// Reply is the body of every successful answer.
+type Reply struct {
+	Entries  []keeper.Entry `json:"entries,omitempty"`
+	Revision uint64         `json:"revision,omitempty"`
+	Lease    string         `json:"lease,omitempty"`
+}
+
+// client holds the connections to one service.
+type client struct {
+	http *fasthttp.HostClient
+}
+
+// New returns a Store that talks to the service at the given address.
+func New(address string) keeper.Store {
+	c := &client{http: &fasthttp.HostClient{
+		Addr:                      address,
+		MaxConns:                  maxConnections,
+		MaxIdemponentCallAttempts: 1,
+		Dial: func(addr string) (net.Conn, error) {
+			return fasthttp.DialTimeout(addr, callLimit)
+		},
+	}}
+	return keeper.Store{Get: c.get, List: c.list, Swap: c.swap, Watch: c.watch, Grant: c.grant, Renew: c.renew}
+}
+
+func (c *client) get(ctx context.Context, key string) (keeper.Entry, error) {
+	reply, err := c.call(ctx, PathGet, Query{Key: key}, callLimit)
+	if err != nil {
+		return keeper.Entry{}, fmt.Errorf("get %s: %w", key, readError(err))
+	}
+	if len(reply.Entries) != 1 {
+		return keeper.Entry{}, fmt.Errorf("get %s: %w", key, keeper.ErrNotFound)
+	}
+	return reply.Entries[0], nil
+}
+
+func (c *client) list(ctx context.Context, prefix string) ([]keeper.Entry, error) {
+	reply, err := c.call(ctx, PathList, Query{Prefix: prefix}, callLimit)
+	if err != nil {
+		return nil, fmt.Errorf("list %s: %w", prefix, readError(err))
+	}
+	return reply.Entries, nil
+}
+
+func (c *client) swap(ctx context.Context, swap keeper.Swap) (uint64, error) {
+	query := Query{Key: swap.Key, Value: swap.Value, Delete: swap.Value == nil, Expected: swap.Expected, Lease: swap.Lease}
+	reply, err := c.call(ctx, PathSwap, query, callLimit)
+	if err != nil {
+		return 0, fmt.Errorf("swap %s: %w", swap.Key, err)
+	}
+	return reply.Revision, nil
+}
+
+func (c *client) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keeper.Entry, uint64, error) {
+	reply, err := c.call(ctx, PathWatch, Query{Prefix: prefix, After: after, Wait: wait}, wait+watchSlack)
+	if err != nil {
+		return nil, 0, fmt.Errorf("watch %s: %w", prefix, readError(err))
+	}
+	return reply.Entries, reply.Revision, nil
+}
+
+func (c *client) grant(ctx context.Context, ttl time.Duration) (string, error) {
+	reply, err := c.call(ctx, PathGrant, Query{TTL: ttl}, callLimit)
+	if err != nil {
+		return "", fmt.Errorf("grant lease: %w", err)
+	}
+	return reply.Lease, nil
+}
+
+func (c *client) renew(ctx context.Context, lease string) error {
+	if _, err := c.call(ctx, PathRenew, Query{Lease: lease}, callLimit); err != nil {
+		return fmt.Errorf("renew lease: %w", err)
+	}
+	return nil
+}
+
+// readError maps an unknown outcome of a read to unavailability, since a read
+// changes nothing.
+func readError(err error) error {
+	if errors.Is(err, keeper.ErrUnknown) {
+		return fmt.Errorf("%w: %w", keeper.ErrUnavailable, err)
+	}
+	return err
+}
+
+func (c *client) call(ctx context.Context, path string, query Query, limit time.Duration) (*Reply, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", keeper.ErrUnavailable, err)
+	}
+	deadline := time.Now().Add(limit)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	body, err := json.Marshal(query)
+	if err != nil {
+		return nil, fmt.Errorf("encode query: %w", err)
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	id := uuid.NewString()
+	request.SetRequestURI("http://" + c.http.Addr + path)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.Set(requestIDHeader, id)
+	request.Header.SetContentType("application/json")
+	request.SetBody(body)
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+		return nil, transportError(err)
+	}
+	if string(response.Header.Peek(requestIDHeader)) != id {
+		return nil, fmt.Errorf("reply to another call: %w", keeper.ErrUnknown)
+	}
+	return decode(response)
+}
+
+// transportError maps a failed exchange. Only a failed dial proves that nothing
+// was sent.
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) || (errors.As(err, &op) && op.Op == "dial") {
+		return fmt.Errorf("%w: %w", keeper.ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", keeper.ErrUnknown, err)
+}
+
+func decode(response *fasthttp.Response) (*Reply, error) {
+	switch response.StatusCode() {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusNotFound:
+		return nil, keeper.ErrNotFound
+	case fasthttp.StatusConflict:
+		return nil, keeper.ErrConflict
+	case fasthttp.StatusGone:
+		return nil, keeper.ErrLeaseLost
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return nil, keeper.ErrUnavailable
+	default:
+		return nil, fmt.Errorf("status %d: %w", response.StatusCode(), keeper.ErrUnknown)
+	}
+	var reply Reply
+	if err := json.Unmarshal(response.Body(), &reply); err != nil {
+		return nil, fmt.Errorf("decode reply: %w: %w", keeper.ErrUnknown, err)
+	}
+	return &reply, nil
+}
--- /dev/null
+++ b/spreader/gossip.go
@@ -0,0 +1,352 @@
+package spreader
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/keeper"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/zeebo/xxh3"
+)
+
+// Document is one revision on its way between daemons.
+type Document struct {
+	Service  string
+	Revision uint64
+	Text     []byte
+}
+
+// State is one side of an exchange. The first message of an exchange holds only
+// the digest; the rest follows if the digests differ.
+type State struct {
+	Digest uint64
+	// Full is set if Revisions lists everything that the sender holds, so that
+	// the receiver can tell what it lacks.
+	Full      bool
+	Revisions map[string]uint64
+	Documents []Document
+}
+
+// Options are the times and counts of the spreading.
+type Options struct {
+	// Period is the time between two exchanges started by a daemon at rest.
+	Period time.Duration
+	// Fanout is the number of peers told at once when something new arrives.
+	Fanout int
+	// Watchers is the number of daemons that watch the store per region.
+	Watchers int
+	// WatchWait is how long one watch waits.
+	WatchWait time.Duration
+	// RetryPause is the longest wait after a failed watch, reached at random.
+	RetryPause time.Duration
+}
+
+// DefaultOptions meet the four seconds with a margin for one lost round.
+var DefaultOptions = Options{
+	Period:     time.Second,
+	Fanout:     3,
+	Watchers:   3,
+	WatchWait:  30 * time.Second,
+	RetryPause: time.Second,
+}
+
+// Peers are the other daemons as one daemon knows them.
+type Peers struct {
+	// Self is this daemon's address.
+	Self string
+	// All returns the addresses that take part in the spreading.
+	All func() []string
+	// Region returns the addresses of this daemon's region, itself included.
+	Region func() []string
+	// Exchange sends a state to a peer and returns its answer.
+	Exchange func(ctx context.Context, peer string, state State) (State, error)
+}
+
+// Source is the store as the spreading reads it.
+type Source struct {
+	Store keeper.Store
+	// Prefix is where the entries are.
+	Prefix string
+	// Parse returns the document in an entry.
+	Parse func(entry keeper.Entry) (Document, error)
+}
+
+// Gossip spreads the revisions of one book.
+type Gossip[T any] struct {
+	book    *Book[T]
+	clock   timekeeper.Clock
+	random  func() uint64
+	peers   Peers
+	source  Source
+	options Options
+	// report is told about documents that cannot be taken.
+	report func(err error)
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	exchanges atomic.Uint64
+	reads     atomic.Uint64
+
+	// mu guards silent.
+	mu sync.Mutex
+	// silent holds when an exchange with a peer last failed, until one succeeds.
+	silent map[string]time.Time
+}
+
+// NewGossip starts to spread. Close ends its goroutines. random must be safe
+// for concurrent use.
+func NewGossip[T any](book *Book[T], clock timekeeper.Clock, random func() uint64, peers Peers, source Source, options Options, report func(error)) *Gossip[T] {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Gossip[T]{
+		book: book, clock: clock, random: random, peers: peers, source: source,
+		options: options, report: report, cancel: cancel, silent: make(map[string]time.Time),
+	}
+	g.start(func() { g.exchangeLoop(ctx) })
+	g.start(func() { g.pushLoop(ctx) })
+	if source.Store.Watch != nil {
+		g.start(func() { g.watchLoop(ctx) })
+	}
+	return g
+}
+
+func (g *Gossip[T]) start(loop func()) {
+	g.done.Add(1)
+	go func() {
+		defer g.done.Done()
+		loop()
+	}()
+}
+
+// Close ends the spreading.
+func (g *Gossip[T]) Close() {
+	g.cancel()
+	g.done.Wait()
+}
+
+// Exchanges returns the number of exchanges started.
+func (g *Gossip[T]) Exchanges() uint64 { return g.exchanges.Load() }
+
+// StoreReads returns the number of calls made to the store.
+func (g *Gossip[T]) StoreReads() uint64 { return g.reads.Load() }
+
+// Answer is what a peer's exchange gets.
+func (g *Gossip[T]) Answer(state State) State {
+	g.take(state.Documents)
+	snapshot := g.book.Snapshot()
+	answer := State{Digest: snapshot.Digest()}
+	if state.Digest == answer.Digest {
+		return answer
+	}
+	answer.Revisions = snapshot.Revisions()
+	if state.Full {
+		answer.Documents = documents(snapshot.Newer(state.Revisions))
+	}
+	return answer
+}
+
+// Exchange makes the books of this daemon and one peer equal.
+func (g *Gossip[T]) Exchange(ctx context.Context, peer string) error {
+	g.exchanges.Add(1)
+	snapshot := g.book.Snapshot()
+	answer, err := g.peers.Exchange(ctx, peer, State{Digest: snapshot.Digest()})
+	g.note(peer, err)
+	if err != nil {
+		return fmt.Errorf("exchange with %s: %w", peer, err)
+	}
+	if answer.Digest == snapshot.Digest() {
+		return nil
+	}
+	next := State{
+		Digest:    snapshot.Digest(),
+		Full:      true,
+		Revisions: snapshot.Revisions(),
+		Documents: documents(snapshot.Newer(answer.Revisions)),
+	}
+	answer, err = g.peers.Exchange(ctx, peer, next)
+	if err != nil {
+		return fmt.Errorf("exchange documents with %s: %w", peer, err)
+	}
+	g.take(answer.Documents)
+	return nil
+}
+
+func (g *Gossip[T]) note(peer string, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		delete(g.silent, peer)
+		return
+	}
+	g.silent[peer] = g.clock.Now()
+}
+
+func (g *Gossip[T]) take(offered []Document) {
+	for _, document := range offered {
+		if _, err := g.book.Offer(document.Service, document.Revision, document.Text); err != nil {
+			g.report(err)
+		}
+	}
+}
+
+func documents[T any](revised []*Revised[T]) []Document {
+	result := make([]Document, len(revised))
+	for i, r := range revised {
+		result[i] = Document{Service: r.Service, Revision: r.Revision, Text: r.Text}
+	}
+	return result
+}
+
+// exchangeLoop keeps this daemon and random peers equal.
+func (g *Gossip[T]) exchangeLoop(ctx context.Context) {
+	for {
+		if peer := g.pick(nil); peer != "" {
+			if err := g.Exchange(ctx, peer); err != nil && ctx.Err() == nil {
+				g.report(err)
+			}
+		}
+		if !g.sleep(ctx, g.jitter(g.options.Period)) {
+			return
+		}
+	}
+}
+
+// pushLoop tells peers at once about what is new.
+func (g *Gossip[T]) pushLoop(ctx context.Context) {
+	told := g.book.Snapshot().Digest()
+	for {
+		changed := g.book.Changed()
+		if now := g.book.Snapshot().Digest(); now != told {
+			told = now
+			g.push(ctx)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gossip[T]) push(ctx context.Context) {
+	var group sync.WaitGroup
+	chosen := map[string]bool{}
+	for range g.options.Fanout {
+		peer := g.pick(chosen)
+		if peer == "" {
+			break
+		}
+		chosen[peer] = true
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if err := g.Exchange(ctx, peer); err != nil && ctx.Err() == nil {
+				g.report(err)
+			}
+		}()
+	}
+	group.Wait()
+}
+
+// pick returns a random peer that is not excluded, or "".
+func (g *Gossip[T]) pick(excluded map[string]bool) string {
+	all := g.peers.All()
+	if len(all) == 0 {
+		return ""
+	}
+	start := int(g.random() % uint64(len(all)))
+	for i := range all {
+		peer := all[(start+i)%len(all)]
+		if peer != g.peers.Self && !excluded[peer] {
+			return peer
+		}
+	}
+	return ""
+}
+
+// watchLoop reads the store while this daemon is one of its region's watchers.
+func (g *Gossip[T]) watchLoop(ctx context.Context) {
+	var after uint64
+	for {
+		if !g.watches() {
+			if !g.sleep(ctx, g.jitter(g.options.RetryPause)) {
+				return
+			}
+			continue
+		}
+		g.reads.Add(1)
+		entries, revision, err := g.source.Store.Watch(ctx, g.source.Prefix, after, g.options.WatchWait)
+		if err != nil {
+			if !g.sleep(ctx, g.jitter(g.options.RetryPause)) {
+				return
+			}
+			// Whatever was missed is read again.
+			after = 0
+			continue
+		}
+		g.read(entries)
+		after = max(after, revision)
+	}
+}
+
+func (g *Gossip[T]) read(entries []keeper.Entry) {
+	for _, entry := range entries {
+		document, err := g.source.Parse(entry)
+		if err != nil {
+			g.report(err)
+			continue
+		}
+		g.take([]Document{document})
+	}
+}
+
+// watches reports whether this daemon is among the first of its region in an
+// order that all daemons of the region agree on, passing over silent ones.
+func (g *Gossip[T]) watches() bool {
+	own := rank(g.peers.Self)
+	ahead := 0
+	for _, peer := range g.peers.Region() {
+		if peer != g.peers.Self && rank(peer) < own && !g.isSilent(peer) {
+			ahead++
+		}
+	}
+	return ahead < g.options.Watchers
+}
+
+func (g *Gossip[T]) isSilent(peer string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, silent := g.silent[peer]
+	return silent
+}
+
+func rank(address string) uint64 { return xxh3.HashString(address) }
+
+// jitter returns a random duration between half of d and d.
+func (g *Gossip[T]) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(g.random()%uint64(d/2+1))
+}
+
+func (g *Gossip[T]) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-g.clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Random returns a source of random numbers for NewGossip.
+func Random(seed uint64) func() uint64 {
+	var mu sync.Mutex
+	source := rand.New(rand.NewPCG(seed, 2))
+	return func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return source.Uint64()
+	}
+}
