--- a/claimer/claims.go
+++ b/claimer/claims.go
@@ -58,7 +58,7 @@
 	if len(answer) > c.options.MaxAnswer {
 		answer = nil
 	}
-	c.worker(key).conclude(key, attempt, state, answer)
+	c.worker(key).conclude(attempt, state, answer)
 }
 
 // Await waits until the attempt that holds the key ends, if it is held by this
@@ -191,7 +191,7 @@
 			select {
 			case r := <-p.done:
 				if r.err == nil && r.claim.Attempt == p.claim.Attempt {
-					w.conclude(p.claim.Key, p.claim.Attempt, NotRun, nil)
+					w.conclude(p.claim.Attempt, NotRun, nil)
 				}
 			case <-w.stopped:
 			}
@@ -212,7 +212,7 @@
 	return true
 }
 
-func (w *worker) conclude(key, attempt string, state State, answer []byte) {
+func (w *worker) conclude(attempt string, state State, answer []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l, ok := w.running[attempt]
