--- a/claimer/claims.go
+++ b/claimer/claims.go
@@ -296,9 +296,12 @@
 	limit := w.clock.Now().Add(commitLimit)
 	for {
 		err := w.commit(ctx, &proposed)
-		if err == nil {
+		if err == nil && len(proposed) == 0 {
 			return true
 		}
+		if err == nil {
+			continue
+		}
 		if refreshErr := w.log.refresh(ctx); refreshErr != nil {
 			err = refreshErr
 		}
@@ -375,25 +378,17 @@
 	}
 }
 
-// decideKnown answers proposals whose keys are already claimed. A claim that has
-// not ended is read again first, since its holder may be another process.
+// decideKnown answers proposals whose keys are already claimed. Claims of other
+// processes that have not ended are read again first, before anything is answered.
 func (w *worker) decideKnown(ctx context.Context, proposed *[]*proposal) error {
-	refreshed := false
+	if w.anyForeign(*proposed) {
+		if err := w.log.refresh(ctx); err != nil {
+			return fmt.Errorf("read claims: %w", err)
+		}
+	}
 	var open []*proposal
-	taken := make(map[string]Claim)
 	for _, p := range *proposed {
-		if first, ok := taken[p.claim.Key]; ok {
-			p.done <- result{claim: first}
-			continue
-		}
 		known, ok := w.log.index[p.claim.Key]
-		if ok && known.State == Claimed && known.Holder != w.holder && !refreshed {
-			if err := w.log.refresh(ctx); err != nil {
-				return fmt.Errorf("read claims: %w", err)
-			}
-			refreshed = true
-			known, ok = w.log.index[p.claim.Key]
-		}
 		switch {
 		case ok && known.Attempt == p.claim.Attempt && known.State == Claimed:
 			// An earlier write took effect although its reply was lost.
@@ -402,7 +397,6 @@
 		case ok && known.State != NotRun:
 			p.done <- result{claim: w.current(known)}
 		default:
-			taken[p.claim.Key] = p.claim
 			open = append(open, p)
 		}
 	}
@@ -410,6 +404,15 @@
 	return nil
 }
 
+// anyForeign reports whether a proposal meets a claim of another process that
+// has not ended as far as is known here.
+func (w *worker) anyForeign(proposed []*proposal) bool {
+	return slices.ContainsFunc(proposed, func(p *proposal) bool {
+		known, ok := w.log.index[p.claim.Key]
+		return ok && known.State == Claimed && known.Holder != w.holder
+	})
+}
+
 // current returns the claim with the end that is known here but not committed.
 func (w *worker) current(known Claim) Claim {
 	w.mu.Lock()
@@ -420,7 +423,9 @@
 	return known
 }
 
-// batch returns the records to commit and how many conclusions they cover.
+// batch returns the records to commit and how many conclusions they cover. Of
+// several proposals for one key it takes the first; the others are decided once
+// that is committed.
 func (w *worker) batch(releases []Claim, proposed []*proposal) (records []Claim, conclusions int) {
 	records = releases
 	w.mu.Lock()
@@ -431,8 +436,12 @@
 	}
 	conclusions = len(w.concluded)
 	w.mu.Unlock()
+	chosen := make(map[string]bool, len(proposed))
 	for _, p := range proposed {
-		records = append(records, p.claim)
+		if !chosen[p.claim.Key] {
+			chosen[p.claim.Key] = true
+			records = append(records, p.claim)
+		}
 	}
 	return records, conclusions
 }
@@ -453,13 +462,16 @@
 	}
 }
 
-// grant answers proposals whose claims are committed.
+// grant answers proposals whose claims are committed and keeps the others.
 func (w *worker) grant(proposed *[]*proposal) {
-	for _, p := range *proposed {
+	*proposed = slices.DeleteFunc(*proposed, func(p *proposal) bool {
+		if w.log.index[p.claim.Key].Attempt != p.claim.Attempt {
+			return false
+		}
 		w.hold(p.claim)
 		p.done <- result{claim: p.claim}
-	}
-	*proposed = nil
+		return true
+	})
 }
 
 // hold records that an attempt of this process holds a claim.
--- /dev/null
+++ b/claimer/log_test.go
@@ -0,0 +1,147 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/claimer"
+	"github.com/cyclamenward/cyclamenward/internal/standin/keyvalue"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"gotest.tools/v3/assert"
+)
+
+func newClaims(state *keyvalue.State, holder string, options claimer.Options) *claimer.Claims {
+	return claimer.New(state.Store(), timekeeper.System{}, "booking", claimer.Holder{Sidecar: holder, Incarnation: holder + "-1"}, options)
+}
+
+// TestClaimsSurviveSealing fills a range until its records move to chunks and
+// checks that another process knows every claim and every answer.
+func TestClaimsSurviveSealing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := keyvalue.New(timekeeper.System{}, 1)
+		options := claimer.DefaultOptions
+		options.Ranges = 1
+		first := newClaims(state, "first", options)
+		const count = 600
+		for i := range count {
+			key, attempt := fmt.Sprintf("key-%d", i), fmt.Sprintf("attempt-%d", i)
+			claim, err := first.Take(t.Context(), key, "digest", attempt)
+			assert.NilError(t, err)
+			assert.Equal(t, claim.Attempt, attempt)
+			first.Conclude(key, attempt, claimer.Answered, []byte("answer "+key))
+		}
+		assert.NilError(t, first.Flush(t.Context()))
+		first.Close()
+		second := newClaims(state, "second", options)
+		for i := range count {
+			key := fmt.Sprintf("key-%d", i)
+			claim, err := second.Take(t.Context(), key, "digest", "late")
+			assert.NilError(t, err)
+			assert.Equal(t, claim.State, claimer.Answered, key)
+			assert.Equal(t, string(claim.Answer), "answer "+key)
+		}
+		second.Close()
+	})
+}
+
+// TestClaimsExpire checks that a claim is kept for its time and that the store
+// does not grow without bound.
+func TestClaimsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := keyvalue.New(timekeeper.System{}, 1)
+		options := claimer.DefaultOptions
+		options.Ranges, options.Keep = 1, time.Hour
+		claims := newClaims(state, "first", options)
+		for i := range 2000 {
+			_, err := claims.Take(t.Context(), fmt.Sprintf("key-%d", i), "digest", fmt.Sprintf("attempt-%d", i))
+			assert.NilError(t, err)
+			<-time.After(10 * time.Second)
+		}
+		entries, err := state.Store().List(t.Context(), "claims/")
+		assert.NilError(t, err)
+		size := 0
+		for _, entry := range entries {
+			size += len(entry.Value)
+		}
+		// An hour, the margin for clocks and a chunk hold at most 600 claims.
+		assert.Assert(t, size < 600*512, "store holds %d bytes", size)
+		claims.Close()
+	})
+}
+
+// TestNoStoreCallsAtRest checks that claims cost nothing while there are none.
+func TestNoStoreCallsAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := keyvalue.New(timekeeper.System{}, 1)
+		claims := newClaims(state, "first", claimer.DefaultOptions)
+		_, err := claims.Take(t.Context(), "key", "digest", "attempt")
+		assert.NilError(t, err)
+		claims.Conclude("key", "attempt", claimer.Answered, nil)
+		assert.NilError(t, claims.Flush(t.Context()))
+		before := state.Counts()
+		<-time.After(time.Hour)
+		assert.Equal(t, state.Counts(), before)
+		claims.Close()
+	})
+}
+
+// TestAbandonedGrantIsReleased checks that a key is free again after a proposal
+// whose caller left before the claim was committed.
+func TestAbandonedGrantIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := keyvalue.New(timekeeper.System{}, 1)
+		state.SetFaults(keyvalue.Faults{Delay: 100 * time.Millisecond})
+		claims := newClaims(state, "first", claimer.DefaultOptions)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := claims.Take(ctx, "key", "digest", "gone")
+		assert.ErrorIs(t, err, claimer.ErrUnavailable)
+		<-time.After(time.Second)
+		claim, err := claims.Take(t.Context(), "key", "digest", "next")
+		assert.NilError(t, err)
+		assert.Equal(t, claim.Attempt, "next")
+		claims.Close()
+	})
+}
+
+// BenchmarkClaims measures how many claims the store carries: the clients are
+// always busy, the store answers after five milliseconds.
+func BenchmarkClaims(b *testing.B) {
+	for _, ranges := range []int{1, 4, 8} {
+		b.Run(fmt.Sprintf("ranges=%d", ranges), func(b *testing.B) {
+			state := keyvalue.New(timekeeper.System{}, 1)
+			state.SetFaults(keyvalue.Faults{Delay: 5 * time.Millisecond})
+			options := claimer.DefaultOptions
+			options.Ranges = ranges
+			options.MaxClaims = 1 << 30
+			claims := newClaims(state, "first", options)
+			defer claims.Close()
+			var next atomic.Int64
+			var group sync.WaitGroup
+			start := time.Now()
+			for range 512 {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+						key, attempt := fmt.Sprintf("key-%d", n), fmt.Sprintf("attempt-%d", n)
+						if _, err := claims.Take(context.Background(), key, "digest", attempt); err != nil {
+							b.Error(err)
+							return
+						}
+						claims.Conclude(key, attempt, claimer.Answered, nil)
+					}
+				}()
+			}
+			group.Wait()
+			seconds := time.Since(start).Seconds()
+			b.ReportMetric(float64(b.N)/seconds, "claims/s")
+			b.ReportMetric(float64(state.Counts().Writes)/seconds, "storeWrites/s")
+		})
+	}
+}
