--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/chooser"
@@ -9,7 +10,16 @@
 	"github.com/cyclamenward/cyclamenward/spreader"
 )
 
-// service is one service of a catalog. It is never changed.
+// versionPeriod is how long a look at all replicas' weights versions holds.
+const versionPeriod = 100 * time.Millisecond
+
+// servedVersion is the result of a look at all replicas.
+type servedVersion struct {
+	version string
+	at      time.Time
+}
+
+// service is one service of a catalog. It is never changed, but for served.
 type service struct {
 	revised  *spreader.Revised[*decoder.Document]
 	document *decoder.Document
@@ -17,6 +27,8 @@
 	chooser  *chooser.Chooser
 	// workspaces maps hashes of keys to workspaces.
 	workspaces map[string]*decoder.Workspace
+	// served is the last look at the replicas' weights versions, nil before.
+	served atomic.Pointer[servedVersion]
 }
 
 // catalog is the configuration in the form in which requests use it. It is
@@ -122,10 +134,20 @@
 	return ""
 }
 
-// version returns the weights version that a new request asks for: the one in
-// the document once at least half of the replicas that have reported serve it,
-// and the most common one before that.
-func (s *service) version() string {
+// version returns the weights version that a new request asks for. It looks at
+// all replicas at most once per versionPeriod, not at every request.
+func (s *service) version(now time.Time) string {
+	if known := s.served.Load(); known != nil && now.Sub(known.at) < versionPeriod {
+		return known.version
+	}
+	version := s.commonVersion()
+	s.served.Store(&servedVersion{version: version, at: now})
+	return version
+}
+
+// commonVersion returns the version in the document once at least half of the
+// replicas that have reported serve it, and the most common one before that.
+func (s *service) commonVersion() string {
 	wanted := s.document.Model.WeightsVersion
 	counts := map[string]int{}
 	reported := 0
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -111,7 +111,7 @@
 	if bound := r.sequence.WeightsVersion(); bound != "" {
 		return bound
 	}
-	return r.request.service.version()
+	return r.request.service.version(r.entry.clock.Now())
 }
 
 func (r *run) scopedChain() []chainer.Hash {
