--- a/chooser/choose.go
+++ b/chooser/choose.go
@@ -14,8 +14,10 @@
 	samples = 2
 	// maxCandidates bounds the candidates of one decision.
 	maxCandidates = 48
-	// reportFresh is how long a report is trusted in full.
+	// reportFresh is how long a report of other weights is trusted.
 	reportFresh = 2 * time.Second
+	// engineRetry is how long a report without an engine is trusted.
+	engineRetry = 200 * time.Millisecond
 )
 
 // Request is what a decision is about.
@@ -234,7 +236,7 @@
 	choice := Choice{Index: candidate.index, ExpectedBlocks: candidate.depth, Reason: candidate.reason}
 	backlog := float64(status.sent.Load())
 	if report := status.Report(); report != nil {
-		if report.Leaving || (report.WeightsVersion != request.WeightsVersion && now.Sub(report.At) < reportFresh) {
+		if report.Leaving || !mayServe(report, request.WeightsVersion, now) {
 			return Choice{}, false
 		}
 		choice.EngineIncarnation = report.EngineIncarnation
@@ -246,6 +248,17 @@
 	return choice, true
 }
 
+// mayServe reports whether a replica may have the weights version, as far as its
+// last report tells. A replica that had not reached its engine yet, and so named
+// no version, is tried again sooner.
+func mayServe(report *Report, version string, now time.Time) bool {
+	age := now.Sub(report.At)
+	if report.WeightsVersion == "" {
+		return age >= engineRetry
+	}
+	return report.WeightsVersion == version || age >= reportFresh
+}
+
 // remaining is the reported backlog less what was worked off since.
 func remaining(report *Report, now time.Time, rate float64) float64 {
 	return max(0, float64(report.BacklogTokens)-now.Sub(report.At).Seconds()*rate)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -64,6 +64,7 @@
 		IdempotencyKey: key,
 		Repeatable:     s.document.MayRepeat(string(ctx.Method()), path),
 	}
+	e.retries.Earn()
 	r.order = r.replicas()
 	answer, p := r.run()
 	if p != nil {
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,10 +15,10 @@
 // versionPeriod is how long a look at all replicas' weights versions holds.
 const versionPeriod = 100 * time.Millisecond
 
-// servedVersion is the result of a look at all replicas.
-type servedVersion struct {
-	version string
-	at      time.Time
+// servedVersions is the result of a look at all replicas.
+type servedVersions struct {
+	versions []string
+	at       time.Time
 }
 
 // service is one service of a catalog. It is never changed, but for served.
@@ -28,7 +30,7 @@
 	// workspaces maps hashes of keys to workspaces.
 	workspaces map[string]*decoder.Workspace
 	// served is the last look at the replicas' weights versions, nil before.
-	served atomic.Pointer[servedVersion]
+	served atomic.Pointer[servedVersions]
 }
 
 // catalog is the configuration in the form in which requests use it. It is
@@ -134,22 +136,24 @@
 	return ""
 }
 
-// version returns the weights version that a new request asks for. It looks at
-// all replicas at most once per versionPeriod, not at every request.
-func (s *service) version(now time.Time) string {
+// versions returns the weights versions that a new request may ask for, the best
+// first. It looks at all replicas at most once per versionPeriod, not at every
+// request.
+func (s *service) versions(now time.Time) []string {
 	if known := s.served.Load(); known != nil && now.Sub(known.at) < versionPeriod {
-		return known.version
+		return known.versions
 	}
-	version := s.commonVersion()
-	s.served.Store(&servedVersion{version: version, at: now})
-	return version
+	versions := s.rankVersions()
+	s.served.Store(&servedVersions{versions: versions, at: now})
+	return versions
 }
 
-// commonVersion returns the version in the document once at least half of the
-// replicas that have reported serve it, and the most common one before that.
-func (s *service) commonVersion() string {
+// rankVersions puts the version in the document first once at least half of the
+// replicas that have reported serve it, and orders the others by how common they
+// are.
+func (s *service) rankVersions() []string {
 	wanted := s.document.Model.WeightsVersion
-	counts := map[string]int{}
+	counts := map[string]int{wanted: 0}
 	reported := 0
 	for i := range s.pool.Len() {
 		if report := s.pool.Status(i).Report(); report != nil && report.WeightsVersion != "" {
@@ -158,15 +162,11 @@
 		}
 	}
 	if 2*counts[wanted] >= reported {
-		return wanted
+		counts[wanted] += reported
 	}
-	best := wanted
-	for version, count := range counts {
-		if count > counts[best] || (count == counts[best] && version < best) {
-			best = version
-		}
-	}
-	return best
+	versions := slices.Sorted(maps.Keys(counts))
+	slices.SortStableFunc(versions, func(a, b string) int { return counts[b] - counts[a] })
+	return versions
 }
 
 // avoidAfterLoss is how long a replica is passed over after its sidecar was not
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,8 +34,6 @@
 	headerLimit = 10 * time.Second
 	// callerIdle is how long an idle caller's connection is kept.
 	callerIdle = 90 * time.Second
-	// callerWrite bounds the wait for a caller that does not read.
-	callerWrite = 30 * time.Second
 	// memoryBlocks bounds what is remembered about replicas' caches.
 	memoryBlocks = 100_000
 	// retryShare and retryCeiling keep retries to a tenth of all requests.
@@ -125,7 +123,6 @@
 		Handler:            e.handle,
 		MaxRequestBodySize: maxRequestBody,
 		ReadTimeout:        headerLimit,
-		WriteTimeout:       callerWrite,
 		IdleTimeout:        callerIdle,
 		CloseOnShutdown:    true,
 		Logger:             quiet{},
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -39,9 +39,11 @@
 	// first is the index at which this run began, above 0 after a caller's resume.
 	first int
 
-	// attempts and corrections count what was tried.
+	// attempts and corrections count what was tried since the answer last grew.
 	attempts, corrections int
-	excluded              []int
+	// grown is the number of tokens that had passed when attempts was reset.
+	grown    int
+	excluded []int
 	// index, attempt and stream belong to the current attempt.
 	index   int
 	attempt string
@@ -52,6 +54,7 @@
 }
 
 func (e *Entry) newRun(request *modelRequest, c *caller) *run {
+	e.retries.Earn()
 	return &run{entry: e, request: request, requestID: c.requestID, sequence: sequencer.New(), index: -1}
 }
 
@@ -90,9 +93,7 @@
 	if r.attempts >= maxAttempts || e.timeLeft(r.request.until) <= 0 {
 		return r.giveUp()
 	}
-	r.request.infer.WeightsVersion = r.version()
-	r.chain = r.scopedChain()
-	choice := s.chooser.Choose(s.pool, r.decision(), e.clock.Now())
+	choice := r.choose()
 	if choice.Index < 0 {
 		return r.giveUp()
 	}
@@ -107,11 +108,24 @@
 	return r.send(replica, choice)
 }
 
-func (r *run) version() string {
-	if bound := r.sequence.WeightsVersion(); bound != "" {
-		return bound
+// choose decides where the next attempt goes. An answer that has begun stays on
+// its weights version; any other may use each version that replicas serve, the
+// most common one first.
+func (r *run) choose() chooser.Choice {
+	s, now := r.request.service, r.entry.clock.Now()
+	versions := []string{r.sequence.WeightsVersion()}
+	if versions[0] == "" {
+		versions = s.versions(now)
 	}
-	return r.request.service.version(r.entry.clock.Now())
+	var choice chooser.Choice
+	for _, version := range versions {
+		r.request.infer.WeightsVersion = version
+		r.chain = r.scopedChain()
+		if choice = s.chooser.Choose(s.pool, r.decision(), now); choice.Index >= 0 {
+			break
+		}
+	}
+	return choice
 }
 
 func (r *run) scopedChain() []chainer.Hash {
@@ -253,7 +267,14 @@
 }
 
 // spendRetry takes a retry from the budget. Without one the last problem is final.
+// An attempt that brought the answer forward needs no retry: going on behind it
+// cannot multiply the load.
 func (r *run) spendRetry() *problem {
+	if r.sequence.Next() > r.grown {
+		r.grown = r.sequence.Next()
+		r.attempts, r.corrections = 0, 0
+		return nil
+	}
 	if !r.entry.retries.Spend() {
 		return r.giveUp()
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -173,8 +173,15 @@
 	}
 }
 
-// Ready reports whether the sidecar knows its service and takes work.
-func (s *Sidecar) Ready() bool { return s.document() != nil && !s.table.Leaving() }
+// Ready reports whether the sidecar knows its service, has reached its engine and
+// takes work.
+func (s *Sidecar) Ready() bool {
+	document := s.document()
+	if document == nil || s.table.Leaving() {
+		return false
+	}
+	return document.Value.Kind != decoder.ModelPool || s.state.Load() != nil
+}
 
 func (s *Sidecar) document() *spreader.Revised[*decoder.Document] {
 	return s.common.Book().Snapshot().Get(s.settings.Service)
@@ -213,7 +220,9 @@
 	}
 	if state := s.state.Load(); state != nil {
 		news.EngineIncarnation = state.Incarnation
-		news.WeightsVersion = state.WeightsVersion
+		if !state.Loading {
+			news.WeightsVersion = state.WeightsVersion
+		}
 	}
 	return news
 }
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -17,11 +17,13 @@
 // engineLoop keeps the engine's state and the picture of its cache.
 func (s *Sidecar) engineLoop(ctx context.Context) {
 	for {
+		changed := s.common.Book().Changed()
 		if document := s.document(); document != nil && document.Value.Kind == decoder.ModelPool {
 			s.readEngine()
 		}
 		select {
 		case <-s.clock.After(enginePeriod):
+		case <-changed:
 		case <-s.refresh:
 		case <-ctx.Done():
 			return
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -21,6 +21,9 @@
 const (
 	// outboundLimit is how many bytes may wait for a slow client.
 	outboundLimit = 256 << 10
+	// slowLimit bounds the wait of one write for a client that does not read. It
+	// holds for each write, so that a stream may last as long as it likes.
+	slowLimit = 30 * time.Second
 	// drainPoll is how often a full outbound buffer is looked at again.
 	drainPoll = 5 * time.Millisecond
 	// closeLimit bounds how long Close waits for a slow client.
@@ -223,6 +226,10 @@
 // and waits while too many are outstanding.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.queued+c.buffered > outboundLimit {
+		timer := time.AfterFunc(slowLimit, c.end)
+		defer timer.Stop()
+	}
 	for c.queued+c.buffered > outboundLimit && !c.ended && !passed(c.writeDeadline) {
 		c.changed.Wait()
 	}
--- a/peer/link/message.go
+++ b/peer/link/message.go
@@ -168,9 +168,10 @@
 	Sidecar            string `cbor:"sidecar"`
 	SidecarIncarnation string `cbor:"sidecarIncarnation"`
 	EngineIncarnation  string `cbor:"engineIncarnation,omitempty"`
-	WeightsVersion     string `cbor:"weightsVersion,omitempty"`
-	Revision           uint64 `cbor:"revision,omitempty"`
-	Leaving            bool   `cbor:"leaving,omitempty"`
+	// WeightsVersion is what the engine serves; empty while it serves nothing.
+	WeightsVersion string `cbor:"weightsVersion,omitempty"`
+	Revision       uint64 `cbor:"revision,omitempty"`
+	Leaving        bool   `cbor:"leaving,omitempty"`
 	// Queued is the number of requests held for the backend server.
 	Queued int `cbor:"queued,omitempty"`
 	// BacklogTokens is the prefill work in front of a new request.
--- a/peer/store/client.go
+++ b/peer/store/client.go
@@ -103,12 +103,27 @@
 	return reply.Revision, nil
 }
 
+// watch returns at once when ctx ends; the waiting call is then left to its own
+// end, since the HTTP library cannot interrupt it.
 func (c *client) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keeper.Entry, uint64, error) {
-	reply, err := c.call(ctx, PathWatch, Query{Prefix: prefix, After: after, Wait: wait}, wait+watchSlack)
-	if err != nil {
-		return nil, 0, fmt.Errorf("watch %s: %w", prefix, readError(err))
+	type result struct {
+		reply *Reply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		reply, err := c.call(ctx, PathWatch, Query{Prefix: prefix, After: after, Wait: wait}, wait+watchSlack)
+		done <- result{reply, err}
+	}()
+	select {
+	case r := <-done:
+		if r.err != nil {
+			return nil, 0, fmt.Errorf("watch %s: %w", prefix, readError(r.err))
+		}
+		return r.reply.Entries, r.reply.Revision, nil
+	case <-ctx.Done():
+		return nil, 0, fmt.Errorf("watch %s: %w: %w", prefix, keeper.ErrUnavailable, ctx.Err())
 	}
-	return reply.Entries, reply.Revision, nil
 }
 
 func (c *client) grant(ctx context.Context, ttl time.Duration) (string, error) {
