--- /dev/null
+++ b/internal/measurer/policy.go
@@ -0,0 +1,293 @@
+package measurer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/chainer"
+	"github.com/cyclamenward/cyclamenward/chooser"
+	"github.com/zeebo/xxh3"
+)
+
+// report is what a replica says about itself.
+type report struct {
+	incarnation int
+	backlog     int
+	queued      int
+}
+
+func reportOf(e *engine) report {
+	return report{incarnation: e.incarnation, backlog: e.backlog, queued: len(e.queue)}
+}
+
+// decider is the routing part of one entry under one policy.
+type decider struct {
+	region int
+	zone   string
+	// choose returns the index of a replica, or -1 if none can be used.
+	choose func(r *request) int
+	// heard is called with the news of each reply.
+	heard func(replica int, news report)
+	// admitted is called when a replica has taken the request.
+	admitted func(r *request, replica int, news report)
+}
+
+// Policy makes deciders.
+type Policy struct {
+	// Name stands in the tables.
+	Name  string
+	build func(w *world, region int, zone string) *decider
+}
+
+func quietDecider(region int, zone string, choose func(r *request) int) *decider {
+	return &decider{region: region, zone: zone, choose: choose, heard: func(int, report) {}, admitted: func(*request, int, report) {}}
+}
+
+// usable returns the replicas that the request has not been refused by.
+func (w *world) usable(r *request) []int {
+	var result []int
+	for i := range w.engines {
+		if !slices.Contains(r.excluded, i) {
+			result = append(result, i)
+		}
+	}
+	return result
+}
+
+// Baselines are the policies to compare with.
+func Baselines() []Policy {
+	return []Policy{randomPolicy(), roundRobin(), leastLoad(), wholePrompt(), boundedLoad(), prefixTree()}
+}
+
+func randomPolicy() Policy {
+	return Policy{"random", func(w *world, region int, zone string) *decider {
+		return quietDecider(region, zone, func(r *request) int {
+			usable := w.usable(r)
+			if len(usable) == 0 {
+				return -1
+			}
+			return usable[w.random.IntN(len(usable))]
+		})
+	}}
+}
+
+func roundRobin() Policy {
+	return Policy{"round robin", func(w *world, region int, zone string) *decider {
+		next := w.random.IntN(len(w.engines))
+		return quietDecider(region, zone, func(r *request) int {
+			usable := w.usable(r)
+			if len(usable) == 0 {
+				return -1
+			}
+			next++
+			return usable[next%len(usable)]
+		})
+	}}
+}
+
+// loads returns the platform's lagging load reports: the queue of each replica
+// as it was some time ago.
+func (w *world) loads() func() []int {
+	lag := max(defaultLoadLag, w.fault.LoadLag)
+	current, previous := make([]int, len(w.engines)), make([]int, len(w.engines))
+	taken := time.Duration(-1 << 40)
+	return func() []int {
+		if w.now-taken >= lag {
+			copy(previous, current)
+			for i, e := range w.engines {
+				current[i] = e.backlog
+			}
+			taken = w.now
+		}
+		return previous
+	}
+}
+
+func least(usable, loads []int, start int) int {
+	best := -1
+	for k := range usable {
+		i := usable[(start+k)%len(usable)]
+		if best < 0 || loads[i] < loads[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+func leastLoad() Policy {
+	return Policy{"least load", func(w *world, region int, zone string) *decider {
+		loads := w.loads()
+		return quietDecider(region, zone, func(r *request) int {
+			usable := w.usable(r)
+			if len(usable) == 0 {
+				return -1
+			}
+			return least(usable, loads(), w.random.IntN(len(usable)))
+		})
+	}}
+}
+
+// ranked returns all replicas in the rendezvous order of a prompt without the
+// request's own part.
+func (w *world) ranked(chain []chainer.Hash) []int {
+	key := chain[max(0, len(chain)-1-turnBlocks)]
+	order := make([]int, len(w.engines))
+	scores := make([]uint64, len(w.engines))
+	for i := range order {
+		order[i] = i
+		scores[i] = xxh3.HashString(fmt.Sprintf("%s-%d", key, i))
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if scores[a] < scores[b] {
+			return -1
+		}
+		return 1
+	})
+	return order
+}
+
+func wholePrompt() Policy {
+	return Policy{"whole-prompt rendezvous", func(w *world, region int, zone string) *decider {
+		return quietDecider(region, zone, func(r *request) int {
+			for _, i := range w.ranked(r.arrival.chain) {
+				if !slices.Contains(r.excluded, i) {
+					return i
+				}
+			}
+			return -1
+		})
+	}}
+}
+
+// boundFactor is how far above the mean a replica's load may be.
+const boundFactor = 1.25
+
+func boundedLoad() Policy {
+	return Policy{"rendezvous, bounded load", func(w *world, region int, zone string) *decider {
+		loads := w.loads()
+		return quietDecider(region, zone, func(r *request) int {
+			now := loads()
+			total := r.arrival.tokens
+			for _, load := range now {
+				total += load
+			}
+			bound := int(boundFactor*float64(total)/float64(len(now))) + r.arrival.tokens
+			first := -1
+			for _, i := range w.ranked(r.arrival.chain) {
+				if slices.Contains(r.excluded, i) {
+					continue
+				}
+				if first < 0 {
+					first = i
+				}
+				if now[i] <= bound {
+					return i
+				}
+			}
+			return first
+		})
+	}}
+}
+
+// Thresholds of the prefix tree: it follows the cache if at least half of the
+// prompt matches, unless the loads are too far apart.
+const (
+	treeMatch     = 0.5
+	treeImbalance = 4 * 8000
+)
+
+// prefixTree is an approximate tree in the entry: what was sent where.
+func prefixTree() Policy {
+	return Policy{"prefix tree in the entry", func(w *world, region int, zone string) *decider {
+		tree := make(map[chainer.Hash]int)
+		loads := w.loads()
+		return quietDecider(region, zone, func(r *request) int {
+			usable := w.usable(r)
+			if len(usable) == 0 {
+				return -1
+			}
+			now := loads()
+			calm := least(usable, now, w.random.IntN(len(usable)))
+			target, matched := calm, 0
+			for i, block := range r.arrival.chain {
+				if at, ok := tree[block]; ok && slices.Contains(usable, at) {
+					target, matched = at, i+1
+				}
+			}
+			if float64(matched) < treeMatch*float64(len(r.arrival.chain)) || now[target]-now[calm] > treeImbalance {
+				target = calm
+			}
+			for _, block := range r.arrival.chain {
+				tree[block] = target
+			}
+			return target
+		})
+	}}
+}
+
+// Ours is the product's own decision code.
+func Ours() Policy { return ours("ours", func(*chooser.Settings) {}) }
+
+func ours(name string, change func(*chooser.Settings)) Policy {
+	return Policy{name, func(w *world, region int, zone string) *decider {
+		replicas := make([]chooser.Replica, len(w.engines))
+		for i, e := range w.engines {
+			replicas[i] = chooser.Replica{Name: e.name(), Address: e.name(), AvailabilityZone: e.zone, Region: fmt.Sprint(e.region)}
+		}
+		pool := chooser.NewPool(replicas, nil)
+		settings := chooser.Settings{
+			AvailabilityZone: zone, Region: fmt.Sprint(region), PrefillTokensPerSecond: w.deployment.PrefillTokensPerSecond,
+			ZoneDelay: 2 * w.deployment.ZoneDelay, RegionDelay: 2 * w.deployment.RegionDelay,
+			LinkBytesPerSecond: 1 << 20, LinkPenalty: 1,
+		}
+		change(&settings)
+		c := chooser.New(settings, chooser.NewMemory(100_000))
+		d := &decider{region: region, zone: zone}
+		d.choose = func(r *request) int {
+			choice := c.Choose(pool, w.decision(r), epoch.Add(w.now))
+			if choice.Index >= 0 {
+				pool.Status(choice.Index).Sent(max(1, r.arrival.tokens-choice.ExpectedBlocks*chainer.BlockTokens))
+			}
+			return choice.Index
+		}
+		d.heard = func(replica int, news report) {
+			pool.Status(replica).SetReport(&chooser.Report{
+				EngineIncarnation: fmt.Sprint(news.incarnation), WeightsVersion: "v1",
+				BacklogTokens: news.backlog, Queued: news.queued, At: epoch.Add(w.now),
+			})
+		}
+		d.admitted = func(r *request, replica int, news report) {
+			c.Memory().Learn(pool.Status(replica), fmt.Sprint(news.incarnation), r.arrival.chain, len(r.arrival.chain))
+		}
+		return d
+	}}
+}
+
+func (w *world) decision(r *request) *chooser.Request {
+	return &chooser.Request{
+		Chain: r.arrival.chain, PromptTokens: r.arrival.tokens, PromptBytes: r.arrival.tokens * chainer.BytesPerToken,
+		WeightsVersion: "v1", Excluded: r.excluded, Random: w.random.Uint64(),
+	}
+}
+
+// Oracle sees the true caches and queues without lag.
+func Oracle() Policy {
+	return Policy{"oracle", func(w *world, region int, zone string) *decider {
+		return quietDecider(region, zone, func(r *request) int {
+			best, bestCost := -1, time.Duration(0)
+			for _, i := range w.usable(r) {
+				e := w.engines[i]
+				cost := e.wait(e.estimate(r, 1))
+				if e.region != region {
+					bytes := float64(r.arrival.tokens * chainer.BytesPerToken)
+					cost += 2*w.deployment.RegionDelay + time.Duration(bytes/w.deployment.LinkBytesPerSecond*float64(time.Second))
+				}
+				if best < 0 || cost < bestCost {
+					best, bestCost = i, cost
+				}
+			}
+			return best
+		})
+	}}
+}
