--- a/chooser/choose.go
+++ b/chooser/choose.go
@@ -1,7 +1,9 @@
 package chooser
 
 import (
+	"math"
 	"math/bits"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/chainer"
@@ -14,6 +16,10 @@
 	samples = 2
 	// maxCandidates bounds the candidates of one decision.
 	maxCandidates = 48
+	// startingPrior is what a new entry expects of homes, and priorStep the weight
+	// of one observation.
+	startingPrior = 0.5
+	priorStep     = 0.05
 	// reportFresh is how long a report of other weights is trusted.
 	reportFresh = 2 * time.Second
 	// engineRetry is how long a report without an engine is trusted.
@@ -48,6 +54,10 @@
 	RegionDelay time.Duration
 	// LinkBytesPerSecond is the share of the slow link that one request may assume.
 	LinkBytesPerSecond float64
+	// PrefillWeight is how much a second of prefill counts against a second of
+	// waiting. Above 1, it stands for what a prefill costs other requests: it
+	// delays those behind it, and its blocks push others out of the cache.
+	PrefillWeight float64
 	// LinkPenalty is the time that a second of the paid link is counted as, on top.
 	LinkPenalty float64
 }
@@ -75,20 +85,46 @@
 	ExpectedBlocks int
 	// EngineIncarnation is the engine that the belief is about.
 	EngineIncarnation string
+	// HomeBlocks is the prefix level in blocks if the replica was chosen as the
+	// agreed home of it without knowledge of its cache, else 0.
+	HomeBlocks int
 	// Cost is the expected time to the first token.
-	Cost   time.Duration
-	Reason Reason
+	Cost time.Duration
+	// Patience is the cost up to which the replica itself should take the
+	// request: that of the next best replica. 0 if there is no other.
+	Patience time.Duration
+	Reason   Reason
 }
 
 // Chooser decides for one entry.
 type Chooser struct {
 	settings Settings
 	memory   *Memory
+	// prior holds the bits of a float64: the share of a home's prefix level that
+	// was found cached there lately. It is what is expected of a home whose cache
+	// is not known.
+	prior atomic.Uint64
 }
 
 // New returns a chooser that uses and feeds the memory.
 func New(settings Settings, memory *Memory) *Chooser {
-	return &Chooser{settings: settings, memory: memory}
+	c := &Chooser{settings: settings, memory: memory}
+	c.prior.Store(math.Float64bits(startingPrior))
+	return c
+}
+
+// Prior returns the share of a home's prefix level that is expected to be cached.
+func (c *Chooser) Prior() float64 { return math.Float64frombits(c.prior.Load()) }
+
+// Observe tells how many blocks a chosen replica really had cached. Of racing
+// observations one may be lost.
+func (c *Chooser) Observe(choice Choice, cached int) {
+	if choice.HomeBlocks == 0 {
+		return
+	}
+	found := min(1, float64(cached)/float64(choice.HomeBlocks))
+	prior := c.Prior()
+	c.prior.Store(math.Float64bits(prior + priorStep*(found-prior)))
 }
 
 // Memory returns the memory that the chooser uses.
@@ -99,8 +135,11 @@
 	index  int
 	depth  int
 	reason Reason
-	// level is the prefix level whose home it is, 0 for none.
+	// level orders equal costs: the deeper level goes first. 0 for no home.
 	level int
+	// home is the number of blocks of the level that it is the first home of, 0
+	// for none.
+	home int
 }
 
 // candidates is a bounded list without allocation.
@@ -116,6 +155,7 @@
 		}
 		known := &cs.list[i]
 		known.level = max(known.level, added.level)
+		known.home = max(known.home, added.home)
 		if added.depth > known.depth {
 			known.depth, known.reason = added.depth, added.reason
 		}
@@ -135,18 +175,22 @@
 	c.addSamples(&cs, pool, request)
 	best := Choice{Index: -1, Reason: ReasonNone}
 	bestLevel := 0
+	var second time.Duration
 	for i := range cs.n {
 		choice, ok := c.evaluate(pool, request, &cs.list[i], now)
 		if !ok {
 			continue
 		}
 		if best.Index < 0 || choice.Cost < best.Cost || (choice.Cost == best.Cost && cs.list[i].level > bestLevel) {
-			best, bestLevel = choice, cs.list[i].level
+			best, bestLevel, second = choice, cs.list[i].level, best.Cost
+		} else if second == 0 || choice.Cost < second {
+			second = choice.Cost
 		}
 	}
 	if best.Index < 0 {
 		return c.scan(pool, request, now)
 	}
+	best.Patience = second
 	return best
 }
 
@@ -198,16 +242,23 @@
 }
 
 // addHomes adds the agreed replicas of the prefix levels 1, 2, 4, 8, … and of the
-// whole prompt.
+// whole prompt. The deepest level that is a power of two is the one at which
+// prompts with a common prefix meet: most share it whole, and it does not hang on
+// the last blocks, which belong to one request.
 func (c *Chooser) addHomes(cs *candidates, pool *Pool, request *Request) {
 	if len(request.Chain) == 0 {
 		return
 	}
+	meeting := 1 << (bits.Len(uint(len(request.Chain))) - 1)
 	var homes [homesPerLevel]int
 	for level := 1; ; level = min(level*2, len(request.Chain)) {
 		hash := request.Chain[level-1].Uint64()
-		for _, index := range pool.Homes(homes[:0], hash, homesPerLevel) {
-			cs.add(candidate{index: index, reason: ReasonHome, level: bits.Len(uint(level))})
+		for rank, index := range pool.Homes(homes[:0], hash, homesPerLevel) {
+			added := candidate{index: index, reason: ReasonHome, level: bits.Len(uint(level))}
+			if level == meeting && rank == 0 {
+				added.home = level
+			}
+			cs.add(added)
 		}
 		if level == len(request.Chain) {
 			return
@@ -242,12 +293,23 @@
 		choice.EngineIncarnation = report.EngineIncarnation
 		backlog += remaining(report, now, c.settings.PrefillTokensPerSecond)
 	}
-	missing := request.PromptTokens - candidate.depth*chainer.BlockTokens
-	work := (backlog + float64(max(0, missing))) / c.settings.PrefillTokensPerSecond
-	choice.Cost = time.Duration(work*float64(time.Second)) + c.network(&pool.replicas[candidate.index], request)
+	expected := float64(candidate.depth)
+	if guess := float64(candidate.home) * c.Prior(); guess > expected {
+		expected = guess
+		choice.HomeBlocks = candidate.home
+	}
+	missing := max(0, float64(request.PromptTokens)-expected*chainer.BlockTokens)
+	choice.Cost = Cost(backlog, missing, c.settings.PrefillTokensPerSecond, c.settings.PrefillWeight) + c.network(&pool.replicas[candidate.index], request)
 	return choice, true
 }
 
+// Cost returns what it costs a replica to take a request: the time for the work
+// in front of it and the weighted time for the tokens that it has to compute.
+// Entries estimate it, and the replica's own sidecar knows it.
+func Cost(backlogTokens, missingTokens, tokensPerSecond, prefillWeight float64) time.Duration {
+	return time.Duration((backlogTokens + missingTokens*prefillWeight) / tokensPerSecond * float64(time.Second))
+}
+
 // mayServe reports whether a replica may have the weights version, as far as its
 // last report tells. A replica that had not reached its engine yet, and so named
 // no version, is tried again sooner.
--- a/chooser/choose_test.go
+++ b/chooser/choose_test.go
@@ -23,7 +23,7 @@
 
 func newChooser() *chooser.Chooser {
 	return chooser.New(chooser.Settings{
-		AvailabilityZone: "zone-0", Region: "region-0", PrefillTokensPerSecond: 8000,
+		AvailabilityZone: "zone-0", Region: "region-0", PrefillTokensPerSecond: 8000, PrefillWeight: 1,
 		ZoneDelay: 4 * time.Millisecond, RegionDelay: 40 * time.Millisecond, LinkBytesPerSecond: 1 << 20, LinkPenalty: 1,
 	}, chooser.NewMemory(100_000))
 }
--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -21,6 +21,9 @@
 	MaxBytes = 900 << 10
 	// MaxClaimRanges is the largest number of claim logs per service.
 	MaxClaimRanges = 256
+	// minReuseWeight and maxReuseWeight bound model.reuseWeight.
+	minReuseWeight = 1
+	maxReuseWeight = 20
 	// MaxDeadline is the largest deadline that a document may allow.
 	MaxDeadline = time.Hour
 )
@@ -29,6 +32,7 @@
 const (
 	defaultShare       = 1
 	defaultPrefillRate = 8000
+	defaultReuseWeight = 6
 	defaultMaxTokens   = 4096
 	defaultQueueLimit  = 64
 	defaultGrace       = 30 * time.Second
@@ -116,6 +120,7 @@
 func (d *Document) fillModelDefaults() {
 	if d.Model != nil {
 		setDefault(&d.Model.PrefillTokensPerSecond, defaultPrefillRate)
+		setDefault(&d.Model.ReuseWeight, defaultReuseWeight)
 		setDefault(&d.Model.MaxTokens, defaultMaxTokens)
 		setDefault(&d.Model.QueueLimit, defaultQueueLimit)
 	}
@@ -195,6 +200,9 @@
 		c.add("model.weightsVersion", "missing; the version that every replica must serve")
 	}
 	c.between("model.prefillTokensPerSecond", m.PrefillTokensPerSecond, 1, 10_000_000)
+	if !(m.ReuseWeight >= minReuseWeight && m.ReuseWeight <= maxReuseWeight) {
+		c.add("model.reuseWeight", "%v is out of range; %v to %v are accepted", m.ReuseWeight, minReuseWeight, maxReuseWeight)
+	}
 	c.between("model.maxTokens", m.MaxTokens, 1, 1_000_000)
 	c.between("model.queueLimit", m.QueueLimit, 1, 100_000)
 }
--- a/decoder/document.go
+++ b/decoder/document.go
@@ -73,6 +73,9 @@
 	Adapters []string `yaml:"adapters,omitempty" json:"adapters,omitempty"`
 	// PrefillTokensPerSecond is the speed at which a replica computes a prompt.
 	PrefillTokensPerSecond int `yaml:"prefillTokensPerSecond,omitempty" json:"prefillTokensPerSecond,omitempty"`
+	// ReuseWeight is how much a second of prefill counts against a second of
+	// waiting. Higher values reuse cached prefixes more and spread load less.
+	ReuseWeight float64 `yaml:"reuseWeight,omitempty" json:"reuseWeight,omitempty"`
 	// MaxTokens is the largest number of tokens that one request may generate.
 	MaxTokens int `yaml:"maxTokens,omitempty" json:"maxTokens,omitempty"`
 	// QueueLimit is the number of requests that one replica may hold.
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -107,6 +107,7 @@
 	}
 	if document.Model != nil {
 		costs.PrefillTokensPerSecond = float64(document.Model.PrefillTokensPerSecond)
+		costs.PrefillWeight = document.Model.ReuseWeight
 	}
 	s.chooser = chooser.New(costs, e.memory)
 	return s
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,7 +47,7 @@
 	// request may assume.
 	linkBytesPerSecond = 1 << 20
 	// linkPenalty weighs time on the paid link against time in a queue.
-	linkPenalty = 1
+	linkPenalty = 20
 )
 
 // Settings are the fixed values of an entry.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -8,10 +8,10 @@
 
 // metrics are the counters of an entry. Their names are fixed.
 type metrics struct {
-	requests, answered, notRun, unknown        atomic.Int64
-	attempts, retries, reattached, resumed     atomic.Int64
-	expectedBlocks, cachedBlocks, promptBlocks atomic.Int64
-	interrupted, callerGone, corrections       atomic.Int64
+	requests, answered, notRun, unknown             atomic.Int64
+	attempts, retries, reattached, resumed          atomic.Int64
+	expectedBlocks, cachedBlocks, promptBlocks      atomic.Int64
+	interrupted, callerGone, corrections, redirects atomic.Int64
 }
 
 func (e *Entry) publishMetrics() {
@@ -24,6 +24,7 @@
 			"attempts":         e.metrics.attempts.Load(),
 			"retries":          e.metrics.retries.Load(),
 			"corrections":      e.metrics.corrections.Load(),
+			"redirects":        e.metrics.redirects.Load(),
 			"reattached":       e.metrics.reattached.Load(),
 			"resumed":          e.metrics.resumed.Load(),
 			"interrupted":      e.metrics.interrupted.Load(),
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -21,6 +21,8 @@
 	// maxCorrections is how many attempts may fail for outdated knowledge before
 	// they count as retries.
 	maxCorrections = 3
+	// maxRedirects is how many replicas may send one request on.
+	maxRedirects = 2
 	// attachLimit bounds the try to reach an attempt over a new connection.
 	attachLimit = 1500 * time.Millisecond
 )
@@ -41,9 +43,13 @@
 
 	// attempts and corrections count what was tried since the answer last grew.
 	attempts, corrections int
+	// redirects counts the replicas that sent the request on.
+	redirects int
 	// grown is the number of tokens that had passed when attempts was reset.
 	grown    int
 	excluded []int
+	// choice is the decision about the current attempt.
+	choice chooser.Choice
 	// index, attempt and stream belong to the current attempt.
 	index   int
 	attempt string
@@ -99,7 +105,7 @@
 	}
 	r.attempts++
 	e.metrics.attempts.Add(1)
-	r.index = choice.Index
+	r.index, r.choice = choice.Index, choice
 	r.attempt = uuid.NewString()
 	replica := s.pool.Replica(choice.Index)
 	e.logger.Info("route: chose replica.", "request", r.requestID, "service", s.document.Service, "workspace", r.request.workspace.Name,
@@ -166,6 +172,7 @@
 		SidecarIncarnation: s.incarnationOf(choice.Index),
 		EngineIncarnation:  choice.EngineIncarnation,
 		ExpectedBlocks:     choice.ExpectedBlocks,
+		Patience:           r.patience(),
 		Sender:             e.common.Identity().LinkAddress,
 		Remaining:          e.timeLeft(r.request.until),
 		Priority:           r.request.workspace.Priority,
@@ -227,6 +234,7 @@
 	e := r.entry
 	e.metrics.cachedBlocks.Add(int64(frame.CachedBlocks))
 	e.metrics.promptBlocks.Add(int64(len(r.chain)))
+	r.request.service.chooser.Observe(r.choice, frame.CachedBlocks)
 	if frame.News != nil {
 		e.memory.Learn(r.request.service.pool.Status(r.index), frame.News.EngineIncarnation, r.chain, len(r.chain))
 	}
@@ -249,6 +257,8 @@
 		return r.correct()
 	case link.CodeIncarnation, link.CodeWeights:
 		return r.correct()
+	case link.CodeElsewhere:
+		return r.redirect(frame)
 	case link.CodeBadRequest:
 		return r.last
 	}
@@ -256,6 +266,28 @@
 	return r.spendRetry()
 }
 
+// redirect learns from a replica that sent the request on. The next decision is
+// made with what it told; the replica may be chosen again.
+func (r *run) redirect(frame *link.Frame) *problem {
+	e, s := r.entry, r.request.service
+	r.redirects++
+	e.metrics.redirects.Add(1)
+	if frame.News != nil {
+		s.chooser.Observe(r.choice, frame.News.CachedBlocks)
+		e.memory.Learn(s.pool.Status(r.index), frame.News.EngineIncarnation, r.chain, frame.News.CachedBlocks)
+	}
+	return nil
+}
+
+// patience returns the cost up to which the chosen replica should take the
+// request. After some redirects any replica takes it.
+func (r *run) patience() time.Duration {
+	if r.redirects >= maxRedirects {
+		return 0
+	}
+	return r.choice.Patience
+}
+
 // correct allows an attempt with better knowledge, at first without a retry.
 func (r *run) correct() *problem {
 	r.corrections++
--- a/internal/measurer/engine.go
+++ b/internal/measurer/engine.go
@@ -66,15 +66,17 @@
 }
 
 // estimate is the sidecar's estimate of the tokens that a request will compute.
-func (e *engine) estimate(r *request, chance float64) int {
+// known is false if its picture of the cache has a gap.
+func (e *engine) estimate(r *request, chance float64) (tokens int, known bool) {
 	depth := 0
-	if chance >= e.blind {
+	known = chance >= e.blind
+	if known {
 		depth = e.cache.depth(r.arrival.chain)
 	}
 	for depth < len(r.arrival.chain) && e.pending[r.arrival.chain[depth]] > 0 {
 		depth++
 	}
-	return r.arrival.tokens - depth*chainer.BlockTokens
+	return r.arrival.tokens - depth*chainer.BlockTokens, known
 }
 
 // wait is the sidecar's estimate of the time to the first token.
--- a/internal/measurer/policy.go
+++ b/internal/measurer/policy.go
@@ -31,6 +31,12 @@
 	heard func(replica int, news report)
 	// admitted is called when a replica has taken the request.
 	admitted func(r *request, replica int, news report)
+	// redirect tells that replicas may send requests on, judged by the weight.
+	redirect      bool
+	prefillWeight float64
+	// missed is called when a replica has sent the request on; estimate is the
+	// number of tokens that it would have computed.
+	missed func(r *request, replica, estimate int)
 }
 
 // Policy makes deciders.
@@ -239,13 +245,14 @@
 		settings := chooser.Settings{
 			AvailabilityZone: zone, Region: fmt.Sprint(region), PrefillTokensPerSecond: w.deployment.PrefillTokensPerSecond,
 			ZoneDelay: 2 * w.deployment.ZoneDelay, RegionDelay: 2 * w.deployment.RegionDelay,
-			LinkBytesPerSecond: 1 << 20, LinkPenalty: 1,
+			LinkBytesPerSecond: 1 << 20, LinkPenalty: 20, PrefillWeight: w.deployment.ReuseWeight,
 		}
 		change(&settings)
 		c := chooser.New(settings, chooser.NewMemory(100_000))
-		d := &decider{region: region, zone: zone}
+		d := &decider{region: region, zone: zone, redirect: true, prefillWeight: settings.PrefillWeight}
 		d.choose = func(r *request) int {
 			choice := c.Choose(pool, w.decision(r), epoch.Add(w.now))
+			r.choice = choice
 			if choice.Index >= 0 {
 				pool.Status(choice.Index).Sent(max(1, r.arrival.tokens-choice.ExpectedBlocks*chainer.BlockTokens))
 			}
@@ -257,7 +264,13 @@
 				BacklogTokens: news.backlog, Queued: news.queued, At: epoch.Add(w.now),
 			})
 		}
+		d.missed = func(r *request, replica, estimate int) {
+			known := (r.arrival.tokens - estimate) / chainer.BlockTokens
+			c.Observe(r.choice, known)
+			c.Memory().Learn(pool.Status(replica), fmt.Sprint(reportOf(w.engines[replica]).incarnation), r.arrival.chain, known)
+		}
 		d.admitted = func(r *request, replica int, news report) {
+			c.Observe(r.choice, r.known)
 			c.Memory().Learn(pool.Status(replica), fmt.Sprint(news.incarnation), r.arrival.chain, len(r.arrival.chain))
 		}
 		return d
@@ -278,7 +291,8 @@
 			best, bestCost := -1, time.Duration(0)
 			for _, i := range w.usable(r) {
 				e := w.engines[i]
-				cost := e.wait(e.estimate(r, 1))
+				tokens, _ := e.estimate(r, 1)
+				cost := e.wait(tokens)
 				if e.region != region {
 					bytes := float64(r.arrival.tokens * chainer.BytesPerToken)
 					cost += 2*w.deployment.RegionDelay + time.Duration(bytes/w.deployment.LinkBytesPerSecond*float64(time.Second))
--- a/internal/measurer/run.go
+++ b/internal/measurer/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/chainer"
+	"github.com/cyclamenward/cyclamenward/chooser"
 )
 
 // Fault is one disturbance of a run.
@@ -36,7 +37,12 @@
 	tries    int
 	excluded []int
 	estimate int
-	cached   int
+	// known is how many blocks were cached or being computed at admission.
+	known  int
+	cached int
+	choice chooser.Choice
+	// redirects counts replicas that found the request better off elsewhere.
+	redirects int
 }
 
 // event is something that happens at a time.
@@ -93,6 +99,12 @@
 	tally tally
 }
 
+// maxRedirects and redirectMargin are those of the product.
+const (
+	maxRedirects   = 2
+	redirectMargin = 100 * time.Millisecond
+)
+
 // maxTries bounds the replicas that one request is sent to.
 const maxTries = 3
 
@@ -181,7 +193,7 @@
 func (w *world) route(r *request) {
 	entry := w.entries[r.arrival.entry]
 	target := entry.choose(r)
-	if target < 0 || r.tries >= maxTries {
+	if target < 0 || r.tries-r.redirects >= maxTries {
 		w.tally.refuse(r)
 		return
 	}
@@ -219,7 +231,7 @@
 
 // admit is the sidecar's decision. The news travels back with the answer.
 func (w *world) admit(entry *decider, e *engine, r *request, delay time.Duration) {
-	estimate := e.estimate(r, w.random.Float64())
+	estimate, known := e.estimate(r, w.random.Float64())
 	late := w.now + e.wait(estimate) - r.arrival.at
 	if late > w.deployment.Deadline {
 		news := reportOf(e)
@@ -230,7 +242,22 @@
 		})
 		return
 	}
+	if entry.redirect && known && r.redirects < maxRedirects && r.choice.Patience > 0 {
+		cost := chooser.Cost(float64(e.backlog), float64(estimate), e.rate, entry.prefillWeight)
+		if cost > r.choice.Patience+redirectMargin {
+			news := reportOf(e)
+			r.redirects++
+			w.tally.redirects++
+			w.at(w.now+delay, func() {
+				entry.heard(e.index, news)
+				entry.missed(r, e.index, estimate)
+				w.route(r)
+			})
+			return
+		}
+	}
 	e.push(r, estimate)
+	r.known = (r.arrival.tokens - estimate) / chainer.BlockTokens
 	news := reportOf(e)
 	w.at(w.now+delay, func() {
 		entry.heard(e.index, news)
--- a/internal/measurer/tally.go
+++ b/internal/measurer/tally.go
@@ -15,6 +15,7 @@
 	wastedTokens               int
 	linkBytes                  int
 	requests, refusals         int
+	redirects                  int
 	// askedTokens and servedTokens are by workspace.
 	askedTokens, servedTokens [workspaces]int
 	// boundTokens is what an infinite shared cache would have hit.
@@ -60,6 +61,7 @@
 	t.linkBytes += other.linkBytes
 	t.requests += other.requests
 	t.refusals += other.refusals
+	t.redirects += other.redirects
 	t.boundTokens += other.boundTokens
 	t.boundPrompt += other.boundPrompt
 	for i := range workspaces {
@@ -86,6 +88,8 @@
 	// LinkBytesPerRequest is the volume over the link between the regions.
 	LinkBytesPerRequest float64 `json:"linkBytesPerRequest"`
 	RefusedShare        float64 `json:"refusedShare"`
+	// Redirects is the number of attempts that a replica sent on, per request.
+	Redirects float64 `json:"redirectsPerRequest"`
 	// LeastServed and BestServed are the shares of the asked work that the least
 	// and the best served workspace got.
 	LeastServed float64 `json:"leastServed"`
@@ -106,6 +110,7 @@
 		Wasted:              ratio(t.wastedTokens, t.promptTokens),
 		LinkBytesPerRequest: ratio(t.linkBytes, t.requests),
 		RefusedShare:        ratio(t.refusals, t.requests),
+		Redirects:           ratio(t.redirects, t.requests),
 		LeastServed:         2,
 	}
 	for i := range workspaces {
--- a/internal/measurer/workload.go
+++ b/internal/measurer/workload.go
@@ -27,6 +27,8 @@
 	PrefillTokensPerSecond float64
 	// CacheBlocks is the cache of one replica.
 	CacheBlocks int
+	// ReuseWeight is model.reuseWeight of the deployment's document.
+	ReuseWeight float64
 	// Rate is the mean number of requests a second.
 	Rate float64
 	// Dossiers is the number of second-level prefixes; DossierBlocks their mean size.
@@ -45,7 +47,7 @@
 		Name: "Lone Star", Regions: [][]string{{"austin-a", "waco-b"}, {"houston-a"}}, Replicas: 12,
 		ZoneDelay: 2 * time.Millisecond, RegionDelay: 20 * time.Millisecond, CallerDelay: time.Millisecond,
 		LinkBytesPerSecond: 30e6 / 8, PrefillTokensPerSecond: 8000, CacheBlocks: 160,
-		Rate: 10, Dossiers: 300, DossierBlocks: 10, Skew: 1, ShiftPeriod: time.Minute, Deadline: 10 * time.Second,
+		ReuseWeight: 6, Rate: 10, Dossiers: 300, DossierBlocks: 10, Skew: 1, ShiftPeriod: time.Minute, Deadline: 10 * time.Second,
 	}
 }
 
@@ -55,7 +57,7 @@
 		Name: "Røgeri", Regions: [][]string{{"aalborg-a", "aarhus-b"}, {"odense-a"}}, Replicas: 12,
 		ZoneDelay: 500 * time.Microsecond, RegionDelay: 20 * time.Millisecond, CallerDelay: 3 * time.Millisecond,
 		LinkBytesPerSecond: 30e6 / 8, PrefillTokensPerSecond: 8000, CacheBlocks: 400,
-		Rate: 4, Dossiers: 80, DossierBlocks: 40, Skew: 0.9, ShiftPeriod: time.Minute, Deadline: 20 * time.Second,
+		ReuseWeight: 8, Rate: 4, Dossiers: 80, DossierBlocks: 40, Skew: 0.9, ShiftPeriod: time.Minute, Deadline: 20 * time.Second,
 	}
 }
 
--- a/internal/sidecar/infer.go
+++ b/internal/sidecar/infer.go
@@ -7,12 +7,16 @@
 
 	"github.com/cyclamenward/cyclamenward/admitter"
 	"github.com/cyclamenward/cyclamenward/chainer"
+	"github.com/cyclamenward/cyclamenward/chooser"
 	"github.com/cyclamenward/cyclamenward/decoder"
 	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/peer/engine"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 )
 
+// redirectMargin is how much more than expected elsewhere a request may cost here.
+const redirectMargin = 100 * time.Millisecond
+
 // inference is one admitted model request.
 type inference struct {
 	job       *job
@@ -23,6 +27,8 @@
 	incarnation string
 	// missing is the number of prompt tokens that are not known to be cached.
 	missing int
+	// known is false if the picture of the cache has a gap.
+	known bool
 }
 
 // infer admits and runs a model request and relays its answer.
@@ -67,7 +73,13 @@
 		return nil
 	}
 	work := s.plan(request, document, state.Incarnation)
-	wait := s.expectedWait(work.missing, document.Model)
+	backlog := s.queue.Cost() + s.prefills.tokens()
+	cost := chooser.Cost(float64(backlog), float64(work.missing), float64(document.Model.PrefillTokensPerSecond), document.Model.ReuseWeight)
+	if work.known && request.Patience > 0 && cost > request.Patience+redirectMargin {
+		s.refuseKnowing(request, stream, work, cost)
+		return nil
+	}
+	wait := expectedWait(backlog+work.missing, document.Model)
 	if wait > request.Remaining {
 		s.refuse(request, stream, link.CodeDeadline, "expected wait "+wait.Round(time.Millisecond).String(), wait)
 		return nil
@@ -85,17 +97,28 @@
 		workspace:   findWorkspace(document, request.Workspace),
 		incarnation: incarnation,
 	}
-	depth, _ := s.picture.Depth(incarnation, work.chain)
+	depth, known := s.picture.Depth(incarnation, work.chain)
+	work.known = known
 	work.missing = max(1, chainer.Tokens(len(infer.Prompt))-depth*chainer.BlockTokens)
 	return work
 }
 
-// expectedWait estimates the time to the first token.
-func (s *Sidecar) expectedWait(missing int, model *decoder.Model) time.Duration {
-	tokens := s.queue.Cost() + s.prefills.tokens() + missing
+// expectedWait estimates the time to the first token behind so much prefill.
+func expectedWait(tokens int, model *decoder.Model) time.Duration {
 	return time.Duration(float64(tokens) / float64(model.PrefillTokensPerSecond) * float64(time.Second))
 }
 
+// refuseKnowing sends a request on that costs more here than its entry expects
+// elsewhere. The news tells what is cached here, so that the entry learns.
+func (s *Sidecar) refuseKnowing(request *link.Request, stream *link.Stream, work *inference, cost time.Duration) {
+	s.metrics.sentOn.Add(1)
+	s.table.Resolve(request.AttemptID, request.SidecarIncarnation)
+	frame := s.refusal(request, link.CodeElsewhere, "cost here "+cost.Round(time.Millisecond).String(), 0)
+	frame.News.CachedBlocks = len(work.chain) - min(len(work.chain), work.missing/chainer.BlockTokens)
+	s.logger.Info("sidecar: sent attempt on.", "request", request.RequestID, "attempt", request.AttemptID, "workspace", request.Workspace, "cost", cost, "patience", request.Patience)
+	_ = stream.Send(frame)
+}
+
 // generate runs an admitted request to its end.
 func (s *Sidecar) generate(ctx context.Context, work *inference) {
 	request := work.job.request
--- a/peer/link/message.go
+++ b/peer/link/message.go
@@ -53,6 +53,9 @@
 	Priority  int           `cbor:"priority,omitempty"`
 	// ExpectedBlocks is the number of cached blocks that the sender expects.
 	ExpectedBlocks int `cbor:"expectedBlocks,omitempty"`
+	// Patience is the cost up to which the receiver should take the request, in
+	// the measure of package chooser; 0 means whatever the cost.
+	Patience time.Duration `cbor:"patience,omitempty"`
 	// From is the index of the first token wanted; above 0 when resuming.
 	From  int        `cbor:"from,omitempty"`
 	Infer *Inference `cbor:"infer,omitempty"`
@@ -150,6 +153,7 @@
 	CodeLeaving     Code = "leaving"
 	CodeFull        Code = "queueFull"
 	CodeDeadline    Code = "deadlineTooShort"
+	CodeElsewhere   Code = "betterElsewhere"
 	CodeWeights     Code = "weightsNotServed"
 	CodeRepeated    Code = "attemptRepeated"
 	CodeTombstone   Code = "attemptGivenUp"
