--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -33,6 +33,7 @@
 			"cachedBlocks":     e.metrics.cachedBlocks.Load(),
 			"promptBlocks":     e.metrics.promptBlocks.Load(),
 			"blocksRemembered": e.memory.Len(),
+			"linkTraffic":      e.common.Client().Traffic(),
 			"links":            e.common.Client().Len(),
 			"exchanges":        e.common.Gossip().Exchanges(),
 			"storeReads":       e.common.Gossip().StoreReads(),
--- /dev/null
+++ b/internal/prober/probes.go
@@ -0,0 +1,312 @@
+package prober
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/chainer"
+	"github.com/cyclamenward/cyclamenward/chooser"
+	"github.com/cyclamenward/cyclamenward/claimer"
+	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/internal/keys"
+	"github.com/cyclamenward/cyclamenward/internal/standin/keyvalue"
+	"github.com/cyclamenward/cyclamenward/peer/link"
+	"github.com/cyclamenward/cyclamenward/spreader"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/cyclamenward/cyclamenward/tracker"
+)
+
+func newPool(replicas int) *chooser.Pool {
+	list := make([]chooser.Replica, replicas)
+	for i := range list {
+		list[i] = chooser.Replica{Name: fmt.Sprintf("replica-%05d", i), Address: fmt.Sprintf("10.0.%d.%d:7443", i/250, i%250), AvailabilityZone: fmt.Sprintf("zone-%d", i%19), Region: fmt.Sprintf("region-%d", i%7)}
+	}
+	return chooser.NewPool(list, nil)
+}
+
+// reported gives every replica of a pool a report, as after long running.
+func reported(pool *chooser.Pool) *chooser.Pool {
+	for i := range pool.Len() {
+		pool.Status(i).SetReport(&chooser.Report{SidecarIncarnation: fmt.Sprint("sidecar-", i), EngineIncarnation: fmt.Sprint("engine-", i), WeightsVersion: "v1", At: time.Now()})
+	}
+	return pool
+}
+
+var costs = chooser.Settings{AvailabilityZone: "zone-0", Region: "region-0", PrefillTokensPerSecond: 8000, PrefillWeight: 6, LinkPenalty: 20, LinkBytesPerSecond: 1 << 20}
+
+func chainOf(kilobytes int) ([]byte, []chainer.Hash) {
+	prompt := bytes.Repeat([]byte("p"), kilobytes<<10)
+	return prompt, chainer.Chain(nil, chainer.Scope{Workspace: "w", WeightsVersion: "v1"}, prompt)
+}
+
+func decisionProbe() Probe {
+	p := Probe{Name: "one decision, 128 blocks", Varied: "replicas", Unit: "µs of processor"}
+	_, chain := chainOf(512)
+	for _, replicas := range []int{12, 120, 1200, 12_000} {
+		pool, c := reported(newPool(replicas)), chooser.New(costs, chooser.NewMemory(100_000))
+		request := &chooser.Request{Chain: chain, PromptTokens: 128 * chainer.BlockTokens, WeightsVersion: "v1"}
+		now := time.Now()
+		p.Points = append(p.Points, Point{float64(replicas), costOf(func() {
+			request.Random++
+			c.Choose(pool, request, now)
+		})})
+	}
+	return p
+}
+
+func chainProbe() Probe {
+	p := Probe{Name: "hash chain of a prompt", Varied: "KB", Unit: "µs of processor"}
+	for _, kilobytes := range []int{4, 32, 128, 512} {
+		prompt, chain := chainOf(kilobytes)
+		p.Points = append(p.Points, Point{float64(kilobytes), costOf(func() {
+			chain = chainer.Chain(chain[:0], chainer.Scope{Workspace: "w", WeightsVersion: "v1"}, prompt)
+		})})
+	}
+	return p
+}
+
+func poolMemoryProbe() Probe {
+	p := Probe{Name: "replicas known to an entry", Varied: "replicas", Unit: "bytes"}
+	for _, replicas := range []int{1200, 4000, 12_000} {
+		p.Points = append(p.Points, Point{float64(replicas), heapOf(func() any { return reported(newPool(replicas)) })})
+	}
+	return p
+}
+
+func memoryProbe() Probe {
+	p := Probe{Name: "blocks remembered by an entry", Varied: "blocks", Unit: "bytes"}
+	for _, blocks := range []int{10_000, 30_000, 100_000} {
+		p.Points = append(p.Points, Point{float64(blocks), heapOf(func() any {
+			m, pool := chooser.NewMemory(blocks), newPool(1)
+			for i := range blocks * 2 {
+				m.Learn(pool.Status(0), "engine", []chainer.Hash{{byte(i), byte(i >> 8), byte(i >> 16), 15: byte(i * 7)}}, 1)
+			}
+			return m
+		})})
+	}
+	return p
+}
+
+func pictureMemoryProbe() Probe {
+	p := Probe{Name: "cached blocks known to a sidecar", Varied: "blocks", Unit: "bytes"}
+	for _, blocks := range []int{2_000, 8_000, 24_000} {
+		p.Points = append(p.Points, Point{float64(blocks), heapOf(func() any { return filledPicture(blocks) })})
+	}
+	return p
+}
+
+func filledPicture(blocks int) *tracker.Picture {
+	picture := tracker.New(1 << 20)
+	picture.Restarted("engine")
+	list := make([]chainer.Hash, blocks)
+	for i := range list {
+		list[i] = chainer.Hash{byte(i), byte(i >> 8), byte(i >> 16)}
+	}
+	picture.Replace("engine", 0, list)
+	return picture
+}
+
+func eventProbe() Probe {
+	p := Probe{Name: "cache events at a sidecar", Varied: "events", Unit: "µs of processor"}
+	for _, events := range []int{30, 100, 300} {
+		picture := filledPicture(24_000)
+		sequence := uint64(0)
+		batch := make([]tracker.Event, events)
+		p.Points = append(p.Points, Point{float64(events), costOf(func() {
+			for i := range batch {
+				sequence++
+				batch[i] = tracker.Event{Sequence: sequence, Removed: sequence%2 == 0, Block: chainer.Hash{byte(sequence / 2), byte(sequence >> 9), 1}}
+			}
+			picture.Apply("engine", batch)
+		})})
+	}
+	return p
+}
+
+// document returns a document with so many workspaces and backend servers.
+func document(workspaces, servers int) []byte {
+	d := decoder.Document{Service: "pool", Kind: decoder.ModelPool, Model: &decoder.Model{Name: "m", WeightsVersion: "v1"}}
+	d.Deadline.Default.Duration, d.Deadline.Max.Duration = time.Second, time.Minute
+	for i := range workspaces {
+		name := fmt.Sprintf("workspace-%05d", i)
+		d.Workspaces = append(d.Workspaces, decoder.Workspace{Name: name, KeyHashes: []string{decoder.HashKey(name)}})
+	}
+	for i := range servers {
+		d.BackendServers = append(d.BackendServers, decoder.BackendServer{
+			Name: fmt.Sprintf("replica-%05d", i), Sidecar: fmt.Sprintf("10.0.%d.%d:7443", i/250, i%250), AvailabilityZone: "zone-0", Region: "region-0",
+		})
+	}
+	text, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func documentProbes() []Probe {
+	size := Probe{Name: "a service document", Varied: "workspaces", Unit: "bytes of text"}
+	decode := Probe{Name: "decoding a service document", Varied: "workspaces", Unit: "µs of processor"}
+	held := Probe{Name: "a document held by a daemon", Varied: "workspaces", Unit: "bytes"}
+	for _, workspaces := range []int{100, 400, 1600} {
+		text := document(workspaces, 12)
+		size.Points = append(size.Points, Point{float64(workspaces), float64(len(text))})
+		decode.Points = append(decode.Points, Point{float64(workspaces), costOf(func() {
+			if _, err := decoder.Decode(text); err != nil {
+				panic(err)
+			}
+		})})
+		held.Points = append(held.Points, Point{float64(workspaces), heapOf(func() any {
+			book := spreader.New(decoder.Decode)
+			if _, err := book.Offer("pool", 1, bytes.Clone(text)); err != nil {
+				panic(err)
+			}
+			return book
+		})})
+	}
+	return []Probe{size, decode, held}
+}
+
+// linkPair is a server and the material for clients on loopback.
+type linkPair struct {
+	server    *link.Server
+	bundle    *keys.Bundle
+	directory string
+}
+
+func newLinkPair(answer func(request *link.Request) *link.Frame) (*linkPair, error) {
+	directory, err := os.MkdirTemp("", "cyclamenward-capacity-")
+	if err != nil {
+		return nil, fmt.Errorf("make directory: %w", err)
+	}
+	if err := keys.MakeAuthority(directory); err != nil {
+		return nil, fmt.Errorf("make authority: %w", err)
+	}
+	if err := keys.MakeDaemon(directory, "probe"); err != nil {
+		return nil, fmt.Errorf("make certificate: %w", err)
+	}
+	bundle, err := keys.Load(directory+"/authority.pem", directory+"/probe.pem", directory+"/probe-key.pem")
+	if err != nil {
+		return nil, fmt.Errorf("load keys: %w", err)
+	}
+	server, err := link.NewServer("127.0.0.1:0", bundle.Server(), func(_ context.Context, request *link.Request, stream *link.Stream) {
+		_ = stream.Send(answer(request))
+	})
+	if err != nil {
+		return nil, fmt.Errorf("start server: %w", err)
+	}
+	return &linkPair{server: server, bundle: bundle, directory: directory}, nil
+}
+
+func (p *linkPair) close() {
+	p.server.Close()
+	_ = os.RemoveAll(p.directory)
+}
+
+// exchange returns the bytes both ways and the processor time at both ends, in
+// microseconds, of one exchange out of several on the same connection.
+func (p *linkPair) exchange(config *tls.Config, request *link.Request, perConnection int) (traffic, cost float64, err error) {
+	const connections = 40
+	used := processorTime()
+	total := link.Traffic{}
+	for range connections {
+		client, err := link.NewClient(config)
+		if err != nil {
+			return 0, 0, fmt.Errorf("make client: %w", err)
+		}
+		for range perConnection {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := client.Ask(ctx, p.server.Addr().String(), request)
+			cancel()
+			if err != nil {
+				client.Close()
+				return 0, 0, fmt.Errorf("ask: %w", err)
+			}
+		}
+		client.Close()
+		one := client.Traffic()
+		total.Sent += one.Sent
+		total.Received += one.Received
+	}
+	count := float64(connections * perConnection)
+	return float64(total.Sent+total.Received) / count, float64((processorTime() - used).Microseconds()) / count, nil
+}
+
+// exchangeProbes measures the exchange of digests at rest, by how many exchanges
+// share one connection.
+func exchangeProbes() ([]Probe, error) {
+	pair, err := newLinkPair(func(*link.Request) *link.Frame {
+		return &link.Frame{Kind: link.Result, Sync: &link.SyncState{Daemon: "daemon-00000", Digest: 1 << 60}}
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer pair.close()
+	traffic := Probe{Name: "exchange of digests at rest", Varied: "connections per exchange", Unit: "bytes both ways"}
+	cost := Probe{Name: "exchange of digests at rest", Varied: "connections per exchange", Unit: "µs of processor at both ends"}
+	request := &link.Request{Kind: link.Sync, Sync: &link.SyncState{Daemon: "daemon-00001", Digest: 1 << 60}}
+	for _, perConnection := range []int{1, 2, 4, 16} {
+		bytesBoth, processor, err := pair.exchange(pair.bundle.Client(), request, perConnection)
+		if err != nil {
+			return nil, err
+		}
+		traffic.Points = append(traffic.Points, Point{1 / float64(perConnection), bytesBoth})
+		cost.Points = append(cost.Points, Point{1 / float64(perConnection), processor})
+	}
+	return []Probe{traffic, cost}, nil
+}
+
+// changeProbe measures the exchange that carries a changed document.
+func changeProbe() (Probe, error) {
+	p := Probe{Name: "exchange of a changed document", Varied: "KB", Unit: "bytes both ways"}
+	text := []byte(nil)
+	pair, err := newLinkPair(func(*link.Request) *link.Frame {
+		return &link.Frame{Kind: link.Result, Sync: &link.SyncState{Daemon: "daemon", Documents: []link.Document{{Service: "pool", Revision: 1, Text: text}}}}
+	})
+	if err != nil {
+		return p, err
+	}
+	defer pair.close()
+	for _, kilobytes := range []int{4, 32, 128} {
+		text = bytes.Repeat([]byte("d"), kilobytes<<10)
+		traffic, _, err := pair.exchange(pair.bundle.Client(), &link.Request{Kind: link.Sync, Sync: &link.SyncState{Daemon: "x", Full: true}}, 1)
+		if err != nil {
+			return p, err
+		}
+		p.Points = append(p.Points, Point{float64(kilobytes), traffic})
+	}
+	return p, nil
+}
+
+// claimProbe measures the store's writes by the load of keyed calls.
+func claimProbe() Probe {
+	p := Probe{Name: "store writes for claims, 8 ranges", Varied: "claims/s offered", Unit: "writes/s"}
+	for _, rate := range []int{50, 500, 2000} {
+		state := keyvalue.New(timekeeper.System{}, 1)
+		state.SetFaults(keyvalue.Faults{Delay: 5 * time.Millisecond})
+		claims := claimer.New(state.Store(), timekeeper.System{}, "service", claimer.Holder{Sidecar: "s", Incarnation: "i"}, claimer.DefaultOptions)
+		const length = time.Second
+		done := make(chan struct{}, rate)
+		for i := range rate {
+			go func() {
+				<-time.After(length * time.Duration(i) / time.Duration(rate))
+				key := fmt.Sprint(i)
+				if _, err := claims.Take(context.Background(), key, "d", key); err == nil {
+					claims.Conclude(key, key, claimer.Answered, nil)
+				}
+				done <- struct{}{}
+			}()
+		}
+		began := time.Now()
+		for range rate {
+			<-done
+		}
+		p.Points = append(p.Points, Point{float64(rate), float64(state.Counts().Writes) / time.Since(began).Seconds()})
+		claims.Close()
+	}
+	return p
+}
--- /dev/null
+++ b/internal/prober/report.go
@@ -0,0 +1,135 @@
+package prober
+
+import (
+	"fmt"
+	"io"
+)
+
+// Size is what the system is designed for.
+type Size struct {
+	Entries, Replicas, Workspaces, Models, Regions, Zones int
+	RequestsPerSecond                                     float64
+	CachedBlocks, EventsPerSecond                         float64
+	ChangesPerDay, RestartsPerDay                         float64
+}
+
+// TwoYears is the size in two years.
+var TwoYears = Size{
+	Entries: 360, Replicas: 12_000, Workspaces: 19_000, Models: 6, Regions: 7, Zones: 19,
+	RequestsPerSecond: 23_000, CachedBlocks: 280e6, EventsPerSecond: 3.7e6, ChangesPerDay: 7800, RestartsPerDay: 3200,
+}
+
+// Budget is what one daemon may spend for control.
+const (
+	BudgetCore  = 0.042
+	BudgetBytes = 128 << 20
+	BudgetRate  = 9 << 10
+)
+
+const secondsPerDay = 24 * 60 * 60
+
+// results holds the probes by what the roles are worked out from.
+type results struct {
+	decision, chain, pool, memory, picture, events Probe
+	documentSize, documentCost, documentHeld       Probe
+	exchangeBytes, exchangeCost, change, claims    Probe
+}
+
+// Run measures everything and writes the tables.
+func Run(w io.Writer) error {
+	documents := documentProbes()
+	exchanges, err := exchangeProbes()
+	if err != nil {
+		return fmt.Errorf("measure exchanges: %w", err)
+	}
+	change, err := changeProbe()
+	if err != nil {
+		return fmt.Errorf("measure changes: %w", err)
+	}
+	r := results{
+		decision: decisionProbe(), chain: chainProbe(), pool: poolMemoryProbe(), memory: memoryProbe(),
+		picture: pictureMemoryProbe(), events: eventProbe(),
+		documentSize: documents[0], documentCost: documents[1], documentHeld: documents[2],
+		exchangeBytes: exchanges[0], exchangeCost: exchanges[1], change: change, claims: claimProbe(),
+	}
+	_, _ = fmt.Fprintln(w, "## Slopes\n\n| what | varied | unit | points | line |\n| --- | --- | --- | --- | --- |")
+	for _, p := range []Probe{r.decision, r.chain, r.pool, r.memory, r.picture, r.events, r.documentSize, r.documentCost, r.documentHeld, r.exchangeBytes, r.exchangeCost, r.change, r.claims} {
+		p.Print(w)
+	}
+	r.entry(w, TwoYears)
+	r.sidecar(w, TwoYears)
+	r.store(w, TwoYears)
+	return nil
+}
+
+// verdict tells whether a figure is within its budget.
+func verdict(value, budget float64) string {
+	if value <= budget {
+		return fmt.Sprintf("within (%.0f%%)", 100*value/budget)
+	}
+	return fmt.Sprintf("**over (%.1f times)**", value/budget)
+}
+
+// services is the number of service documents assumed: one pool for each model
+// in each region.
+func (s Size) services() float64 { return float64(s.Models * s.Regions) }
+
+// spread returns the bytes and processor seconds a second that one daemon spends
+// on spreading: one exchange started and one answered in a second, each on a new
+// connection, and its part of the changes.
+func (r results) spread(s Size) (bytesPerSecond, core float64) {
+	const exchanges = 1 / 0.75
+	size := r.documentSize.At(float64(s.Workspaces) / s.services())
+	changes := s.ChangesPerDay / secondsPerDay
+	bytesPerSecond = 2*exchanges*r.exchangeBytes.At(1) + 2*changes*r.change.At(size/1024)
+	core = exchanges*r.exchangeCost.At(1)/1e6 + changes*r.documentCost.At(float64(s.Workspaces)/s.services())/1e6
+	return bytesPerSecond, core
+}
+
+func (r results) entry(w io.Writer, s Size) {
+	traffic, core := r.spread(s)
+	requests := s.RequestsPerSecond / float64(s.Entries)
+	core += requests * (r.decision.At(float64(s.Replicas)) + r.chain.At(32)) / 1e6
+	held := r.documentHeld.At(float64(s.Workspaces)/s.services()) * s.services()
+	memory := r.pool.At(float64(s.Replicas)) + r.memory.At(100_000) + held
+	_, _ = fmt.Fprintf(w, "\n## Entry at %d entries, %d replicas\n\n| what | worked out | budget | verdict |\n| --- | --- | --- | --- |\n", s.Entries, s.Replicas)
+	_, _ = fmt.Fprintf(w, "| processor: spreading, %.0f decisions/s, hashing 32 KB each | %.2f%% of a core | %.1f%% | %s |\n", requests, 100*core, 100*BudgetCore, verdict(core, BudgetCore))
+	_, _ = fmt.Fprintf(w, "| memory: replicas %.1f MB, remembered blocks %.1f MB, documents %.1f MB | %.1f MB | %d MB | %s |\n",
+		r.pool.At(float64(s.Replicas))/1e6, r.memory.At(100_000)/1e6, held/1e6, memory/1e6, BudgetBytes>>20, verdict(memory, BudgetBytes))
+	_, _ = fmt.Fprintf(w, "| control traffic: exchanges and changes | %.1f KB/s | %d KB/s | %s |\n", traffic/1024, BudgetRate>>10, verdict(traffic, BudgetRate))
+}
+
+func (r results) sidecar(w io.Writer, s Size) {
+	traffic, core := r.spread(s)
+	events := s.EventsPerSecond / float64(s.Replicas)
+	core += r.events.At(events) / 1e6
+	blocks := s.CachedBlocks / float64(s.Replicas)
+	held := r.documentHeld.At(float64(s.Workspaces)/s.services()) * s.services()
+	memory := r.picture.At(blocks) + held
+	_, _ = fmt.Fprintf(w, "\n## Sidecar with %.0f cached blocks and %.0f cache events/s\n\n| what | worked out | budget | verdict |\n| --- | --- | --- | --- |\n", blocks, events)
+	_, _ = fmt.Fprintf(w, "| processor: spreading, cache events | %.2f%% of a core | %.1f%% | %s |\n", 100*core, 100*BudgetCore, verdict(core, BudgetCore))
+	_, _ = fmt.Fprintf(w, "| memory: picture %.1f MB, documents %.1f MB | %.1f MB | %d MB | %s |\n", r.picture.At(blocks)/1e6, held/1e6, memory/1e6, BudgetBytes>>20, verdict(memory, BudgetBytes))
+	_, _ = fmt.Fprintf(w, "| control traffic: exchanges and changes | %.1f KB/s | %d KB/s | %s |\n", traffic/1024, BudgetRate>>10, verdict(traffic, BudgetRate))
+}
+
+// Limits of the platform's key-value service.
+const (
+	storeWrites = 300
+	storeReads  = 2000
+)
+
+func (r results) store(w io.Writer, s Size) {
+	watchers := float64(3 * s.Regions)
+	const watchSeconds = 30
+	rest := watchers / watchSeconds
+	changes := s.ChangesPerDay / secondsPerDay
+	reads := rest + changes*(watchers+3)
+	writes := changes * 3
+	_, _ = fmt.Fprintf(w, "\n## Platform's key-value service\n\n| when | reads/s | of %d | writes/s | of %d |\n| --- | --- | --- | --- | --- |\n", storeReads, storeWrites)
+	_, _ = fmt.Fprintf(w, "| at rest: %0.f watches | %.2f | %s | 0 | within (0%%) |\n", watchers, rest, verdict(rest, storeReads))
+	_, _ = fmt.Fprintf(w, "| %.0f changes a day | %.2f | %s | %.2f | %s |\n", s.ChangesPerDay, reads, verdict(reads, storeReads), writes, verdict(writes, storeWrites))
+	_, _ = fmt.Fprintf(w, "| %.0f restarts a day: a daemon asks its peers first | %.2f | %s | 0 | within (0%%) |\n", s.RestartsPerDay, rest+s.RestartsPerDay/secondsPerDay, verdict(rest+s.RestartsPerDay/secondsPerDay, storeReads))
+	for _, p := range r.claims.Points {
+		_, _ = fmt.Fprintf(w, "| %.0f claims/s on one service (measured) | - | - | %.0f | %s |\n", p.Size, p.Value, verdict(p.Value, storeWrites))
+	}
+}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -34,6 +34,7 @@
 			"attemptsHeld": s.table.Len(),
 			"jobsHeld":     s.jobs.len(),
 			"blocksKnown":  s.picture.Len(),
+			"linkTraffic":  s.common.Client().Traffic(),
 			"leaving":      s.table.Leaving(),
 			"exchanges":    s.common.Gossip().Exchanges(),
 		}
--- a/peer/link/transport.go
+++ b/peer/link/transport.go
@@ -238,10 +238,42 @@
 	tls *tls.Config
 	udp *quic.Transport
 
-	// mu guards connections and the fields of each held.
+	// mu guards the fields below and those of each held.
 	mu          sync.Mutex
 	connections map[string]*held
-	closed      bool
+	// ended is the traffic of connections that are no longer in connections.
+	ended  Traffic
+	closed bool
+}
+
+// Traffic is a number of bytes on the network, without UDP and IP headers.
+type Traffic struct {
+	Sent     uint64 `json:"sent"`
+	Received uint64 `json:"received"`
+}
+
+func (t *Traffic) add(h *held) {
+	select {
+	case <-h.ready:
+	default:
+		return
+	}
+	if h.connection != nil {
+		stats := h.connection.ConnectionStats()
+		t.Sent += stats.BytesSent
+		t.Received += stats.BytesReceived
+	}
+}
+
+// Traffic returns the bytes of all connections so far.
+func (c *Client) Traffic() Traffic {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := c.ended
+	for _, h := range c.connections {
+		total.add(h)
+	}
+	return total
 }
 
 // held is one connection of a client.
@@ -279,7 +311,7 @@
 	c.mu.Lock()
 	c.closed = true
 	for address, h := range c.connections {
-		delete(c.connections, address)
+		c.remove(address, h)
 		c.closeHeld(h)
 	}
 	c.mu.Unlock()
@@ -335,7 +367,15 @@
 func (c *Client) Drop(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if h := c.connections[address]; h != nil {
+		c.remove(address, h)
+	}
+}
+
+// remove forgets a connection and keeps its traffic. The caller holds mu.
+func (c *Client) remove(address string, h *held) {
 	delete(c.connections, address)
+	c.ended.add(h)
 }
 
 func (c *Client) open(ctx context.Context, address string) (*Stream, error) {
@@ -360,7 +400,7 @@
 	}
 	h, ok := c.connections[address]
 	if ok && h.dead() {
-		delete(c.connections, address)
+		c.remove(address, h)
 		ok = false
 	}
 	if !ok {
@@ -418,7 +458,7 @@
 		defer c.mu.Unlock()
 		if h.open == 0 && time.Since(h.used) >= idleLimit {
 			if c.connections[address] == h {
-				delete(c.connections, address)
+				c.remove(address, h)
 			}
 			c.closeHeld(h)
 		}
