--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -35,6 +35,7 @@
 	defaultReuseWeight = 6
 	defaultMaxTokens   = 4096
 	defaultQueueLimit  = 64
+	defaultEngineSlots = 16
 	defaultGrace       = 30 * time.Second
 	defaultClaimKeep   = 24 * time.Hour
 	defaultClaimRanges = 8
@@ -123,6 +124,7 @@
 		setDefault(&d.Model.ReuseWeight, defaultReuseWeight)
 		setDefault(&d.Model.MaxTokens, defaultMaxTokens)
 		setDefault(&d.Model.QueueLimit, defaultQueueLimit)
+		setDefault(&d.Model.EngineSlots, defaultEngineSlots)
 	}
 	if d.Rollout == nil {
 		d.Rollout = &Rollout{}
@@ -205,6 +207,7 @@
 	}
 	c.between("model.maxTokens", m.MaxTokens, 1, 1_000_000)
 	c.between("model.queueLimit", m.QueueLimit, 1, 100_000)
+	c.between("model.engineSlots", m.EngineSlots, 1, 100_000)
 }
 
 func (c *checker) plainService(d *Document) {
--- a/decoder/document.go
+++ b/decoder/document.go
@@ -80,6 +80,9 @@
 	MaxTokens int `yaml:"maxTokens,omitempty" json:"maxTokens,omitempty"`
 	// QueueLimit is the number of requests that one replica may hold.
 	QueueLimit int `yaml:"queueLimit,omitempty" json:"queueLimit,omitempty"`
+	// EngineSlots is the number of requests that a sidecar gives its engine at
+	// once; the others wait by share and priority.
+	EngineSlots int `yaml:"engineSlots,omitempty" json:"engineSlots,omitempty"`
 }
 
 // Workspace is one customer of the service.
--- a/internal/sidecar/infer.go
+++ b/internal/sidecar/infer.go
@@ -25,6 +25,9 @@
 	workspace *decoder.Workspace
 	// incarnation is the engine that the request was admitted for.
 	incarnation string
+	// total is the number of prompt tokens, and depth the number of leading
+	// blocks that the engine's events show as cached.
+	total, depth int
 	// missing is the number of prompt tokens that are not known to be cached.
 	missing int
 	// known is false if the picture of the cache has a gap.
@@ -97,9 +100,9 @@
 		workspace:   findWorkspace(document, request.Workspace),
 		incarnation: incarnation,
 	}
-	depth, known := s.picture.Depth(incarnation, work.chain)
-	work.known = known
-	work.missing = max(1, chainer.Tokens(len(infer.Prompt))-depth*chainer.BlockTokens)
+	work.depth, work.known = s.picture.Depth(incarnation, work.chain)
+	work.total = chainer.Tokens(len(infer.Prompt))
+	work.missing = max(1, work.total-s.prefills.depth(work.chain, work.depth)*chainer.BlockTokens)
 	return work
 }
 
@@ -122,13 +125,12 @@
 // generate runs an admitted request to its end.
 func (s *Sidecar) generate(ctx context.Context, work *inference) {
 	request := work.job.request
-	total := chainer.Tokens(len(request.Infer.Prompt))
-	missing, leave, err := s.prefills.enter(ctx, work.chain, total, work.missing)
+	missing, leave, err := s.prefills.enter(ctx, work.chain, work.total, work.depth)
 	if err != nil {
 		s.fail(work.job, admitter.NotRun, link.CodeDeadline, err)
 		return
 	}
-	defer leave()
+	defer leave(false)
 	item := limiter.Item{Workspace: request.Workspace, Share: work.workspace.Share, Cost: missing, Priority: request.Priority}
 	if err := s.queue.Acquire(ctx, item); err != nil {
 		s.fail(work.job, admitter.NotRun, link.CodeDeadline, err)
@@ -168,7 +170,7 @@
 
 // receive takes one event of the engine. prefilled is called once the prompt has
 // been computed.
-func (s *Sidecar) receive(work *inference, event *engine.Event, prefilled func()) error {
+func (s *Sidecar) receive(work *inference, event *engine.Event, prefilled func(computed bool)) error {
 	request := work.job.request
 	switch event.Type {
 	case "admitted":
@@ -179,7 +181,7 @@
 		s.metrics.promptBlocks.Add(int64(len(work.chain)))
 		work.job.begin(s.admitted(request, event))
 	case "token":
-		prefilled()
+		prefilled(true)
 		if !work.job.add(event.Index, event.Text) {
 			return engine.ErrBroken
 		}
--- a/internal/sidecar/prefill.go
+++ b/internal/sidecar/prefill.go
@@ -4,23 +4,40 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cyclamenward/cyclamenward/chainer"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+)
+
+const (
+	// recentKeep is how long a computed block is taken for cached before the
+	// engine's events must have told of it.
+	recentKeep = 2 * time.Second
+	// maxRecent bounds the blocks that are taken for cached.
+	maxRecent = 1 << 14
 )
 
 // prefills keeps requests with the same uncached prefix from computing it
 // twice: the first computes, the others wait for it and find the blocks cached.
+// It guides work only; no promise to a caller rests on it.
 type prefills struct {
+	clock timekeeper.Clock
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// leaders holds, for each block being computed, the channel that is closed
-	// when its request has its first token.
+	// when its request has its first token or has ended.
 	leaders map[chainer.Hash]chan struct{}
+	// recent holds when blocks were computed that events may not show yet.
+	recent map[chainer.Hash]time.Time
 	// backlog is the number of prompt tokens being computed.
 	backlog int
 }
 
-func newPrefills() *prefills { return &prefills{leaders: make(map[chainer.Hash]chan struct{})} }
+func newPrefills(clock timekeeper.Clock) *prefills {
+	return &prefills{clock: clock, leaders: make(map[chainer.Hash]chan struct{}), recent: make(map[chainer.Hash]time.Time)}
+}
 
 // tokens returns the number of prompt tokens being computed.
 func (p *prefills) tokens() int {
@@ -29,63 +46,99 @@
 	return p.backlog
 }
 
-// enter waits while another request computes the deepest block that the chain
-// shares with it, and then registers this request's blocks. It returns the number
-// of tokens that are left to compute, and a function that ends the registration
-// and may be called more than once.
-func (p *prefills) enter(ctx context.Context, chain []chainer.Hash, total, missing int) (int, func(), error) {
+// depth extends a known depth by the blocks that were computed just now.
+func (p *prefills) depth(chain []chainer.Hash, known int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.extend(chain, known)
+}
+
+// extend does the work of depth. The caller holds mu.
+func (p *prefills) extend(chain []chainer.Hash, depth int) int {
+	now := p.clock.Now()
+	for depth < len(chain) {
+		computed, ok := p.recent[chain[depth]]
+		if !ok || now.Sub(computed) > recentKeep {
+			break
+		}
+		depth++
+	}
+	return depth
+}
+
+// enter waits while another request computes a block of the chain that is not
+// cached, and then registers the blocks that this request computes. It returns
+// the number of tokens that are left to compute, and a function that ends the
+// registration, is told whether the blocks were computed, and may be called more
+// than once.
+func (p *prefills) enter(ctx context.Context, chain []chainer.Hash, total, depth int) (int, func(computed bool), error) {
 	for {
-		leader, shared := p.leader(chain)
+		missing, leader, done := p.register(chain, total, depth)
 		if leader == nil {
-			return missing, p.register(chain, missing), nil
+			return missing, done, nil
 		}
 		select {
 		case <-leader:
-			missing = max(1, min(missing, total-shared*chainer.BlockTokens))
 		case <-ctx.Done():
 			return 0, nil, fmt.Errorf("wait for shared prefill: %w", ctx.Err())
 		}
 	}
 }
 
-// leader returns the request that computes the deepest shared block, and the
-// number of blocks shared with it.
-func (p *prefills) leader(chain []chainer.Hash) (leader chan struct{}, shared int) {
+// register returns the request that computes the deepest shared block, if there
+// is one, and else enters the missing blocks as being computed.
+func (p *prefills) register(chain []chainer.Hash, total, depth int) (missing int, leader chan struct{}, done func(bool)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i := len(chain) - 1; i >= 0; i-- {
-		if leader := p.leaders[chain[i]]; leader != nil {
-			return leader, i + 1
+	computed := chain[p.extend(chain, depth):]
+	for i := len(computed) - 1; i >= 0; i-- {
+		if leader := p.leaders[computed[i]]; leader != nil {
+			return 0, leader, nil
 		}
 	}
-	return nil, 0
-}
-
-// register enters the last blocks of the chain as being computed. If another
-// request entered some of them in the meantime, both compute them.
-func (p *prefills) register(chain []chainer.Hash, missing int) func() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	computed := chain[max(0, len(chain)-(missing+chainer.BlockTokens-1)/chainer.BlockTokens):]
 	own := make(chan struct{})
 	for _, block := range computed {
-		if p.leaders[block] == nil {
-			p.leaders[block] = own
-		}
+		p.leaders[block] = own
 	}
+	missing = max(1, total-(len(chain)-len(computed))*chainer.BlockTokens)
 	p.backlog += missing
 	var once sync.Once
-	return func() { once.Do(func() { p.finish(computed, missing, own) }) }
+	return missing, nil, func(success bool) { once.Do(func() { p.finish(computed, missing, own, success) }) }
 }
 
-func (p *prefills) finish(computed []chainer.Hash, missing int, own chan struct{}) {
+func (p *prefills) finish(computed []chainer.Hash, missing int, own chan struct{}, success bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.clock.Now()
 	for _, block := range computed {
-		if p.leaders[block] == own {
-			delete(p.leaders, block)
+		delete(p.leaders, block)
+		if success {
+			p.recent[block] = now
 		}
 	}
+	p.forget(now)
 	p.backlog -= missing
 	close(own)
 }
+
+// forget drops old blocks when there are many. The caller holds mu.
+func (p *prefills) forget(now time.Time) {
+	if len(p.recent) <= maxRecent {
+		return
+	}
+	for block, computed := range p.recent {
+		if now.Sub(computed) > recentKeep {
+			delete(p.recent, block)
+		}
+	}
+	if len(p.recent) > maxRecent {
+		clear(p.recent)
+	}
+}
+
+// reset forgets what was computed, when the engine has lost it.
+func (p *prefills) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.recent)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -46,8 +46,6 @@
 	attachWindow = 10 * time.Second
 	// maxBlocks bounds the picture of the engine's cache.
 	maxBlocks = 1 << 20
-	// engineSlots is the number of requests given to the engine at once.
-	engineSlots = 16
 	// sweepPeriod is how often ended jobs are looked through.
 	sweepPeriod = time.Second
 )
@@ -112,10 +110,10 @@
 		logger:   d.Logger,
 		table:    admitter.New(d.Clock, d.Common.Identity().Incarnation, admitter.Limits{Records: maxAttempts, Keep: keepAttempts}),
 		jobs:     newJobs(d.Clock),
-		queue:    limiter.NewQueue(engineSlots, maxAttempts),
+		queue:    limiter.NewQueue(0, maxAttempts),
 		engine:   engine.New(settings.BackendAddress),
 		picture:  tracker.New(maxBlocks),
-		prefills: newPrefills(),
+		prefills: newPrefills(d.Clock),
 		plain:    plainservice.New(settings.BackendAddress),
 		cancel:   cancel,
 		refresh:  make(chan struct{}, 1),
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -19,6 +19,7 @@
 	for {
 		changed := s.common.Book().Changed()
 		if document := s.document(); document != nil && document.Value.Kind == decoder.ModelPool {
+			s.queue.SetSlots(document.Value.Model.EngineSlots)
 			s.readEngine()
 		}
 		select {
@@ -50,6 +51,9 @@
 	if old := s.state.Swap(state); old == nil || old.Incarnation != state.Incarnation || old.WeightsVersion != state.WeightsVersion {
 		s.logger.Info("sidecar: engine state.", "incarnation", state.Incarnation, "weightsVersion", state.WeightsVersion, "loading", state.Loading)
 	}
+	if s.picture.Incarnation() != state.Incarnation {
+		s.prefills.reset()
+	}
 	s.picture.Restarted(state.Incarnation)
 	if err := s.readEvents(); err != nil {
 		s.logger.Debug("sidecar: cache events not read.", "err", err)
--- /dev/null
+++ b/internal/standin/driver/direct.go
@@ -0,0 +1,41 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/chainer"
+	"github.com/cyclamenward/cyclamenward/peer/engine"
+	"github.com/google/uuid"
+)
+
+// Direct sends a request straight to an engine, as a baseline.
+func Direct(address, prompt string, tokens int) (*Stream, error) {
+	result := &Stream{}
+	start := time.Now()
+	last := start
+	generation := &engine.Generation{
+		RequestID: uuid.NewString(), Model: "meet-assistant", WeightsVersion: "v1",
+		CacheSalt: chainer.Scope{Workspace: "direct"}.Seed().String(), Prompt: []byte(prompt), MaxTokens: tokens,
+	}
+	err := engine.New(address).Generate(context.Background(), generation, func(event *engine.Event) error {
+		if event.Type != "token" {
+			return nil
+		}
+		now := time.Now()
+		if len(result.Tokens) == 0 {
+			result.First = now.Sub(start)
+		} else {
+			result.Gaps = append(result.Gaps, now.Sub(last))
+		}
+		last = now
+		result.Tokens = append(result.Tokens, event.Text)
+		return nil
+	})
+	if err != nil {
+		return result, fmt.Errorf("direct: %w", err)
+	}
+	result.Whole = true
+	return result, nil
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -44,8 +46,17 @@
 	LoadTime time.Duration
 	// DrainLimit is the daemons' limit for draining.
 	DrainLimit time.Duration
+	// PrefillRate and QueueLimit are those of the engines and the document; 0 for
+	// the defaults.
+	PrefillRate, QueueLimit int
+	// EngineSlots is the number of requests that a sidecar gives its engine at
+	// once; 0 for the default.
+	EngineSlots int
 }
 
+// defaultPrefillRate is the prefill speed of the engines.
+const defaultPrefillRate = 8000
+
 // Fleet is a running deployment.
 type Fleet struct {
 	options   Options
@@ -119,7 +130,7 @@
 	for i := range f.options.Engines {
 		name := fmt.Sprintf("engine-%d", i)
 		err := f.run(name, f.options.Standin, "engine", "--address", f.addresses[name], "--model", Model,
-			"--token-interval", f.options.TokenInterval.String(), "--load-time", f.options.LoadTime.String())
+			"--prefill-rate", strconv.Itoa(f.prefillRate()), "--token-interval", f.options.TokenInterval.String(), "--load-time", f.options.LoadTime.String())
 		if err != nil {
 			return err
 		}
@@ -132,6 +143,8 @@
 	return f.await("platform", func() bool { return f.publishHosts() == nil })
 }
 
+func (f *Fleet) prefillRate() int { return cmp.Or(f.options.PrefillRate, defaultPrefillRate) }
+
 // publishHosts writes the list of hosts.
 func (f *Fleet) publishHosts() error {
 	var list []hosts.Host
@@ -211,7 +224,7 @@
 	d := &decoder.Document{
 		Service:    ModelService,
 		Kind:       decoder.ModelPool,
-		Model:      &decoder.Model{Name: Model, WeightsVersion: version, PrefillTokensPerSecond: 8000},
+		Model:      &decoder.Model{Name: Model, WeightsVersion: version, PrefillTokensPerSecond: f.prefillRate(), QueueLimit: f.options.QueueLimit, EngineSlots: f.options.EngineSlots},
 		Workspaces: exampleWorkspaces(),
 		Rollout:    &decoder.Rollout{MaxLoading: 2, MinServing: max(0, f.options.Engines-2)},
 	}
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -29,6 +29,7 @@
 			engineCommand(),
 			appCommand(),
 			demoCommand(),
+			loadCommand(),
 		},
 	}
 }
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -32,13 +32,13 @@
 // Queue gives out slots by start-time fair queueing: while the queue is never
 // empty, each workspace gets work in proportion to its share, counted in cost.
 type Queue struct {
-	// slots is the number of requests that may hold a slot.
-	slots int
 	// limit is the number of requests that may wait.
 	limit int
 
 	// mu guards the fields below.
-	mu      sync.Mutex
+	mu sync.Mutex
+	// slots is the number of requests that may hold a slot.
+	slots   int
 	running int
 	waiting waitingHeap
 	// virtual is the start tag of the request that got a slot last. It never
@@ -58,6 +58,14 @@
 	return &Queue{slots: slots, limit: limit, finish: make(map[string]float64)}
 }
 
+// SetSlots changes the number of slots. Requests that hold one keep it.
+func (q *Queue) SetSlots(slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.slots = slots
+	q.fill()
+}
+
 // waiter is one request in the queue.
 type waiter struct {
 	item    Item
@@ -129,15 +137,20 @@
 // release passes a slot on. The caller holds mu.
 func (q *Queue) release() {
 	q.running--
-	if len(q.waiting) > 0 && q.running < q.slots {
+	q.fill()
+	if len(q.waiting) == 0 && q.running == 0 {
+		clear(q.finish)
+	}
+}
+
+// fill gives free slots to waiting requests. The caller holds mu.
+func (q *Queue) fill() {
+	for len(q.waiting) > 0 && q.running < q.slots {
 		w := heap.Pop(&q.waiting).(*waiter)
 		q.cost -= w.item.Cost
 		q.grant(w)
 		close(w.ready)
 	}
-	if len(q.waiting) == 0 && q.running == 0 {
-		clear(q.finish)
-	}
 }
 
 // tag makes a waiter with its start tag. The caller holds mu.
--- a/peer/engine/client.go
+++ b/peer/engine/client.go
@@ -23,6 +23,8 @@
 
 const (
 	dialLimit = 500 * time.Millisecond
+	// maxConnections is above what a sidecar admits at once.
+	maxConnections = 1 << 18
 	// progressLimit is how long an engine may send nothing while it works.
 	progressLimit = 5 * time.Second
 	// HeaderRequestID carries the request id both ways.
@@ -130,6 +132,7 @@
 func New(address string) *Client {
 	return &Client{address: address, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
+		MaxConnsPerHost:           maxConnections,
 		StreamResponseBody:        true,
 		Dial:                      dialProgress,
 	}}
@@ -278,7 +281,7 @@
 
 func transportError(err error) error {
 	var op *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || (errors.As(err, &op) && op.Op == "dial") {
+	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) || (errors.As(err, &op) && op.Op == "dial") {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return fmt.Errorf("%w: %w", ErrBroken, err)
--- a/peer/plainservice/client.go
+++ b/peer/plainservice/client.go
@@ -17,6 +17,8 @@
 
 const (
 	dialLimit = 500 * time.Millisecond
+	// maxConnections is above what a sidecar admits at once.
+	maxConnections = 1 << 18
 	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 4 << 20
 	// HeaderRequestID carries the request id both ways.
@@ -67,6 +69,7 @@
 func New(address string) *Client {
 	return &Client{address: address, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
+		MaxConnsPerHost:           maxConnections,
 		MaxResponseBodySize:       maxAnswerBytes,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 			return false, false
@@ -103,7 +106,7 @@
 
 func transportError(err error) error {
 	var op *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || (errors.As(err, &op) && op.Op == "dial") {
+	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) || (errors.As(err, &op) && op.Op == "dial") {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return fmt.Errorf("%w: %w", ErrUnknown, err)
