Tables as JSON, plots and an ablation of the policy

Cause: the figures could not be kept or seen, and nobody could tell what each part of the policy is worth.

Change: make measure writes docs/measure/table.json and a plot of the time to the first token against offered load for each deployment, and measures the policy with one part changed.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: demo and test need nothing but Go, a C compiler and make.
-.PHONY: build demo test lint tools measure capacity settings linkage
+.PHONY: build demo test lint tools measure capacity load settings linkage
 
 BIN := bin
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
@@ -37,3 +37,16 @@
 # Writes the reference page of all settings.
 settings: build
 	$(BIN)/cyclamenward settings > docs/SETTINGS.md
+
+# Compares the routing policy with its baselines in virtual time; the same table
+# at each run, in docs/measure.
+measure:
+	go run ./cmd/measure
+
+# Measures the slopes behind docs/CAPACITY.md.
+capacity:
+	go run ./cmd/capacity
+
+# Drives streams through a deployment of separate processes.
+load: build
+	$(BIN)/standin load --product $(BIN)/cyclamenward --standin $(BIN)/standin
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -1,13 +1,39 @@
 // The measure command compares the routing policy with its baselines in virtual
-// time. The same seeds give the same table at each run.
+// time. The same seeds give the same tables at each run.
 package main
 
 import (
+	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/cyclamenward/cyclamenward/internal/measurer"
 )
 
 func main() {
-	measurer.Print(os.Stdout, measurer.Table(measurer.DefaultPlan))
+	if err := run("docs/measure"); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// run prints the tables and writes them as JSON, with a plot for each deployment,
+// into the directory.
+func run(directory string) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	table := measurer.Table(measurer.DefaultPlan)
+	ablation := measurer.Ablation(measurer.DefaultPlan)
+	measurer.Print(os.Stdout, append(table, ablation...))
+	if err := measurer.WriteJSON(filepath.Join(directory, "table.json"), append(table, ablation...)); err != nil {
+		return err
+	}
+	for name, d := range map[string]measurer.Deployment{"loneStar": measurer.LoneStar(), "rogeri": measurer.Rogeri()} {
+		curve := measurer.Curve(measurer.DefaultPlan, d, measurer.LoadFactors)
+		if err := measurer.Plot(filepath.Join(directory, name+".svg"), d.Name, curve); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/measurer/policy.go
+++ b/internal/measurer/policy.go
@@ -233,9 +233,36 @@
 }
 
 // Ours is the product's own decision code.
-func Ours() Policy { return ours("ours", func(*chooser.Settings) {}) }
+func Ours() Policy { return ours("ours", variant{}) }
 
-func ours(name string, change func(*chooser.Settings)) Policy {
+// variant is a change of one part of the product's policy.
+type variant struct {
+	// settings changes the costs; nil for none.
+	settings func(*chooser.Settings)
+	// noRedirects keeps replicas from sending requests on.
+	noRedirects bool
+	// noPrior keeps the entry from expecting anything of homes.
+	noPrior bool
+	// noMemory keeps the entry from remembering replies.
+	noMemory bool
+	// noLoad keeps the entry from using load reports.
+	noLoad bool
+}
+
+// ablations are the variants of the ablation table.
+func ablations() []Policy {
+	return []Policy{
+		Ours(),
+		ours("without redirects", variant{noRedirects: true}),
+		ours("without the prior of homes", variant{noPrior: true}),
+		ours("without memory of replies", variant{noMemory: true}),
+		ours("without load reports", variant{noLoad: true}),
+		ours("reuse weight 1", variant{settings: func(s *chooser.Settings) { s.PrefillWeight = 1 }}),
+		ours("link penalty 1", variant{settings: func(s *chooser.Settings) { s.LinkPenalty = 1 }}),
+	}
+}
+
+func ours(name string, v variant) Policy {
 	return Policy{name, func(w *world, region int, zone string) *decider {
 		replicas := make([]chooser.Replica, len(w.engines))
 		for i, e := range w.engines {
@@ -247,9 +274,26 @@
 			ZoneDelay: 2 * w.deployment.ZoneDelay, RegionDelay: 2 * w.deployment.RegionDelay,
 			LinkBytesPerSecond: 1 << 20, LinkPenalty: 20, PrefillWeight: w.deployment.ReuseWeight,
 		}
-		change(&settings)
+		if v.settings != nil {
+			v.settings(&settings)
+		}
 		c := chooser.New(settings, chooser.NewMemory(100_000))
-		d := &decider{region: region, zone: zone, redirect: true, prefillWeight: settings.PrefillWeight}
+		d := &decider{region: region, zone: zone, redirect: !v.noRedirects, prefillWeight: settings.PrefillWeight}
+		if v.noPrior {
+			for range 1000 {
+				c.Observe(chooser.Choice{HomeBlocks: 1}, 0)
+			}
+		}
+		observe := func(choice chooser.Choice, known int) {
+			if !v.noPrior {
+				c.Observe(choice, known)
+			}
+		}
+		learn := func(r *request, replica, incarnation, depth int) {
+			if !v.noMemory {
+				c.Memory().Learn(pool.Status(replica), fmt.Sprint(incarnation), r.arrival.chain, depth)
+			}
+		}
 		d.choose = func(r *request) int {
 			choice := c.Choose(pool, w.decision(r), epoch.Add(w.now))
 			r.choice = choice
@@ -259,6 +303,9 @@
 			return choice.Index
 		}
 		d.heard = func(replica int, news report) {
+			if v.noLoad {
+				news.backlog, news.queued = 0, 0
+			}
 			pool.Status(replica).SetReport(&chooser.Report{
 				EngineIncarnation: fmt.Sprint(news.incarnation), WeightsVersion: "v1",
 				BacklogTokens: news.backlog, Queued: news.queued, At: epoch.Add(w.now),
@@ -266,12 +313,12 @@
 		}
 		d.missed = func(r *request, replica, estimate int) {
 			known := (r.arrival.tokens - estimate) / chainer.BlockTokens
-			c.Observe(r.choice, known)
-			c.Memory().Learn(pool.Status(replica), fmt.Sprint(reportOf(w.engines[replica]).incarnation), r.arrival.chain, known)
+			observe(r.choice, known)
+			learn(r, replica, w.engines[replica].incarnation, known)
 		}
 		d.admitted = func(r *request, replica int, news report) {
-			c.Observe(r.choice, r.known)
-			c.Memory().Learn(pool.Status(replica), fmt.Sprint(news.incarnation), r.arrival.chain, len(r.arrival.chain))
+			observe(r.choice, r.known)
+			learn(r, replica, news.incarnation, len(r.arrival.chain))
 		}
 		return d
 	}}
