Leaving hosts, bad input, mutual TLS and fuzzing, proved

Cause: a departure known from the platform's list or from the document was not acted on, and nothing showed what bad input gets.

Change: a sidecar refuses new work once the list names its host as leaving or the document no longer names its backend server; entries pass such hosts over. Tests on real processes: fourteen kinds of bad input each get a problem document that says notRun, and the entry goes on; a server out of the document and one marked as leaving get no new work after 6 s while 20 streams are whole elsewhere. Links: no certificate, or another authority's, gets nothing; a cancel is told apart from a loss.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,8 +78,10 @@
 	list     func() ([]hosts.Host, error)
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
-	// hosts is the last list read, replaced whole.
-	hosts atomic.Pointer[[]hosts.Host]
+	// hosts is the last list read, and leaving the link addresses of its leaving
+	// hosts; both are replaced whole.
+	hosts   atomic.Pointer[[]hosts.Host]
+	leaving atomic.Pointer[map[string]bool]
 }
 
 // New starts to spread configuration and asks peers for theirs, waiting for at
@@ -100,7 +102,7 @@
 		list:     options.Hosts,
 		cancel:   cancel,
 	}
-	c.hosts.Store(&[]hosts.Host{})
+	c.setHosts(nil)
 	c.readHosts()
 	peers := spreader.Peers{Self: options.Identity.LinkAddress, All: c.Peers, Region: c.regionEntries, Exchange: c.exchange}
 	source := spreader.Source{Store: options.Store, Prefix: registrar.Prefix, Parse: parse}
@@ -143,6 +145,12 @@
 // Hosts returns the last list of hosts that was read.
 func (c *Common) Hosts() []hosts.Host { return *c.hosts.Load() }
 
+// IsLeaving reports whether the platform says that the host of a link address is
+// leaving.
+func (c *Common) IsLeaving(address string) bool {
+	return (*c.leaving.Load())[address]
+}
+
 // EntryPeers returns the link addresses of the other entries that the platform
 // lists.
 func (c *Common) EntryPeers() []string {
@@ -281,7 +289,18 @@
 		c.logger.Debug("hosts: list not read", "err", err)
 		return
 	}
+	c.setHosts(list)
+}
+
+func (c *Common) setHosts(list []hosts.Host) {
+	leaving := map[string]bool{}
+	for _, host := range list {
+		if host.Leaving {
+			leaving[host.Address] = true
+		}
+	}
 	c.hosts.Store(&list)
+	c.leaving.Store(&leaving)
 }
 
 func (c *Common) reportGossip(err error) { c.logger.Debug("spread: exchange failed", "err", err) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -142,6 +142,7 @@
 		defer close(e.pushed)
 		e.pushLoop(ctx)
 	}()
+	go func() { e.leavingLoop(ctx) }()
 	return e, nil
 }
 
--- /dev/null
+++ b/internal/entry/input_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"testing"
+	"unicode/utf8"
+
+	"github.com/cyclamenward/cyclamenward/chooser"
+	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/spreader"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+)
+
+func testService() (*Entry, *caller) {
+	document := &decoder.Document{Service: "s", Kind: decoder.ModelPool, Model: &decoder.Model{Name: "m", MaxTokens: 100, Adapters: []string{"a"}}}
+	document.Workspaces = []decoder.Workspace{{Name: "w", KeyHashes: []string{decoder.HashKey("key")}}}
+	s := &service{
+		revised: &spreader.Revised[*decoder.Document]{Value: document}, document: document, pool: chooser.NewPool(nil, nil),
+		workspaces: map[string]*decoder.Workspace{decoder.HashKey("key"): &document.Workspaces[0]},
+	}
+	c := &catalog{byName: map[string]*service{"s": s}, byKey: map[string][]*service{decoder.HashKey("key"): {s}}}
+	return &Entry{clock: timekeeper.System{}}, &caller{catalog: c, keyHash: decoder.HashKey("key")}
+}
+
+// FuzzCompletion checks that every body is either refused as a problem or gives a
+// request within the document's limits.
+func FuzzCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":5}`), true)
+	f.Add([]byte(`{"model":"m:a","prompt":"hello"}`), false)
+	f.Add([]byte(`{"model":"m","prompt":"\ud800"}`), false)
+	f.Add([]byte("{\"model\":\"m\",\"prompt\":\"\xff\"}"), false)
+	f.Fuzz(func(t *testing.T, body []byte, chat bool) {
+		e, c := testService()
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetBody(body)
+		request, p := e.readCompletion(&ctx, c, chat)
+		if p != nil {
+			assert.Assert(t, p.Status >= 400 && p.Status < 500)
+			assert.Equal(t, string(p.Outcome), "notRun")
+			return
+		}
+		assert.Assert(t, request.infer.MaxTokens >= 1 && request.infer.MaxTokens <= 100)
+		assert.Assert(t, len(request.infer.Prompt) > 0 && utf8.Valid(request.infer.Prompt))
+		assert.Equal(t, request.workspace.Name, "w")
+	})
+}
+
+// FuzzEventID checks that no id of a caller is taken for more than it is.
+func FuzzEventID(f *testing.F) {
+	f.Add("oWdzZXJ2aWNlYXM.3")
+	f.Add(".0")
+	f.Add("AAAA.-1")
+	f.Fuzz(func(t *testing.T, id string) {
+		if _, index, ok := parseEventID(id); ok {
+			assert.Assert(t, index >= 0)
+		}
+	})
+}
--- a/internal/entry/push.go
+++ b/internal/entry/push.go
@@ -84,3 +84,26 @@
 	at := slices.Index(slices.Compact(entries), self)
 	return at >= 0 && at < pushers
 }
+
+// leavingPeriod is how often the entry looks for hosts that are leaving.
+const leavingPeriod = time.Second
+
+// leavingLoop passes over replicas on hosts that the platform says are leaving.
+// Their own sidecars refuse new work as soon as they know, so this only saves the
+// refusals.
+func (e *Entry) leavingLoop(ctx context.Context) {
+	for {
+		select {
+		case <-e.clock.After(leavingPeriod):
+		case <-ctx.Done():
+			return
+		}
+		for _, s := range e.current().byName {
+			for i := range s.pool.Len() {
+				if e.common.IsLeaving(s.pool.Replica(i).Address) {
+					s.pool.Status(i).Avoid(e.clock.Now().Add(2 * leavingPeriod))
+				}
+			}
+		}
+	}
+}
--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -49,7 +49,7 @@
 	case request.SidecarIncarnation != s.table.Incarnation():
 		s.refuse(request, stream, link.CodeIncarnation, "sidecar was restarted", 0)
 		return nil
-	case s.table.Leaving():
+	case s.table.Leaving() || !listed(revised.Value, s.settings.BackendServer):
 		s.refuse(request, stream, link.CodeLeaving, "backend server is leaving", 0)
 		return nil
 	case findWorkspace(revised.Value, request.Workspace) == nil:
@@ -109,6 +109,11 @@
 	}
 }
 
+// listed reports whether the document still names the backend server.
+func listed(document *decoder.Document, name string) bool {
+	return slices.ContainsFunc(document.BackendServers, func(b decoder.BackendServer) bool { return b.Name == name })
+}
+
 func findWorkspace(document *decoder.Document, name string) *decoder.Workspace {
 	i := slices.IndexFunc(document.Workspaces, func(w decoder.Workspace) bool { return w.Name == name })
 	if i < 0 {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -240,12 +240,17 @@
 	}
 }
 
-// sweepLoop drops ended jobs and cancels abandoned ones.
+// sweepLoop drops ended jobs, cancels abandoned ones, and notices when the
+// platform says that this host is leaving.
 func (s *Sidecar) sweepLoop(ctx context.Context) {
 	for {
 		select {
 		case <-s.clock.After(sweepPeriod):
 			s.jobs.sweep()
+			if !s.table.Leaving() && s.common.IsLeaving(s.common.Identity().LinkAddress) {
+				s.logger.Info("sidecar: the platform says that this host is leaving.")
+				s.table.Leave()
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -1,9 +1,13 @@
 package fleet_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -51,6 +55,10 @@
 // drainedLimit is how long a daemon may go on after its last request has ended.
 const drainedLimit = 5 * time.Second
 
+// leavingLimit is the time after which a leaving backend server gets no new work:
+// the longest time between two readings of the list of hosts, and one more second.
+const leavingLimit = 6 * time.Second
+
 // tries is what one key's callers were told.
 type tries struct {
 	answers  []string
@@ -403,3 +411,93 @@
 	t.Logf("longest gap %s", longest.Round(time.Millisecond))
 	assert.Check(t, longest < 6*time.Second, "gap of %s", longest)
 }
+
+// TestBadInputGetsAClearError sends what no caller should and checks that each
+// gets a problem document that says truly that nothing ran.
+func TestBadInputGetsAClearError(t *testing.T) {
+	f := start(t, 1, 1)
+	address := f.Address("entry-0/caller")
+	good := "Authorization: Bearer " + fleet.Key + "\r\n"
+	body := func(text string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text) }
+	for name, c := range map[string]struct {
+		request string
+		status  int
+	}{
+		"no key":            {"POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + body("{}"), 401},
+		"unknown key":       {"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer no\r\n" + body("{}"), 401},
+		"two keys":          {"POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + good + good + body("{}"), 401},
+		"no JSON":           {"POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + good + body("{"), 400},
+		"bad UTF-8":         {"POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + good + body("{\"prompt\":\"\xff\"}"), 400},
+		"unknown model":     {"POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + good + body(`{"model":"no","prompt":"p"}`), 404},
+		"too many tokens":   {"POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + good + body(`{"model":"meet-assistant","prompt":"p","max_tokens":1000000}`), 400},
+		"bad timeout":       {"POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Request-Timeout: soon\r\n" + good + body(`{"model":"meet-assistant","prompt":"p"}`), 400},
+		"foreign event id":  {"POST /v1/completions HTTP/1.1\r\nHost: x\r\nLast-Event-ID: x.1\r\n" + good + body(`{"model":"meet-assistant","prompt":"p"}`), 400},
+		"two idempotencies": {"POST /services/booking/bookings HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n" + good + body("{}"), 400},
+		"unknown service":   {"POST /services/none/x HTTP/1.1\r\nHost: x\r\n" + good + body("{}"), 404},
+		"unknown path":      {"GET /nowhere HTTP/1.1\r\nHost: x\r\n" + good + "\r\n", 404},
+		"oversize":          {"POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + good + "Content-Length: 99000000\r\n\r\n", 413},
+		"no HTTP":           {"\x16\x03\x01\x02\x00\r\n\r\n", 400},
+	} {
+		status, problem := raw(t, address, c.request)
+		assert.Check(t, status == c.status, "%s: status %d %+v", name, status, problem)
+		assert.Check(t, problem.Outcome == "notRun" && problem.Code != "" && problem.Status == c.status, "%s: %+v", name, problem)
+	}
+	// The entry goes on serving, and a truncated request harms nobody.
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	_, _ = connection.Write([]byte("POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + good + "Content-Length: 50\r\n\r\n{"))
+	_ = connection.Close()
+	assert.Check(t, stream(t.Context(), t, chatOf(f, 0, 1, 3), "v1"))
+	var record []bookingapp.Run
+	assert.NilError(t, f.GetJSON("app", bookingapp.PathRecord, &record))
+	assert.Equal(t, len(record), 0)
+}
+
+// raw sends bytes and returns the status and the problem document.
+func raw(t *testing.T, address, request string) (int, driver.Problem) {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = connection.Write([]byte(request))
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return 0, driver.Problem{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var problem driver.Problem
+	_ = json.NewDecoder(response.Body).Decode(&problem)
+	return response.StatusCode, problem
+}
+
+// TestLeavingServerGetsNoNewWork takes a backend server out of the document and
+// marks another as leaving in the platform's list, and checks that neither gets
+// new work a few seconds later, while both entries go on serving.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	f := start(t, 3, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
+	defer cancel()
+	document := f.ModelDocument("v1")
+	document.BackendServers = document.BackendServers[1:]
+	document.Rollout.MinServing = 0
+	assert.NilError(t, f.Apply(document))
+	assert.NilError(t, f.MarkLeaving("sidecar-1"))
+	after(ctx, leavingLimit)
+	admitted := func(name string) int {
+		var vars struct {
+			Sidecar struct {
+				Admitted int `json:"admitted"`
+			} `json:"sidecar"`
+		}
+		assert.NilError(t, f.GetJSON(name+"/operator", "/debug/vars", &vars))
+		return vars.Sidecar.Admitted
+	}
+	before := [2]int{admitted("sidecar-0"), admitted("sidecar-1")}
+	for i := range 20 {
+		assert.Check(t, stream(ctx, t, chatOf(f, i%2, i, 3), "v1"))
+	}
+	assert.Equal(t, [2]int{admitted("sidecar-0"), admitted("sidecar-1")}, before)
+	assert.Check(t, admitted("sidecar-2") >= 20)
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -66,6 +66,8 @@
 	addresses map[string]string
 	// revisions holds the accepted revision of each service.
 	revisions map[string]uint64
+	// leaving names the sidecars whose hosts are listed as leaving.
+	leaving []string
 }
 
 // Start runs the deployment, applies the example documents and waits until every
@@ -145,9 +147,18 @@
 
 func (f *Fleet) prefillRate() int { return cmp.Or(f.options.PrefillRate, defaultPrefillRate) }
 
+// MarkLeaving lists a sidecar's host as leaving.
+func (f *Fleet) MarkLeaving(sidecar string) error {
+	f.leaving = append(f.leaving, sidecar)
+	return f.publishHosts()
+}
+
 // publishHosts writes the list of hosts.
 func (f *Fleet) publishHosts() error {
 	var list []hosts.Host
+	for _, name := range f.leaving {
+		list = append(list, hosts.Host{Name: name, Address: f.addresses[name+"/link"], Role: hosts.Sidecar, Region: "central-tx", AvailabilityZone: "austin-a", Leaving: true})
+	}
 	for i := range f.options.Entries {
 		name := fmt.Sprintf("entry-%d", i)
 		list = append(list, hosts.Host{Name: name, Address: f.addresses[name+"/link"], Role: hosts.Entry, Region: "central-tx", AvailabilityZone: "austin-a"})
--- /dev/null
+++ b/peer/link/transport_test.go
@@ -0,0 +1,110 @@
+package link_test
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/keys"
+	"github.com/cyclamenward/cyclamenward/peer/link"
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+)
+
+func bundle(t *testing.T) *keys.Bundle {
+	t.Helper()
+	directory := t.TempDir()
+	assert.NilError(t, keys.MakeAuthority(directory))
+	assert.NilError(t, keys.MakeDaemon(directory, "daemon"))
+	b, err := keys.Load(directory+"/authority.pem", directory+"/daemon.pem", directory+"/daemon-key.pem")
+	assert.NilError(t, err)
+	return b
+}
+
+func serve(t *testing.T, b *keys.Bundle, handle func(*link.Request, *link.Stream)) string {
+	t.Helper()
+	server, err := link.NewServer("127.0.0.1:0", b.Server(), func(_ context.Context, request *link.Request, stream *link.Stream) { handle(request, stream) })
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return server.Addr().String()
+}
+
+func ask(t *testing.T, config *tls.Config, address string) (*link.Frame, error) {
+	t.Helper()
+	client, err := link.NewClient(config)
+	assert.NilError(t, err)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return client.Ask(ctx, address, &link.Request{Kind: link.Probe, RequestID: "r"})
+}
+
+// TestOnlyTheFleetGetsAnswers checks that a peer without a certificate, or with
+// one of another authority, gets nothing, and that a client refuses such a server.
+func TestOnlyTheFleetGetsAnswers(t *testing.T) {
+	fleet, stranger := bundle(t), bundle(t)
+	handled := 0
+	address := serve(t, fleet, func(request *link.Request, stream *link.Stream) {
+		handled++
+		_ = stream.Send(&link.Frame{Kind: link.Result, RequestID: request.RequestID})
+	})
+	frame, err := ask(t, fleet.Client(), address)
+	assert.NilError(t, err)
+	assert.Equal(t, frame.RequestID, "r")
+	bare := fleet.Client()
+	bare.Certificates = nil
+	foreign := stranger.Client()
+	foreign.RootCAs = fleet.Client().RootCAs
+	for name, config := range map[string]*tls.Config{"no certificate": bare, "other authority": foreign, "distrusted server": stranger.Client()} {
+		_, err := ask(t, config, address)
+		assert.Check(t, err != nil, name)
+	}
+	assert.Equal(t, handled, 1)
+}
+
+// TestUnreachablePeerIsNotSent checks the proof that nothing left.
+func TestUnreachablePeerIsNotSent(t *testing.T) {
+	_, err := ask(t, bundle(t).Client(), "127.0.0.1:9")
+	assert.ErrorIs(t, err, link.ErrNotSent)
+}
+
+// TestCancelIsToldApartFromLoss checks that the receiver learns that the sender
+// gave up on purpose.
+func TestCancelIsToldApartFromLoss(t *testing.T) {
+	b := bundle(t)
+	ended := make(chan error, 1)
+	address := serve(t, b, func(_ *link.Request, stream *link.Stream) {
+		_ = stream.Send(&link.Frame{Kind: link.Admitted})
+		<-stream.Context().Done()
+		ended <- stream.Send(&link.Frame{Kind: link.End})
+	})
+	client, err := link.NewClient(b.Client())
+	assert.NilError(t, err)
+	defer client.Close()
+	stream, err := client.Open(t.Context(), address, &link.Request{Kind: link.Infer})
+	assert.NilError(t, err)
+	var frame link.Frame
+	assert.NilError(t, stream.Receive(&frame))
+	stream.Cancel()
+	assert.Assert(t, link.Canceled(<-ended))
+	assert.Assert(t, !link.Canceled(errors.New("other")))
+}
+
+// FuzzFrame checks that no bytes make the codec fail otherwise than by an error.
+func FuzzFrame(f *testing.F) {
+	body, err := cbor.Marshal(&link.Frame{Kind: link.Token, AttemptID: "a", Index: 3, Text: "t", News: &link.News{Sidecar: "s"}})
+	assert.NilError(f, err)
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var frame link.Frame
+		if cbor.Unmarshal(body, &frame) != nil {
+			return
+		}
+		_, err := cbor.Marshal(&frame)
+		assert.NilError(t, err)
+		var request link.Request
+		_ = cbor.Unmarshal(body, &request)
+	})
+}
