A long prefill is not silence; an engine's streams end at once on cancel

Cause (found reading the code as a newcomer): an engine that sends nothing for 5 s counted as silent, but a prompt of 64,000 tokens at 8,000 a second takes 8 s, and its request would have been broken off and begun anew elsewhere, again and again. And a cancelled request waited for the engine's next token.

Change: until the first token the limit is twice the expected time of the work in hand and 5 s more. The engine client reads and writes its one connection through the HTTP library's parser itself, so the limit belongs to the exchange, and a cancel closes it. Also found reading: a wait group of the link server was added to while being waited for, which the library forbids; it is a counter now. A stream that cannot go on says so, instead of the last refusal's reason.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -317,6 +317,9 @@
 // giveUp returns the final problem.
 func (r *run) giveUp() *problem {
 	r.close()
+	if version := r.sequence.WeightsVersion(); version != "" {
+		return newProblem(fasthttp.StatusBadGateway, codeInterrupted, "no replica can go on with the answer on weights "+version, admitter.Unknown).retryAfter(time.Second)
+	}
 	if r.last != nil {
 		return r.last
 	}
--- a/internal/sidecar/infer.go
+++ b/internal/sidecar/infer.go
@@ -17,12 +17,16 @@
 // redirectMargin is how much more than expected elsewhere a request may cost here.
 const redirectMargin = 100 * time.Millisecond
 
+// firstTokenSlack is added to the expected time before an engine counts as silent.
+const firstTokenSlack = 5 * time.Second
+
 // inference is one admitted model request.
 type inference struct {
 	job       *job
 	scope     chainer.Scope
 	chain     []chainer.Hash
 	workspace *decoder.Workspace
+	model     *decoder.Model
 	// incarnation is the engine that the request was admitted for.
 	incarnation string
 	// total is the number of prompt tokens, and depth the number of leading
@@ -98,6 +102,7 @@
 		scope:       scope,
 		chain:       chainer.Chain(nil, scope, infer.Prompt),
 		workspace:   findWorkspace(document, request.Workspace),
+		model:       document.Model,
 		incarnation: incarnation,
 	}
 	work.depth, work.known = s.picture.Depth(incarnation, work.chain)
@@ -137,7 +142,7 @@
 		return
 	}
 	defer s.queue.Release()
-	err = s.engine.Generate(ctx, generation(work), func(event *engine.Event) error {
+	err = s.engine.Generate(ctx, generation(work), s.firstLimit(work), func(event *engine.Event) error {
 		return s.receive(work, event, leave)
 	})
 	switch {
@@ -151,6 +156,12 @@
 	}
 }
 
+// firstLimit is how long the engine may be silent before the first token: twice
+// what its whole work in hand is expected to take, and some seconds.
+func (s *Sidecar) firstLimit(work *inference) time.Duration {
+	return firstTokenSlack + 2*expectedWait(s.prefills.tokens()+work.total, work.model)
+}
+
 func generation(work *inference) *engine.Generation {
 	infer := work.job.request.Infer
 	return &engine.Generation{
--- a/internal/standin/driver/direct.go
+++ b/internal/standin/driver/direct.go
@@ -19,7 +19,7 @@
 		RequestID: uuid.NewString(), Model: "meet-assistant", WeightsVersion: "v1",
 		CacheSalt: chainer.Scope{Workspace: "direct"}.Seed().String(), Prompt: []byte(prompt), MaxTokens: tokens,
 	}
-	err := engine.New(address).Generate(context.Background(), generation, func(event *engine.Event) error {
+	err := engine.New(address).Generate(context.Background(), generation, time.Minute, func(event *engine.Event) error {
 		if event.Type != "token" {
 			return nil
 		}
--- a/peer/engine/client.go
+++ b/peer/engine/client.go
@@ -11,7 +11,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,10 +22,10 @@
 
 const (
 	dialLimit = 500 * time.Millisecond
-	// maxConnections is above what a sidecar admits at once.
-	maxConnections = 1 << 18
 	// progressLimit is how long an engine may send nothing while it works.
 	progressLimit = 5 * time.Second
+	// maxAnswerBytes bounds an answer that is read whole.
+	maxAnswerBytes = 16 << 20
 	// HeaderRequestID carries the request id both ways.
 	HeaderRequestID = "X-Request-Id"
 )
@@ -125,62 +124,73 @@
 // Client talks to one engine.
 type Client struct {
 	address string
-	http    *fasthttp.Client
+	// progress is how long an engine may send nothing while it works.
+	progress time.Duration
 }
 
 // New returns a client of the engine at the given address.
-func New(address string) *Client {
-	return &Client{address: address, http: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		MaxConnsPerHost:           maxConnections,
-		StreamResponseBody:        true,
-		Dial:                      dialProgress,
-	}}
-}
+func New(address string) *Client { return &Client{address: address, progress: progressLimit} }
 
-// progressConn gives up when a single read or write makes no progress.
-type progressConn struct{ net.Conn }
+// exchange is one request with its answer on a connection of its own.
+type exchange struct {
+	connection net.Conn
+	// limit is how long a single read or write may make no progress.
+	limit    time.Duration
+	response fasthttp.Response
+}
 
-func (c progressConn) Read(p []byte) (int, error) {
-	_ = c.SetReadDeadline(time.Now().Add(progressLimit))
-	return c.Conn.Read(p)
+// Read implements io.Reader for the HTTP library.
+func (e *exchange) Read(p []byte) (int, error) {
+	_ = e.connection.SetReadDeadline(time.Now().Add(e.limit))
+	return e.connection.Read(p)
 }
 
-func (c progressConn) Write(p []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(progressLimit))
-	return c.Conn.Write(p)
+// Write implements io.Writer for the HTTP library.
+func (e *exchange) Write(p []byte) (int, error) {
+	_ = e.connection.SetWriteDeadline(time.Now().Add(e.limit))
+	return e.connection.Write(p)
 }
 
-func dialProgress(address string) (net.Conn, error) {
-	connection, err := fasthttp.DialTimeout(address, dialLimit)
-	if err != nil {
-		return nil, fmt.Errorf("dial engine: %w", err)
+// body returns the rest of the answer.
+func (e *exchange) body() io.Reader {
+	if stream := e.response.BodyStream(); stream != nil {
+		return stream
 	}
-	return progressConn{connection}, nil
+	return bytes.NewReader(e.response.Body())
+}
+
+func (e *exchange) close() {
+	_ = e.response.CloseBodyStream()
+	_ = e.connection.Close()
 }
 
 // Generate runs a request and gives each event to receive, in the order sent.
-// It returns nil after the end event. Cancelling ctx makes it return between two
-// events and tells the engine to stop by closing the connection.
-func (c *Client) Generate(ctx context.Context, generation *Generation, receive func(*Event) error) error {
-	response, err := c.post(PathCompletions, generation.RequestID, generation)
+// It returns nil after the end event. Until the first token the engine may be
+// silent for firstLimit, and from then on for its progress limit. Cancelling ctx closes
+// the connection, which tells the engine to stop.
+func (c *Client) Generate(ctx context.Context, generation *Generation, firstLimit time.Duration, receive func(*Event) error) error {
+	x, err := c.post(PathCompletions, generation.RequestID, generation, max(firstLimit, c.progress))
 	if err != nil {
 		return fmt.Errorf("generate: %w", err)
 	}
-	defer release(response)
-	body := response.BodyStream()
-	reader := bufio.NewReader(body)
+	defer x.close()
+	stop := context.AfterFunc(ctx, func() { _ = x.connection.Close() })
+	defer stop()
+	reader := bufio.NewReader(x.body())
 	for {
-		if err := ctx.Err(); err != nil {
-			return fmt.Errorf("generate: %w", err)
-		}
 		event, err := readEvent(reader)
+		if ctx.Err() != nil {
+			return fmt.Errorf("generate: %w", ctx.Err())
+		}
 		if err != nil {
 			return fmt.Errorf("generate: %w: %w", ErrBroken, err)
 		}
 		if event.RequestID != generation.RequestID {
 			return fmt.Errorf("generate: %w", ErrCrossed)
 		}
+		if event.Type == "token" {
+			x.limit = c.progress
+		}
 		if err := receive(event); err != nil {
 			return err
 		}
@@ -224,12 +234,12 @@
 }
 
 func (c *Client) ask(path string, query, answer any) error {
-	response, err := c.post(path, "", query)
+	x, err := c.post(path, "", query, c.progress)
 	if err != nil {
 		return err
 	}
-	defer release(response)
-	body, err := io.ReadAll(response.BodyStream())
+	defer x.close()
+	body, err := io.ReadAll(io.LimitReader(x.body(), maxAnswerBytes))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
@@ -240,29 +250,50 @@
 }
 
 // post sends one request on a connection of its own and returns a successful
-// response whose body has not been read.
-func (c *Client) post(path, requestID string, message any) (*fasthttp.Response, error) {
+// exchange whose body has not been read.
+func (c *Client) post(path, requestID string, message any, limit time.Duration) (*exchange, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
 		return nil, fmt.Errorf("encode: %w", err)
 	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	connection, err := fasthttp.DialTimeout(c.address, dialLimit)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	x := &exchange{connection: connection, limit: limit}
+	if err := x.send(c.address, path, requestID, body); err != nil {
+		x.close()
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	if err := checkHead(&x.response, requestID); err != nil {
+		x.close()
+		return nil, err
+	}
+	return x, nil
+}
+
+// send writes the request and reads the head of the answer.
+func (e *exchange) send(address, path, requestID string, body []byte) error {
+	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	request.SetRequestURI("http://" + c.address + path)
+	request.SetRequestURI("http://" + address + path)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.SetContentType("application/json")
 	request.Header.Set(HeaderRequestID, requestID)
 	request.SetConnectionClose()
 	request.SetBodyRaw(body)
-	if err := c.http.Do(request, response); err != nil {
-		release(response)
-		return nil, transportError(err)
+	writer := bufio.NewWriter(e)
+	if err := request.Write(writer); err != nil {
+		return fmt.Errorf("write request: %w", err)
 	}
-	if err := checkHead(response, requestID); err != nil {
-		release(response)
-		return nil, err
+	if err := writer.Flush(); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	e.response.StreamBody = true
+	if err := e.response.Read(bufio.NewReader(e)); err != nil {
+		return fmt.Errorf("read head: %w", err)
 	}
-	return response, nil
+	return nil
 }
 
 func checkHead(response *fasthttp.Response, requestID string) error {
@@ -279,19 +310,6 @@
 	}
 }
 
-func transportError(err error) error {
-	var op *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) || (errors.As(err, &op) && op.Op == "dial") {
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	return fmt.Errorf("%w: %w", ErrBroken, err)
-}
-
-func release(response *fasthttp.Response) {
-	_ = response.CloseBodyStream()
-	fasthttp.ReleaseResponse(response)
-}
-
 // readEvent reads one server-sent event with a JSON body.
 func readEvent(reader *bufio.Reader) (*Event, error) {
 	for {
--- a/peer/link/transport.go
+++ b/peer/link/transport.go
@@ -150,9 +150,15 @@
 	listener *quic.Listener
 	handle   func(ctx context.Context, request *Request, stream *Stream)
 	cancel   context.CancelFunc
-	// exchanges counts running handlers; connections counts accepted links.
-	exchanges   sync.WaitGroup
+	// connections counts accepted links.
 	connections sync.WaitGroup
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// running counts the handlers.
+	running int
+	// idle is closed and replaced whenever running becomes zero.
+	idle chan struct{}
 }
 
 // NewServer listens on the UDP address and starts to serve.
@@ -164,7 +170,7 @@
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: listener, handle: handle, cancel: cancel}
+	s := &Server{listener: listener, handle: handle, cancel: cancel, idle: make(chan struct{})}
 	go func() {
 		for {
 			connection, err := listener.Accept(ctx)
@@ -186,16 +192,29 @@
 
 // Wait returns once no exchange is running, or ctx ends.
 func (s *Server) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.exchanges.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("wait for exchanges: %w", ctx.Err())
+	for {
+		s.mu.Lock()
+		running, idle := s.running, s.idle
+		s.mu.Unlock()
+		if running == 0 {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %d exchanges: %w", running, ctx.Err())
+		}
+	}
+}
+
+// count changes the number of running exchanges.
+func (s *Server) count(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running += change
+	if s.running == 0 {
+		close(s.idle)
+		s.idle = make(chan struct{})
 	}
 }
 
@@ -214,9 +233,9 @@
 		if err != nil {
 			return
 		}
-		s.exchanges.Add(1)
+		s.count(1)
 		go func() {
-			defer s.exchanges.Done()
+			defer s.count(-1)
 			s.exchange(ctx, &Stream{stream: raw})
 		}()
 	}
