One piece of code where logic stood twice

Cause: counting running work and waiting for none stood in the link server and in the sidecar's jobs; finding a workspace in a newer document in both kinds of run; reading, writing and dropping answers in four stand-ins.

Change: limiter.Gauge, service.workspaceNamed, package responder. Behaviour as it was.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -260,12 +260,9 @@
 	if newer == nil || newer.document.Kind != decoder.PlainService {
 		return
 	}
-	for _, workspace := range newer.workspaces {
-		if workspace.Name == r.workspace.Name {
-			r.service, r.workspace = newer, workspace
-			r.order = r.replicas()
-			return
-		}
+	if workspace := newer.workspaceNamed(r.workspace.Name); workspace != nil {
+		r.service, r.workspace = newer, workspace
+		r.order = r.replicas()
 	}
 }
 
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -137,6 +137,16 @@
 	return ""
 }
 
+// workspaceNamed returns a workspace of the service, or nil.
+func (s *service) workspaceNamed(name string) *decoder.Workspace {
+	for i := range s.document.Workspaces {
+		if s.document.Workspaces[i].Name == name {
+			return &s.document.Workspaces[i]
+		}
+	}
+	return nil
+}
+
 // versions returns the weights versions that a new request may ask for, the best
 // first. It looks at all replicas at most once per versionPeriod, not at every
 // request.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -329,26 +329,20 @@
 	return notRun(fasthttp.StatusServiceUnavailable, codeNoBackend, "no backend server can take the request").retryAfter(time.Second)
 }
 
-// catchUp fetches the newer configuration from the replica that refused.
+// catchUp fetches the newer configuration from the replica that refused and goes
+// on under it if it still knows the workspace.
 func (r *run) catchUp() {
 	e, s := r.entry, r.request.service
 	ctx, cancel := context.WithTimeout(context.Background(), attachLimit)
 	defer cancel()
 	e.common.CatchUp(ctx, s.pool.Replica(r.index).Address)
-	if newer := e.current().byName[s.document.Service]; newer != nil && newer.workspaces != nil {
-		r.adopt(newer)
+	newer := e.current().byName[s.document.Service]
+	if newer == nil || newer.document.Model == nil {
+		return
 	}
-}
-
-// adopt goes on under a newer revision if it still knows the workspace.
-func (r *run) adopt(newer *service) {
-	for _, workspace := range newer.workspaces {
-		if workspace.Name == r.request.workspace.Name {
-			r.request.service = newer
-			r.request.workspace = workspace
-			r.excluded = nil
-			return
-		}
+	if workspace := newer.workspaceNamed(r.request.workspace.Name); workspace != nil {
+		r.request.service, r.request.workspace = newer, workspace
+		r.excluded = nil
 	}
 }
 
--- a/internal/sidecar/job.go
+++ b/internal/sidecar/job.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
@@ -141,19 +142,17 @@
 // jobs holds the running and recently ended jobs.
 type jobs struct {
 	clock timekeeper.Clock
+	// running counts the jobs without a final frame.
+	running *limiter.Gauge
 
-	// mu guards the fields below.
+	// mu guards byAttempt.
 	mu sync.Mutex
 	// byAttempt holds every running job and those that ended within keepAnswer.
 	byAttempt map[string]*job
-	// running counts the jobs without a final frame.
-	running int
-	// idle is closed and replaced when running becomes zero.
-	idle chan struct{}
 }
 
 func newJobs(clock timekeeper.Clock) *jobs {
-	return &jobs{clock: clock, byAttempt: make(map[string]*job), idle: make(chan struct{})}
+	return &jobs{clock: clock, running: limiter.NewGauge(), byAttempt: make(map[string]*job)}
 }
 
 // add makes the job of an admitted attempt.
@@ -162,7 +161,7 @@
 	js.mu.Lock()
 	defer js.mu.Unlock()
 	js.byAttempt[request.AttemptID] = j
-	js.running++
+	js.running.Add()
 	return j
 }
 
@@ -175,30 +174,7 @@
 // end records the final frame of a job.
 func (js *jobs) end(j *job, final *link.Frame) {
 	j.finish(final, js.clock.Now())
-	js.mu.Lock()
-	defer js.mu.Unlock()
-	js.running--
-	if js.running == 0 {
-		close(js.idle)
-		js.idle = make(chan struct{})
-	}
-}
-
-// wait returns once no job is running, or ctx ends.
-func (js *jobs) wait(ctx context.Context) error {
-	for {
-		js.mu.Lock()
-		running, idle := js.running, js.idle
-		js.mu.Unlock()
-		if running == 0 {
-			return nil
-		}
-		select {
-		case <-idle:
-		case <-ctx.Done():
-			return fmt.Errorf("wait for %d attempts: %w", running, ctx.Err())
-		}
-	}
+	js.running.Done()
 }
 
 // sweep drops ended jobs and cancels model requests that nobody is attached to.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -151,7 +151,7 @@
 	s.logger.Info("sidecar: leaving", "running", s.table.Running())
 	err := s.server.Wait(ctx)
 	if err == nil {
-		err = s.jobs.wait(ctx)
+		err = s.jobs.running.Wait(ctx)
 	}
 	if claims := s.currentClaims(); claims != nil {
 		if flushErr := claims.Flush(ctx); err == nil {
--- a/internal/standin/bookingapp/app.go
+++ b/internal/standin/bookingapp/app.go
@@ -3,11 +3,11 @@
 package bookingapp
 
 import (
-	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/standin/responder"
 	"github.com/valyala/fasthttp"
 )
 
@@ -74,12 +74,11 @@
 		switch {
 		case string(ctx.Path()) == PathFaults:
 			var faults Faults
-			if json.Unmarshal(ctx.PostBody(), &faults) == nil {
+			if responder.ReadJSON(ctx, &faults) {
 				a.SetFaults(faults)
 			}
 		case string(ctx.Path()) == PathRecord:
-			body, _ := json.Marshal(a.Record())
-			ctx.SetBody(body)
+			responder.WriteJSON(ctx, a.Record())
 		case string(ctx.Path()) == PathBookings && ctx.IsPost():
 			serveBooking(ctx, a)
 		default:
@@ -92,8 +91,7 @@
 	var booking struct {
 		Item string `json:"item"`
 	}
-	if err := json.Unmarshal(ctx.PostBody(), &booking); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	if !responder.ReadJSON(ctx, &booking) {
 		return
 	}
 	run, faults := a.book(string(ctx.Request.Header.Peek("X-Request-Id")), booking.Item)
@@ -101,8 +99,7 @@
 		time.Sleep(faults.Delay)
 	}
 	if faults.LoseReplies {
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(closeAtOnce)
+		responder.Drop(ctx)
 		return
 	}
 	ctx.SetStatusCode(fasthttp.StatusCreated)
--- a/internal/standin/bookingapp/lost.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package bookingapp
-
-import "net"
-
-// closeAtOnce is a hijack handler that drops the connection.
-func closeAtOnce(connection net.Conn) { _ = connection.Close() }
--- a/internal/standin/hostlist/list.go
+++ b/internal/standin/hostlist/list.go
@@ -2,10 +2,10 @@
 package hostlist
 
 import (
-	"encoding/json"
 	"sync"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/standin/responder"
 	"github.com/cyclamenward/cyclamenward/peer/hosts"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"github.com/valyala/fasthttp"
@@ -55,16 +55,12 @@
 	return func(ctx *fasthttp.RequestCtx) {
 		if ctx.IsPost() {
 			var list []hosts.Host
-			if err := json.Unmarshal(ctx.PostBody(), &list); err != nil {
-				ctx.SetStatusCode(fasthttp.StatusBadRequest)
-				return
+			if responder.ReadJSON(ctx, &list) {
+				l.Set(list)
 			}
-			l.Set(list)
 			return
 		}
 		seen, _ := l.Hosts()
-		body, _ := json.Marshal(seen)
-		ctx.SetContentType("application/json")
-		ctx.SetBody(body)
+		responder.WriteJSON(ctx, seen)
 	}
 }
--- a/internal/standin/keyvalue/server.go
+++ b/internal/standin/keyvalue/server.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 
+	"github.com/cyclamenward/cyclamenward/internal/standin/responder"
 	"github.com/cyclamenward/cyclamenward/keeper"
 	"github.com/cyclamenward/cyclamenward/peer/store"
 	"github.com/valyala/fasthttp"
@@ -26,36 +26,32 @@
 			setFaults(ctx, state)
 			return
 		case PathCounts:
-			writeJSON(ctx, state.Counts())
+			responder.WriteJSON(ctx, state.Counts())
 			return
 		}
 		var query store.Query
-		if err := json.Unmarshal(ctx.PostBody(), &query); err != nil {
-			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		if !responder.ReadJSON(ctx, &query) {
 			return
 		}
 		reply, err := answer(functions, string(ctx.Path()), query)
 		if errors.Is(err, keeper.ErrUnknown) {
 			// The reply is lost: close the connection without one.
-			ctx.HijackSetNoResponse(true)
-			ctx.Hijack(closeAtOnce)
+			responder.Drop(ctx)
 			return
 		}
 		if err != nil {
 			ctx.SetStatusCode(status(err))
 			return
 		}
-		writeJSON(ctx, reply)
+		responder.WriteJSON(ctx, reply)
 	}
 }
 
 func setFaults(ctx *fasthttp.RequestCtx, state *State) {
 	var faults Faults
-	if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		return
+	if responder.ReadJSON(ctx, &faults) {
+		state.SetFaults(faults)
 	}
-	state.SetFaults(faults)
 }
 
 func answer(functions keeper.Store, path string, query store.Query) (*store.Reply, error) {
@@ -99,13 +95,3 @@
 		return fasthttp.StatusServiceUnavailable
 	}
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
--- a/internal/standin/modelengine/server.go
+++ b/internal/standin/modelengine/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 
+	"github.com/cyclamenward/cyclamenward/internal/standin/responder"
 	"github.com/cyclamenward/cyclamenward/peer/engine"
 	"github.com/valyala/fasthttp"
 )
@@ -25,16 +26,16 @@
 		case engine.PathCompletions:
 			serveGeneration(ctx, e)
 		case engine.PathState:
-			writeJSON(ctx, e.State())
+			responder.WriteJSON(ctx, e.State())
 		case engine.PathEvents:
 			serveEvents(ctx, e)
 		case engine.PathOrders:
 			serveOrder(ctx, e)
 		case PathOrderList:
-			writeJSON(ctx, e.Orders())
+			responder.WriteJSON(ctx, e.Orders())
 		case PathFaults:
 			var faults Faults
-			if read(ctx, &faults) {
+			if responder.ReadJSON(ctx, &faults) {
 				e.SetFaults(faults)
 			}
 		default:
@@ -49,28 +50,28 @@
 		After       uint64 `json:"after"`
 		Whole       bool   `json:"whole"`
 	}
-	if read(ctx, &query) {
-		writeJSON(ctx, e.Events(query.Incarnation, query.After, query.Whole))
+	if responder.ReadJSON(ctx, &query) {
+		responder.WriteJSON(ctx, e.Events(query.Incarnation, query.After, query.Whole))
 	}
 }
 
 func serveOrder(ctx *fasthttp.RequestCtx, e *Engine) {
 	var order engine.Order
-	if !read(ctx, &order) {
+	if !responder.ReadJSON(ctx, &order) {
 		return
 	}
 	if err := e.Order(order); err != nil {
 		ctx.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
-	writeJSON(ctx, struct{}{})
+	responder.WriteJSON(ctx, struct{}{})
 }
 
 // serveGeneration streams the events of one request. A crash closes the
 // connection without an end.
 func serveGeneration(ctx *fasthttp.RequestCtx, e *Engine) {
 	var generation engine.Generation
-	if !read(ctx, &generation) {
+	if !responder.ReadJSON(ctx, &generation) {
 		return
 	}
 	events := make(chan engine.Event)
@@ -112,21 +113,3 @@
 		}
 	})
 }
-
-func read(ctx *fasthttp.RequestCtx, value any) bool {
-	if err := json.Unmarshal(ctx.PostBody(), value); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
--- a/peer/link/transport.go
+++ b/peer/link/transport.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 	"github.com/quic-go/quic-go"
@@ -152,13 +153,8 @@
 	cancel   context.CancelFunc
 	// connections counts accepted links.
 	connections sync.WaitGroup
-
-	// mu guards the fields below.
-	mu sync.Mutex
 	// running counts the handlers.
-	running int
-	// idle is closed and replaced whenever running becomes zero.
-	idle chan struct{}
+	running *limiter.Gauge
 }
 
 // NewServer listens on the UDP address and starts to serve.
@@ -170,7 +166,7 @@
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: listener, handle: handle, cancel: cancel, idle: make(chan struct{})}
+	s := &Server{listener: listener, handle: handle, cancel: cancel, running: limiter.NewGauge()}
 	go func() {
 		for {
 			connection, err := listener.Accept(ctx)
@@ -192,30 +188,10 @@
 
 // Wait returns once no exchange is running, or ctx ends.
 func (s *Server) Wait(ctx context.Context) error {
-	for {
-		s.mu.Lock()
-		running, idle := s.running, s.idle
-		s.mu.Unlock()
-		if running == 0 {
-			return nil
-		}
-		select {
-		case <-idle:
-		case <-ctx.Done():
-			return fmt.Errorf("wait for %d exchanges: %w", running, ctx.Err())
-		}
-	}
-}
-
-// count changes the number of running exchanges.
-func (s *Server) count(change int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running += change
-	if s.running == 0 {
-		close(s.idle)
-		s.idle = make(chan struct{})
+	if err := s.running.Wait(ctx); err != nil {
+		return fmt.Errorf("wait for exchanges: %w", err)
 	}
+	return nil
 }
 
 // Close ends all links at once. Call Wait first to cut off nothing.
@@ -233,9 +209,9 @@
 		if err != nil {
 			return
 		}
-		s.count(1)
+		s.running.Add()
 		go func() {
-			defer s.count(-1)
+			defer s.running.Done()
 			s.exchange(ctx, &Stream{stream: raw})
 		}()
 	}
