Prove that a rollout outlives a dying ticket holder

Change: a test on real processes kills the sidecar that holds a ticket while its engine loads, watches the engines, and applies a third version before the killed one is back.

--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -501,3 +501,55 @@
 	assert.Equal(t, [2]int{admitted("sidecar-0"), admitted("sidecar-1")}, before)
 	assert.Check(t, admitted("sidecar-2") >= 20)
 }
+
+// TestRolloutSurvivesADyingHolder kills a sidecar while it holds a ticket and its
+// engine loads, and checks that never more than two engines load at once, that the
+// others reach the new version once the lease has ended, and that the killed one
+// does after its restart.
+func TestRolloutSurvivesADyingHolder(t *testing.T) {
+	f := start(t, 4, 0)
+	assert.NilError(t, f.Apply(f.ModelDocument("v2")))
+	killed := -1
+	most := 0
+	// look returns the engines that load, and those that serve v2.
+	look := func() (loading []int, done int) {
+		for i := range 4 {
+			var state struct {
+				WeightsVersion string `json:"weightsVersion"`
+				Loading        bool   `json:"loading"`
+			}
+			assert.NilError(t, f.GetJSON(fmt.Sprintf("engine-%d", i), "/v1/state", &state))
+			if state.Loading {
+				loading = append(loading, i)
+			}
+			if state.WeightsVersion == "v2" {
+				done++
+			}
+		}
+		return loading, done
+	}
+	assert.NilError(t, f.Await("weights v2 on all", func() bool {
+		loading, done := look()
+		most = max(most, len(loading))
+		if killed < 0 && len(loading) > 0 {
+			killed = loading[0]
+			f.Process(fmt.Sprintf("sidecar-%d", killed)).Kill()
+		}
+		return done == 4
+	}))
+	assert.Assert(t, killed >= 0, "no load was seen")
+	assert.Assert(t, most <= 2, "%d engines loaded at once", most)
+	assert.NilError(t, f.Apply(f.ModelDocument("v3")))
+	assert.NilError(t, f.Process(fmt.Sprintf("sidecar-%d", killed)).Restart())
+	assert.NilError(t, f.Await("weights v3 on all", func() bool {
+		for i := range 4 {
+			var state struct {
+				WeightsVersion string `json:"weightsVersion"`
+			}
+			if f.GetJSON(fmt.Sprintf("engine-%d", i), "/v1/state", &state) != nil || state.WeightsVersion != "v3" {
+				return false
+			}
+		}
+		return true
+	}))
+}
