--- a/internal/measurer/table.go
+++ b/internal/measurer/table.go
@@ -16,8 +16,8 @@
 	Length time.Duration
 }
 
-// DefaultPlan gives a table in well under a minute.
-var DefaultPlan = Plan{Seeds: 5, Length: 4 * time.Minute}
+// DefaultPlan gives the tables in under a minute.
+var DefaultPlan = Plan{Seeds: 15, Length: 4 * time.Minute}
 
 // Faults are the disturbances under which every policy is measured.
 func Faults() []Fault {
