Signs of life on exchanges, not on links; three faults found on the way

Cause: at 12,000 replicas nearly each request would have needed a new link (7.4 KB, 4 ms), since links were closed after 5 s to bound their keep-alive of 83 B/s.

Change: nothing is sent on an idle link, and it is kept for 45 s. The answering side of an open exchange gives a sign of life after 0.9 s without anything else; 2 s of silence end the exchange. Price: a link that died while idle costs the next request 2 s.

--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -27,7 +27,7 @@
 // that another attempt is due.
 func (r *run) afterFailure(frame *link.Frame) *problem {
 	r.close()
-	r.last = fromFrame(frame)
+	r.last, r.corrected = fromFrame(frame), false
 	if frame.Outcome != admitter.NotRun {
 		// A model request changes nothing, so it may run again elsewhere.
 		r.excluded = append(r.excluded, r.index)
@@ -73,6 +73,7 @@
 // correct allows an attempt with better knowledge, at first without a retry.
 func (r *run) correct() *problem {
 	r.corrections++
+	r.corrected = true
 	r.entry.metrics.corrections.Add(1)
 	if r.corrections <= maxCorrections {
 		return nil
@@ -102,7 +103,7 @@
 	if version := r.sequence.WeightsVersion(); version != "" {
 		return newProblem(fasthttp.StatusBadGateway, codeInterrupted, "no replica can go on with the answer on weights "+version, admitter.Unknown).retryAfter(time.Second)
 	}
-	if r.last != nil {
+	if r.last != nil && !r.corrected {
 		return r.last
 	}
 	if r.entry.timeLeft(r.request.until) <= 0 {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -54,8 +54,10 @@
 	attempt string
 	stream  *link.Stream
 	cancel  context.CancelFunc
-	// last is the most recent failure, for the final answer.
-	last *problem
+	// last is the most recent failure, for the final answer. If corrected is set,
+	// it told of outdated knowledge here, which is no answer for a caller.
+	last      *problem
+	corrected bool
 }
 
 func (e *Entry) newRun(request *modelRequest, c *caller) *run {
@@ -115,18 +117,27 @@
 
 // choose decides where the next attempt goes. An answer that has begun stays on
 // its weights version; any other may use each version that replicas serve, the
-// most common one first.
+// most common one first. If none will do, the replicas' versions are looked at
+// again, since this request itself may have brought news.
 func (r *run) choose() chooser.Choice {
 	s, now := r.request.service, r.entry.clock.Now()
-	versions := []string{r.sequence.WeightsVersion()}
-	if versions[0] == "" {
-		versions = s.versions(now)
+	if bound := r.sequence.WeightsVersion(); bound != "" {
+		return r.chooseOn([]string{bound}, now)
 	}
-	var choice chooser.Choice
+	choice := r.chooseOn(s.versions(now), now)
+	if choice.Index < 0 {
+		choice = r.chooseOn(s.rankVersions(), now)
+	}
+	return choice
+}
+
+// chooseOn returns the best replica on the first version that has a usable one.
+func (r *run) chooseOn(versions []string, now time.Time) chooser.Choice {
+	choice := chooser.Choice{Index: -1}
 	for _, version := range versions {
 		r.request.infer.WeightsVersion = version
 		r.chain = r.scopedChain()
-		if choice = s.chooser.Choose(s.pool, r.decision(), now); choice.Index >= 0 {
+		if choice = r.request.service.chooser.Choose(r.request.service.pool, r.decision(), now); choice.Index >= 0 {
 			break
 		}
 	}
--- a/peer/link/client.go
+++ b/peer/link/client.go
@@ -172,7 +172,7 @@
 		c.unhold(address, h)
 		return nil, fmt.Errorf("open stream: %w", err)
 	}
-	return &Stream{stream: raw, onDone: func() { c.unhold(address, h) }}, nil
+	return &Stream{stream: raw, silence: SilenceLimit, onDone: func() { c.unhold(address, h) }}, nil
 }
 
 // hold returns a live connection to the address and counts one exchange on it.
--- a/peer/link/message.go
+++ b/peer/link/message.go
@@ -1,7 +1,8 @@
 // Package link carries messages between the project's own daemons.
 //
 // A link is one QUIC connection with mutual TLS. Each exchange has a stream of
-// its own, so one can be cancelled alone. A request is one message; the reply is
+// its own, so one can be cancelled alone. Signs of life are given on open
+// exchanges and not on links, so that an idle link costs nothing. A request is one message; the reply is
 // a sequence of frames. Messages are CBOR with a length prefix. The package
 // carries typed values only and decides nothing.
 package link
@@ -105,6 +106,8 @@
 	Answer FrameKind = "answer"
 	// Failure ends an exchange that did not succeed.
 	Failure FrameKind = "failure"
+	// Alive says that the exchange is still being worked on.
+	Alive FrameKind = "alive"
 	// Result answers Sync.
 	Result FrameKind = "result"
 )
--- a/peer/link/server.go
+++ b/peer/link/server.go
@@ -91,6 +91,10 @@
 		return
 	}
 	stream.SetReadDeadline(time.Time{})
+	alive, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream.stayAlive(alive)
 	s.handle(ctx, &request, stream)
+	cancel()
 	stream.CloseSend()
 }
--- a/peer/link/stream.go
+++ b/peer/link/stream.go
@@ -17,14 +17,18 @@
 const (
 	// maxMessageBytes bounds one message; the largest is a request body.
 	maxMessageBytes = 8 << 20
-	// keepAlivePeriod is how often a connection with open streams is probed.
-	keepAlivePeriod = 900 * time.Millisecond
-	// SilenceLimit is how long a connection may be silent before it is given up.
+	// alivePeriod is how often the answering side of an open exchange gives a sign
+	// of life if it has nothing else to send.
+	alivePeriod = 900 * time.Millisecond
+	// SilenceLimit is how long an open exchange may be silent before it is given up.
 	SilenceLimit = 2 * time.Second
+	// linkLimit is how long a connection may be silent. Nothing is sent on one that
+	// has no exchange, so that links may be many.
+	linkLimit = 60 * time.Second
 	// handshakeLimit bounds the set-up of a connection.
 	handshakeLimit = time.Second
 	// idleLimit is how long a connection without streams is kept.
-	idleLimit = 5 * time.Second
+	idleLimit = 45 * time.Second
 	// maxStreams bounds the open exchanges of one connection.
 	maxStreams = 1 << 16
 	// maxSessions bounds the TLS sessions kept for resumption.
@@ -51,8 +55,7 @@
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:       handshakeLimit,
-		MaxIdleTimeout:             SilenceLimit,
-		KeepAlivePeriod:            keepAlivePeriod,
+		MaxIdleTimeout:             linkLimit,
 		MaxIncomingStreams:         maxStreams,
 		InitialStreamReceiveWindow: 64 << 10,
 		MaxStreamReceiveWindow:     1 << 20,
@@ -66,6 +69,15 @@
 	stream *quic.Stream
 	onDone func()
 	done   sync.Once
+	// silence is how long the other side may send nothing, 0 for ever.
+	silence time.Duration
+	// deadline bounds all waits of the reader, zero for none.
+	deadline time.Time
+
+	// mu guards the fields below and is held while a message is written.
+	mu sync.Mutex
+	// sent is when the last message was written.
+	sent time.Time
 }
 
 // Send writes one message.
@@ -80,14 +92,57 @@
 	packet := make([]byte, 4+len(body))
 	binary.BigEndian.PutUint32(packet, uint32(len(body)))
 	copy(packet[4:], body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if _, err := s.stream.Write(packet); err != nil {
 		return fmt.Errorf("write message: %w", translate(err))
 	}
+	s.sent = time.Now()
 	return nil
 }
 
-// Receive reads one message into the value.
+// stayAlive gives signs of life until ctx ends.
+func (s *Stream) stayAlive(ctx context.Context) {
+	var timer *time.Timer
+	var beat func()
+	beat = func() {
+		s.mu.Lock()
+		quiet := time.Since(s.sent)
+		s.mu.Unlock()
+		if ctx.Err() != nil {
+			return
+		}
+		if quiet >= alivePeriod {
+			if s.Send(&Frame{Kind: Alive}) != nil {
+				return
+			}
+			quiet = 0
+		}
+		timer.Reset(alivePeriod - quiet)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = time.Now()
+	timer = time.AfterFunc(alivePeriod, beat)
+	context.AfterFunc(ctx, func() { timer.Stop() })
+}
+
+// Receive reads one message into the value. Signs of life are passed over.
 func (s *Stream) Receive(message any) error {
+	for {
+		if err := s.receive(message); err != nil {
+			return err
+		}
+		frame, ok := message.(*Frame)
+		if !ok || frame.Kind != Alive {
+			return nil
+		}
+		*frame = Frame{}
+	}
+}
+
+func (s *Stream) receive(message any) error {
+	_ = s.stream.SetReadDeadline(s.nextDeadline())
 	var head [4]byte
 	if _, err := io.ReadFull(s.stream, head[:]); err != nil {
 		return fmt.Errorf("read length: %w", translate(err))
@@ -106,14 +161,25 @@
 	return nil
 }
 
+// nextDeadline is when the next message must have arrived, zero for never.
+func (s *Stream) nextDeadline() time.Time {
+	if s.silence == 0 {
+		return s.deadline
+	}
+	silent := time.Now().Add(s.silence)
+	if s.deadline.IsZero() || silent.Before(s.deadline) {
+		return silent
+	}
+	return s.deadline
+}
+
 // Context ends when the stream is cancelled by the other side or its
 // connection is lost. The cause tells which.
 func (s *Stream) Context() context.Context { return s.stream.Context() }
 
-// SetReadDeadline bounds the wait of the following Receive calls.
-func (s *Stream) SetReadDeadline(deadline time.Time) {
-	_ = s.stream.SetReadDeadline(deadline)
-}
+// SetReadDeadline bounds the wait of the following Receive calls. The reader
+// calls it.
+func (s *Stream) SetReadDeadline(deadline time.Time) { s.deadline = deadline }
 
 // CloseSend tells the other side that no message follows.
 func (s *Stream) CloseSend() { _ = s.stream.Close() }
--- a/spreader/neighbours.go
+++ b/spreader/neighbours.go
@@ -7,9 +7,14 @@
 )
 
 // exchangeLoop keeps this daemon and its neighbours equal. After a failure it
-// turns to all neighbours at once, since it may be the one that nobody tells.
+// turns to all neighbours at once, since it may be the one that nobody tells. It
+// also tries one peer again that was not reached, so that regions that were parted
+// find each other as soon as they can.
 func (g *Gossip[T]) exchangeLoop(ctx context.Context) {
 	for {
+		if peer := g.nextSilent(); peer != "" {
+			g.start(func() { _ = g.Exchange(ctx, peer) })
+		}
 		if peer := g.nextNeighbour(); peer != "" {
 			if err := g.Exchange(ctx, peer); err != nil && ctx.Err() == nil {
 				g.report(err)
@@ -84,3 +89,24 @@
 	g.turn++
 	return neighbours[g.turn%len(neighbours)]
 }
+
+// nextSilent returns a random peer that was not reached lately, or "" if there is
+// none.
+func (g *Gossip[T]) nextSilent() string {
+	all := g.peers.All()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var silent []string
+	for peer := range g.silent {
+		if slices.Contains(all, peer) {
+			silent = append(silent, peer)
+		} else {
+			delete(g.silent, peer)
+		}
+	}
+	if len(silent) == 0 {
+		return ""
+	}
+	slices.Sort(silent)
+	return silent[g.random()%uint64(len(silent))]
+}
