One path for every refusal, so that none can say "not run" of a running attempt

Cause (found reading the whole change): the refusal that sends a request on was a copy of the general one without its check. For a late copy of an attempt that is already running it would have told "not run", which would be false.

Change: both refusals go through sendRefusal, and giveUp makes the check and the tombstone in one place.

Ruled out as not worth a change: the two commands of the stand-ins that make a directory, the shared heads of history tests, and structs of the same shape.

Result: TestRefusedCopyDoesNotSpeakForTheFirst covers the shared path; the old copy was not run against it, since it had no place for the check.

--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -17,17 +17,28 @@
 // refuse sends a refusal. The attempt is recorded as given up first, so that a
 // late copy of it is refused as well.
 func (s *Sidecar) refuse(request *link.Request, stream *link.Stream, code link.Code, detail string, retryAfter time.Duration) {
-	frame := s.refusal(request, code, detail, retryAfter)
-	if request.SidecarIncarnation == s.table.Incarnation() {
-		frame.Outcome = s.table.Resolve(request.AttemptID, request.SidecarIncarnation)
-		if frame.Outcome != admitter.NotRun {
-			frame.Code = link.CodeRepeated
-		}
-	}
-	s.logger.Info("sidecar: refused attempt.", "request", request.RequestID, "attempt", request.AttemptID, "workspace", request.Workspace, "code", frame.Code, "detail", detail)
+	s.sendRefusal(request, stream, s.refusal(request, code, detail, retryAfter))
+}
+
+// sendRefusal gives the attempt up and sends the frame.
+func (s *Sidecar) sendRefusal(request *link.Request, stream *link.Stream, frame *link.Frame) {
+	s.giveUp(request, frame)
+	s.logger.Info("sidecar: refused attempt.", "request", request.RequestID, "attempt", request.AttemptID, "workspace", request.Workspace, "code", frame.Code, "detail", frame.Detail)
 	_ = stream.Send(frame)
 }
 
+// giveUp records a tombstone for the attempt. If an earlier copy of it was
+// admitted, the frame says so instead of "not run".
+func (s *Sidecar) giveUp(request *link.Request, frame *link.Frame) {
+	if request.SidecarIncarnation != s.table.Incarnation() {
+		return
+	}
+	frame.Outcome = s.table.Resolve(request.AttemptID, request.SidecarIncarnation)
+	if frame.Outcome != admitter.NotRun {
+		frame.Code = link.CodeRepeated
+	}
+}
+
 // checkRequest makes the checks that are common to all attempts. It answers the
 // attempt itself and returns nil if the attempt must not run.
 func (s *Sidecar) checkRequest(ctx context.Context, request *link.Request, stream *link.Stream) *decoder.Document {
--- /dev/null
+++ b/internal/sidecar/admit_test.go
@@ -0,0 +1,29 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/admitter"
+	"github.com/cyclamenward/cyclamenward/peer/link"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"gotest.tools/v3/assert"
+)
+
+// TestRefusedCopyDoesNotSpeakForTheFirst lets a copy of a running attempt be
+// refused, whatever the reason, and checks that it is not told as not run.
+func TestRefusedCopyDoesNotSpeakForTheFirst(t *testing.T) {
+	s := &Sidecar{table: admitter.New(timekeeper.System{}, "one", admitter.Limits{Records: 10, Keep: time.Minute})}
+	assert.NilError(t, s.table.Admit("running", "one"))
+	for _, code := range []link.Code{link.CodeElsewhere, link.CodeFull, link.CodeDeadline} {
+		frame := &link.Frame{Outcome: admitter.NotRun, Code: code}
+		s.giveUp(&link.Request{AttemptID: "running", SidecarIncarnation: "one"}, frame)
+		assert.Equal(t, frame.Outcome, admitter.Running)
+		assert.Equal(t, frame.Code, link.CodeRepeated)
+	}
+	frame := &link.Frame{Outcome: admitter.NotRun, Code: link.CodeElsewhere}
+	s.giveUp(&link.Request{AttemptID: "new", SidecarIncarnation: "one"}, frame)
+	assert.Equal(t, frame.Outcome, admitter.NotRun)
+	assert.Equal(t, frame.Code, link.CodeElsewhere)
+	assert.ErrorIs(t, s.table.Admit("new", "one"), admitter.ErrTombstone)
+}
--- a/internal/sidecar/infer.go
+++ b/internal/sidecar/infer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/admitter"
@@ -120,11 +121,10 @@
 // elsewhere. The news tells what is cached here, so that the entry learns.
 func (s *Sidecar) refuseKnowing(request *link.Request, stream *link.Stream, work *inference, cost time.Duration) {
 	s.metrics.sentOn.Add(1)
-	s.table.Resolve(request.AttemptID, request.SidecarIncarnation)
-	frame := s.refusal(request, link.CodeElsewhere, "cost here "+cost.Round(time.Millisecond).String(), 0)
+	detail := fmt.Sprintf("cost here %s, patience %s", cost.Round(time.Millisecond), request.Patience.Round(time.Millisecond))
+	frame := s.refusal(request, link.CodeElsewhere, detail, 0)
 	frame.News.CachedBlocks = len(work.chain) - min(len(work.chain), work.missing/chainer.BlockTokens)
-	s.logger.Info("sidecar: sent attempt on.", "request", request.RequestID, "attempt", request.AttemptID, "workspace", request.Workspace, "cost", cost, "patience", request.Patience)
-	_ = stream.Send(frame)
+	s.sendRefusal(request, stream, frame)
 }
 
 // generate runs an admitted request to its end.
