Thin whole path on the users' platform: routing core, gateway, adapter

Cause: the users' platform has its own messages, store, list of replicas and settings, and no host for control; the product could not run there.

Change: a routing core (internal/routing/router) behind a transport seam, a gateway for callers, a copy of the store that daemons share (internal/state, internal/fleet), orders for new weights by turns without store writes (internal/weights), a client for replicas that are reached directly (peer/replica), and the folder platform/ that only translates.

The product's own interface is not on this core yet.

--- /dev/null
+++ b/internal/fleet/announcer/announcer.go
@@ -0,0 +1,169 @@
+package announcer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+)
+
+const (
+	// dialLimit bounds the connecting to another daemon: some round trips between
+	// regions.
+	dialLimit = 400 * time.Millisecond
+	// redialLeast and redialMost bound the pause before the next try.
+	redialLeast = 100 * time.Millisecond
+	redialMost  = time.Second
+)
+
+// Notice wakes all sessions when there is something to say at once.
+type Notice struct {
+	// mu guards next.
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+// NewNotice returns a notice.
+func NewNotice() *Notice { return &Notice{next: make(chan struct{})} }
+
+// Send wakes everybody who waits.
+func (n *Notice) Send() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.next)
+	n.next = make(chan struct{})
+}
+
+// Wait returns a channel that is closed at the next Send.
+func (n *Notice) Wait() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.next
+}
+
+// Dependencies are what an announcer works with.
+type Dependencies struct {
+	Table *replicator.Table
+	// Status returns what this daemon says of its replica, nil if it has none.
+	Status func() *Status
+	// OnStatus takes what others say of theirs.
+	OnStatus func(Status)
+	// Notice wakes the senders.
+	Notice *Notice
+	Clock  timekeeper.Clock
+	Logger *log.Logger
+}
+
+// Announcer speaks with other daemons: with those that connect to it, and with
+// those that it was told to reach.
+type Announcer struct {
+	d        Dependencies
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+
+	// mu guards reached.
+	mu sync.Mutex
+	// reached holds what ends the speaking with each address.
+	reached map[string]context.CancelFunc
+}
+
+// New starts an announcer. An empty address means that nobody connects to it.
+func New(address string, d Dependencies) (*Announcer, error) {
+	a := &Announcer{d: d, reached: make(map[string]context.CancelFunc)}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	if address == "" {
+		return a, nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for daemons: %w", err)
+	}
+	a.listener = listener
+	a.tasks.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if a.ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				d.Logger.Warn("fleet: accept failed.", "err", err)
+				<-d.Clock.After(redialLeast)
+				continue
+			}
+			a.tasks.Go(func() { _ = a.speak(a.ctx, conn) })
+		}
+	})
+	return a, nil
+}
+
+// speak runs one session and closes the connection.
+func (a *Announcer) speak(ctx context.Context, conn net.Conn) error {
+	defer func() { _ = conn.Close() }()
+	s := newSession(conn, a.d.Table, a.d.Status, a.d.OnStatus, a.d.Clock, a.d.Logger)
+	return s.run(ctx, a.d.Notice.Wait)
+}
+
+// Reach keeps a session with each address and ends those with others.
+func (a *Announcer) Reach(addresses []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	wanted := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		wanted[address] = true
+		if a.reached[address] != nil || a.ctx.Err() != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(a.ctx)
+		a.reached[address] = cancel
+		a.tasks.Go(func() { a.keep(ctx, address) })
+	}
+	for address, cancel := range a.reached {
+		if !wanted[address] {
+			cancel()
+			delete(a.reached, address)
+		}
+	}
+}
+
+// keep connects again whenever a session ends.
+func (a *Announcer) keep(ctx context.Context, address string) {
+	pause := redialLeast
+	dialer := net.Dialer{Timeout: dialLimit, KeepAlive: -1}
+	for ctx.Err() == nil {
+		began := a.d.Clock.Now()
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			a.d.Logger.Debug("fleet: reached daemon.", "address", address)
+			err = a.speak(ctx, conn)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		a.d.Logger.Debug("fleet: lost daemon.", "address", address, "err", err)
+		if a.d.Clock.Now().Sub(began) > redialMost {
+			pause = redialLeast
+		}
+		select {
+		case <-ctx.Done():
+		case <-a.d.Clock.After(pause/2 + time.Duration(rand.Int64N(int64(pause)))):
+		}
+		pause = min(2*pause, redialMost)
+	}
+}
+
+// Close ends all sessions.
+func (a *Announcer) Close() {
+	a.cancel()
+	if a.listener != nil {
+		_ = a.listener.Close()
+	}
+	a.tasks.Wait()
+}
--- /dev/null
+++ b/internal/fleet/announcer/session.go
@@ -0,0 +1,160 @@
+// Package announcer carries word between daemons: sidecars tell entries the state
+// of their replicas, and all bring each other's copies of the platform's store up
+// to date, so that a daemon that the store does not serve still learns of changes.
+//
+// Daemons speak CBOR over TCP. Either end says something at least every period,
+// so a connection that has gone silent is noticed.
+package announcer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// period is the longest time between two messages of one end.
+	period = 250 * time.Millisecond
+	// silenceLimit is how long an end waits for a message, 4 periods.
+	silenceLimit = time.Second
+	// pullDelay is how long a copy may be behind another before it asks for the
+	// changes. In quiet times the store itself brings them sooner.
+	pullDelay = 500 * time.Millisecond
+)
+
+// Status is what a sidecar says of its replica.
+type Status struct {
+	// Address is the replica's IP address and port.
+	Address string `cbor:"1,keyasint"`
+	// Phase is a router.Phase.
+	Phase int `cbor:"2,keyasint"`
+	// Started tells lives under one id apart, in Unix milliseconds.
+	Started    int64          `cbor:"3,keyasint"`
+	Weights    map[string]int `cbor:"4,keyasint,omitempty"`
+	Running    int            `cbor:"5,keyasint"`
+	Queued     int            `cbor:"6,keyasint"`
+	MemoryUsed int            `cbor:"7,keyasint"`
+}
+
+// message is all that daemons say to each other.
+type message struct {
+	// Status is nil if the sender has no replica or nothing changed.
+	Status *Status `cbor:"1,keyasint,omitempty"`
+	// Revision is the newest change that the sender's copy contains.
+	Revision uint64 `cbor:"2,keyasint"`
+	// Want asks for the changes behind After.
+	Want  bool   `cbor:"3,keyasint,omitempty"`
+	After uint64 `cbor:"4,keyasint,omitempty"`
+	// Delta answers a Want.
+	Delta *replicator.Delta `cbor:"5,keyasint,omitempty"`
+}
+
+// session is one connection between two daemons.
+type session struct {
+	conn     net.Conn
+	table    *replicator.Table
+	status   func() *Status
+	onStatus func(Status)
+	clock    timekeeper.Clock
+	logger   *log.Logger
+	encoder  *cbor.Encoder
+	writer   *bufio.Writer
+
+	// mu guards the writer and encoder.
+	mu sync.Mutex
+	// behindSince is when the other copy was first seen ahead, zero if it is not.
+	// Only the reader uses it.
+	behindSince time.Time
+}
+
+func newSession(conn net.Conn, table *replicator.Table, status func() *Status, onStatus func(Status), clock timekeeper.Clock, logger *log.Logger) *session {
+	writer := bufio.NewWriter(conn)
+	return &session{conn: conn, table: table, status: status, onStatus: onStatus, clock: clock, logger: logger, writer: writer, encoder: cbor.NewEncoder(writer)}
+}
+
+// run speaks until the connection fails or ctx ends.
+func (s *session) run(ctx context.Context, changed func() <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			news := changed()
+			if s.send(message{Status: s.status()}) != nil {
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-news:
+			case <-s.clock.After(period):
+			}
+		}
+	}()
+	decoder := cbor.NewDecoder(bufio.NewReader(s.conn))
+	for {
+		_ = s.conn.SetReadDeadline(time.Now().Add(silenceLimit))
+		var received message
+		if err := decoder.Decode(&received); err != nil {
+			return fmt.Errorf("read from %s: %w", s.conn.RemoteAddr(), err)
+		}
+		if err := s.handle(&received); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *session) send(m message) error {
+	m.Revision = s.table.Newest()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.conn.SetWriteDeadline(time.Now().Add(silenceLimit))
+	if err := s.encoder.Encode(&m); err != nil {
+		return fmt.Errorf("write to %s: %w", s.conn.RemoteAddr(), err)
+	}
+	if err := s.writer.Flush(); err != nil {
+		return fmt.Errorf("write to %s: %w", s.conn.RemoteAddr(), err)
+	}
+	return nil
+}
+
+func (s *session) handle(m *message) error {
+	if m.Status != nil {
+		s.onStatus(*m.Status)
+	}
+	if m.Delta != nil && s.table.Apply(*m.Delta) {
+		s.logger.Info("fleet: changes taken from another daemon.", "from", s.conn.RemoteAddr(), "revision", m.Delta.Revision, "items", len(m.Delta.Items))
+	}
+	if m.Want {
+		delta := s.table.Since(m.After)
+		return s.send(message{Delta: &delta})
+	}
+	return s.pull(m.Revision)
+}
+
+// pull asks for changes once the other copy has been ahead for a while.
+func (s *session) pull(revision uint64) error {
+	newest := s.table.Newest()
+	if revision <= newest {
+		s.behindSince = time.Time{}
+		return nil
+	}
+	now := s.clock.Now()
+	if s.behindSince.IsZero() {
+		s.behindSince = now
+	}
+	if s.table.Filled() && now.Sub(s.behindSince) < pullDelay {
+		return nil
+	}
+	s.behindSince = now
+	return s.send(message{Want: true, After: newest})
+}
--- /dev/null
+++ b/internal/routing/router/pool.go
@@ -0,0 +1,235 @@
+package router
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// stateLife is how long a replica's word about itself holds, 4 periods of it.
+	stateLife = time.Second
+	// avoidLeast and avoidMost bound how long a replica is left out after a
+	// failure. The bound of the first lets a restarted replica serve soon.
+	avoidLeast = 300 * time.Millisecond
+	avoidMost  = 3 * time.Second
+	// failureWeight is the weight of one answer in the failure rate.
+	failureWeight = 0.1
+)
+
+// Descriptor is what the list of replicas says of one.
+type Descriptor struct {
+	ID      string
+	Service string
+	// Address is the replica's IP address and port.
+	Address string
+	Zone    string
+	Region  string
+	Slots   int
+	// Draining replicas get no new request.
+	Draining bool
+	// Started tells lives under one id apart, in Unix milliseconds; 0 if unknown.
+	Started int64
+	// ColdFor is how much longer the replica is slow after its start.
+	ColdFor time.Duration
+	// Weights is the version of each model.
+	Weights map[string]int
+}
+
+// Phase is what a replica can do.
+type Phase int
+
+// The phases of a replica.
+const (
+	// Serving replicas take requests.
+	Serving Phase = iota
+	// Preparing replicas finish their requests before new weights are loaded.
+	Preparing
+	// Loading replicas load weights.
+	Loading
+	// Unreachable replicas do not answer their own sidecar.
+	Unreachable
+)
+
+// State is what a replica or its sidecar said last.
+type State struct {
+	Phase Phase
+	// Started tells lives under one id apart, in Unix milliseconds.
+	Started int64
+	// Weights is the version of each model.
+	Weights map[string]int
+	// Running and Queued count requests of all callers.
+	Running, Queued int
+	// MemoryUsed is the memory that cannot be freed, in tokens.
+	MemoryUsed int
+	// At is when the state arrived.
+	At time.Time
+}
+
+// Replica is one backend server as the router sees it.
+type Replica struct {
+	descriptor atomic.Pointer[Descriptor]
+	// state is nil before the first word of the replica.
+	state atomic.Pointer[State]
+	// hash spreads homes.
+	hash uint64
+	// unstarted and waitingTokens are this daemon's requests at the replica before
+	// their first event, and their prompt tokens to read.
+	unstarted     atomic.Int64
+	waitingTokens atomic.Int64
+	// running counts this daemon's requests at the replica.
+	running atomic.Int64
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// avoidUntil is when the replica may be used again after failures in a row.
+	avoidUntil time.Time
+	failures   int
+	// failureRate is the share of recent requests that failed.
+	failureRate float64
+	// weights is the newest version of each model by answers.
+	weights map[string]int
+}
+
+// ID returns the replica's id.
+func (r *Replica) ID() string { return r.descriptor.Load().ID }
+
+// Address returns the replica's IP address and port.
+func (r *Replica) Address() string { return r.descriptor.Load().Address }
+
+// State returns what the replica or its sidecar said last, or nil.
+func (r *Replica) State() *State { return r.state.Load() }
+
+// Weights returns the version of a model, 0 if it is not known. What the replica
+// said last goes before the list.
+func (r *Replica) Weights(model string) int {
+	version := r.descriptor.Load().Weights[model]
+	r.mu.Lock()
+	version = max(version, r.weights[model])
+	r.mu.Unlock()
+	if state := r.state.Load(); state != nil {
+		version = max(version, state.Weights[model])
+	}
+	return version
+}
+
+// learnWeights takes the version that an answer names.
+func (r *Replica) learnWeights(model string, version int) {
+	if version <= 0 || model == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if version > r.weights[model] {
+		if r.weights == nil {
+			r.weights = make(map[string]int)
+		}
+		r.weights[model] = version
+	}
+}
+
+// failed leaves the replica out for a while that doubles with each failure.
+func (r *Replica) failed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failureRate += failureWeight * (1 - r.failureRate)
+	pause := avoidLeast << min(r.failures, 4)
+	r.failures++
+	r.avoidUntil = now.Add(min(pause, avoidMost))
+}
+
+// answered ends the leaving out.
+func (r *Replica) answered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = 0
+	r.failureRate -= failureWeight * r.failureRate
+	r.avoidUntil = time.Time{}
+}
+
+func (r *Replica) avoided(now time.Time) (bool, float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.avoidUntil), r.failureRate
+}
+
+// Pool is the replicas of all services.
+type Pool struct {
+	clock timekeeper.Clock
+	// view is replaced whole.
+	view atomic.Pointer[view]
+	// mu is held while the view is replaced.
+	mu sync.Mutex
+}
+
+// view is immutable but for the replicas' own state.
+type view struct {
+	byID      map[string]*Replica
+	byAddress map[string]*Replica
+	byService map[string][]*Replica
+}
+
+// NewPool returns an empty pool.
+func NewPool(clock timekeeper.Clock) *Pool {
+	p := &Pool{clock: clock}
+	p.view.Store(&view{})
+	return p
+}
+
+// Set replaces the list. A replica that started again under its id begins anew.
+func (p *Pool) Set(list []Descriptor) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.view.Load()
+	next := &view{byID: make(map[string]*Replica, len(list)), byAddress: make(map[string]*Replica, len(list)), byService: make(map[string][]*Replica)}
+	for _, descriptor := range list {
+		replica := old.byID[descriptor.ID]
+		if replica == nil || replica.descriptor.Load().Started != descriptor.Started || replica.Address() != descriptor.Address {
+			replica = &Replica{hash: xxh3.HashString(descriptor.ID)}
+		}
+		replica.descriptor.Store(&descriptor)
+		next.byID[descriptor.ID] = replica
+		next.byAddress[descriptor.Address] = replica
+		next.byService[descriptor.Service] = append(next.byService[descriptor.Service], replica)
+	}
+	p.view.Store(next)
+}
+
+// Service returns the replicas of a service in the order of the list.
+func (p *Pool) Service(name string) []*Replica { return p.view.Load().byService[name] }
+
+// Replica returns a replica by id, or nil.
+func (p *Pool) Replica(id string) *Replica { return p.view.Load().byID[id] }
+
+// Len returns the number of replicas.
+func (p *Pool) Len() int { return len(p.view.Load().byID) }
+
+// Learn takes the word of the sidecar beside the replica at an address.
+func (p *Pool) Learn(address string, state State) {
+	replica := p.view.Load().byAddress[address]
+	if replica == nil {
+		return
+	}
+	if known := replica.descriptor.Load().Started; known != 0 && state.Started != 0 && state.Started < known {
+		return
+	}
+	state.At = p.clock.Now()
+	replica.state.Store(&state)
+}
+
+// String returns the name of the phase in logs.
+func (p Phase) String() string {
+	switch p {
+	case Serving:
+		return "serving"
+	case Preparing:
+		return "preparing"
+	case Loading:
+		return "loading"
+	default:
+		return "unreachable"
+	}
+}
--- /dev/null
+++ b/internal/routing/router/router.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/limiter"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+)
+
+const (
+	// missingStart is the number of prompt tokens to read that is expected of
+	// other daemons' requests before any was seen.
+	missingStart = 2000
+	// missingWeight is the weight of one request in their mean.
+	missingWeight = 0.05
+)
+
+// Options are the fixed values of a router.
+type Options struct {
+	// Zone and Region are where the daemon is; Regions are all that there are.
+	Zone, Region string
+	Regions      []string
+	// ReadTokensPerSecond is the speed at which a replica reads prompts while
+	// others generate.
+	ReadTokensPerSecond float64
+	// RunningCost is what each running request adds to the wait for a first event.
+	RunningCost time.Duration
+	// PlainWork is the time of a usual request at a plain server.
+	PlainWork time.Duration
+	// RetryShare, RetryExtra and RetryWindow bound the repeats of each service:
+	// this daemon's part of what all may send.
+	RetryShare, RetryExtra float64
+	RetryWindow            time.Duration
+	// OldWeightsLimit is how long after a newer version was named requests may
+	// begin on older weights.
+	OldWeightsLimit time.Duration
+	// Wanted returns the newest named version of a model; zero if none is known.
+	Wanted func(model string) Weights
+}
+
+// Router serves the requests of one daemon. It is safe for concurrent use.
+type Router struct {
+	options   Options
+	pool      *Pool
+	transport Transport
+	clock     timekeeper.Clock
+	logger    *log.Logger
+	holders   *holders
+	// missing holds the bits of a float64: the mean of the tokens that requests
+	// have to read. Of racing updates one may be lost.
+	missing atomic.Uint64
+
+	// mu guards budgets.
+	mu      sync.Mutex
+	budgets map[string]*limiter.Window
+}
+
+// New returns a router for the replicas of the pool.
+func New(options Options, pool *Pool, transport Transport, clock timekeeper.Clock, logger *log.Logger) *Router {
+	r := &Router{
+		options:   options,
+		pool:      pool,
+		transport: transport,
+		clock:     clock,
+		logger:    logger,
+		holders:   newHolders(),
+		budgets:   make(map[string]*limiter.Window),
+	}
+	r.missing.Store(math.Float64bits(missingStart))
+	return r
+}
+
+// budget returns the retry budget of a service.
+func (r *Router) budget(service string) *limiter.Window {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	budget := r.budgets[service]
+	if budget == nil {
+		budget = limiter.NewWindow(r.options.RetryShare, r.options.RetryExtra, r.options.RetryWindow, r.clock)
+		r.budgets[service] = budget
+	}
+	return budget
+}
+
+func (r *Router) meanMissing() float64 { return math.Float64frombits(r.missing.Load()) }
+
+func (r *Router) noteMissing(tokens int) {
+	mean := r.meanMissing()
+	r.missing.Store(math.Float64bits(mean + missingWeight*(float64(tokens)-mean)))
+}
+
+// Begin starts a request. The caller must call the Close of a stream, and nothing
+// for other results.
+func (r *Router) Begin(request *Request) *Result {
+	u := newRun(r, request)
+	result := u.begin()
+	if result.Stream == nil {
+		u.end()
+	}
+	return result
+}
--- /dev/null
+++ b/internal/routing/router/run.go
@@ -0,0 +1,434 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/limiter"
+)
+
+const (
+	// maxRejections bounds the replicas that may reject one request.
+	maxRejections = 2
+	// returnSoon is when a caller should come back after a passing trouble, such
+	// as a replica that has just gone.
+	returnSoon = 250 * time.Millisecond
+	// leastRemaining is the least time that is worth sending a request for.
+	leastRemaining = 20 * time.Millisecond
+	// patienceTargets is how many times the target the first event of a request
+	// that may run again is waited for, while attempts are left.
+	patienceTargets = 3
+	// patienceLeast bounds that wait from below.
+	patienceLeast = 400 * time.Millisecond
+	// silenceLimit is how long a resumable stream may pause before another
+	// replica goes on with it. Preempted requests pause for less.
+	silenceLimit = 1200 * time.Millisecond
+)
+
+// run is one request on its way to an answer. It is used by one goroutine.
+type run struct {
+	router  *Router
+	request *Request
+	service string
+	budget  *limiter.Window
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	// ran counts the attempts that may have run, rejected those that have not.
+	ran, rejected int
+	excluded      []*Replica
+	// choice, reply and cancelAttempt belong to the current attempt; sent is when
+	// it left.
+	choice        choice
+	reply         *Reply
+	cancelAttempt context.CancelFunc
+	sent          time.Time
+	// waiting is set until the attempt's first event, counted until its end.
+	waiting, counted bool
+	// last is the id of the last event that was passed on, -1 before the first.
+	last int64
+	// failure is the most recent failure, for the final answer.
+	failure *Failure
+	// fallback is a replica's own failure, for the caller if no repeat does better.
+	fallback *Result
+}
+
+func newRun(router *Router, request *Request) *run {
+	u := &run{router: router, request: request, service: request.Route.pick(), last: request.After}
+	u.ctx, u.cancel = context.WithDeadline(context.Background(), request.Until)
+	u.budget = router.budget(u.service)
+	u.budget.Earn()
+	if request.Gone != nil {
+		go func() {
+			select {
+			case <-request.Gone:
+				u.cancel()
+			case <-u.ctx.Done():
+			}
+		}()
+	}
+	return u
+}
+
+// end gives up whatever is under way.
+func (u *run) end() {
+	u.closeAttempt()
+	u.cancel()
+}
+
+func (u *run) closeAttempt() {
+	if u.reply != nil {
+		u.reply.Close()
+		u.reply = nil
+	}
+	if u.cancelAttempt != nil {
+		u.cancelAttempt()
+		u.cancelAttempt = nil
+	}
+	u.started()
+	if u.counted {
+		u.counted = false
+		u.choice.replica.running.Add(-1)
+	}
+}
+
+// started ends the counting of an attempt as not started.
+func (u *run) started() {
+	if u.waiting {
+		u.waiting = false
+		u.choice.replica.unstarted.Add(-1)
+		u.choice.replica.waitingTokens.Add(-int64(u.choice.missing))
+	}
+}
+
+// begin tries until a replica has answered.
+func (u *run) begin() *Result {
+	for {
+		if failure := u.open(); failure != nil {
+			return u.fail(failure)
+		}
+		result, done := u.take()
+		if done {
+			return result
+		}
+		u.closeAttempt()
+		if failure := u.mayTryAgain(); failure != nil {
+			return u.fail(failure)
+		}
+	}
+}
+
+// fail ends the request without a success.
+func (u *run) fail(failure *Failure) *Result {
+	if u.fallback != nil {
+		return u.fallback
+	}
+	return &Result{Failure: failure}
+}
+
+// open sends attempts until one is answered. A failure is final.
+func (u *run) open() *Failure {
+	for {
+		if failure := u.expired(); failure != nil {
+			return failure
+		}
+		c, found := u.router.choose(u.request, u.service, u.excluded)
+		if !found {
+			return u.noReplica()
+		}
+		err := u.send(c)
+		if err == nil {
+			return nil
+		}
+		u.noteError(err)
+		u.closeAttempt()
+		if failure := u.mayTryAgain(); failure != nil {
+			return failure
+		}
+	}
+}
+
+// expired returns the final failure once the caller has left or time is up.
+func (u *run) expired() *Failure {
+	select {
+	case <-u.request.Gone:
+		return &Failure{Reason: ReasonGone, NotRun: u.ran == 0}
+	default:
+	}
+	if u.remaining() < leastRemaining {
+		return &Failure{Reason: ReasonDeadline, NotRun: u.ran == 0, RetryAfter: returnSoon}
+	}
+	return nil
+}
+
+func (u *run) remaining() time.Duration { return u.request.Until.Sub(u.router.clock.Now()) }
+
+func (u *run) noReplica() *Failure {
+	if u.failure != nil {
+		return u.failure
+	}
+	return &Failure{Reason: ReasonNoReplica, NotRun: u.ran == 0, RetryAfter: returnSoon}
+}
+
+// send sends one attempt and waits for the head of its answer.
+func (u *run) send(c choice) error {
+	r, request := u.router, u.request
+	descriptor := c.replica.descriptor.Load()
+	u.choice, u.sent = c, r.clock.Now()
+	attempt := &Attempt{
+		Request:    request,
+		ReplicaID:  descriptor.ID,
+		Address:    descriptor.Address,
+		Remaining:  u.remaining(),
+		Weights:    c.weights,
+		CacheScope: c.scope,
+		Priority:   request.priority(),
+		After:      u.last,
+		Near:       descriptor.Region == r.options.Region,
+	}
+	if c.fetchFrom != nil {
+		attempt.FetchFrom = c.fetchFrom.Address()
+	}
+	u.counted, u.waiting = true, true
+	c.replica.running.Add(1)
+	c.replica.unstarted.Add(1)
+	c.replica.waitingTokens.Add(int64(c.missing))
+	if request.Prompt != nil {
+		r.noteMissing(c.missing)
+	}
+	r.logger.Debug("route: sent.", "request", request.ID, "replica", descriptor.ID, "service", u.service, "reason", c.reason,
+		"cost", c.cost, "weights", c.weights, "missing", c.missing, "fetchFrom", attempt.FetchFrom, "configuration", request.Catalog.Version, "after", u.last)
+	ctx, cancel := context.WithCancel(u.ctx)
+	u.cancelAttempt = cancel
+	if limit, limited := u.patience(); limited {
+		timer := time.AfterFunc(limit, cancel)
+		defer timer.Stop()
+	}
+	reply, err := r.transport.Send(ctx, attempt)
+	if err != nil {
+		return err
+	}
+	u.reply = reply
+	return nil
+}
+
+// patience returns how long the head of the answer is waited for, if another
+// replica could still serve the request.
+func (u *run) patience() (time.Duration, bool) {
+	route := u.request.Route
+	if !route.repeatable() || u.ran+1 >= route.MaxAttempts {
+		return 0, false
+	}
+	return max(patienceLeast, patienceTargets*route.Target), true
+}
+
+// priority is the rank of the request; a workspace's own goes first.
+func (r *Request) priority() int {
+	if r.Workspace != nil && r.Workspace.Priority != nil {
+		return *r.Workspace.Priority
+	}
+	return r.Route.Priority
+}
+
+// noteError judges an attempt that got no answer.
+func (u *run) noteError(err error) {
+	replica := u.choice.replica
+	notSent := errors.Is(err, ErrNotSent)
+	u.router.logger.Info("route: attempt failed.", "request", u.request.ID, "replica", replica.ID(), "notSent", notSent, "err", err)
+	u.excluded = append(u.excluded, replica)
+	if u.ctx.Err() == nil {
+		replica.failed(u.router.clock.Now())
+	}
+	if notSent {
+		u.rejected++
+		u.failure = &Failure{Reason: ReasonNoReplica, NotRun: u.ran == 0, RetryAfter: returnSoon}
+		return
+	}
+	u.ran++
+	u.failure = &Failure{Reason: ReasonBroken}
+}
+
+// mayTryAgain returns the final failure if no other attempt may follow.
+func (u *run) mayTryAgain() *Failure {
+	if failure := u.expired(); failure != nil {
+		return failure
+	}
+	route := u.request.Route
+	if u.ran > 0 && (!route.repeatable() || u.ran >= route.MaxAttempts) {
+		return u.failure
+	}
+	if u.rejected > maxRejections || !u.budget.Spend() {
+		return u.failure
+	}
+	return nil
+}
+
+// take judges the head of an answer. It returns false if another attempt is due;
+// then failure is set.
+func (u *run) take() (*Result, bool) {
+	r, reply, replica := u.router, u.reply, u.choice.replica
+	u.learn(reply)
+	if reply.NotRun {
+		return nil, u.reject()
+	}
+	replica.answered()
+	if reply.Events != nil {
+		return u.takeStream()
+	}
+	body, err := reply.Body()
+	if err != nil {
+		u.noteError(err)
+		return nil, false
+	}
+	u.ran++
+	if reply.Status >= 500 && u.request.Route.repeatable() && u.fallback == nil {
+		u.fallback = &Result{Reply: reply, Body: body}
+		u.failure = &Failure{Reason: ReasonBroken}
+		u.excluded = append(u.excluded, replica)
+		r.logger.Info("route: answered with a failure.", "request", u.request.ID, "replica", replica.ID(), "status", reply.Status)
+		return nil, false
+	}
+	u.started()
+	return &Result{Reply: reply, Body: body}, true
+}
+
+// learn takes what the answer tells of its replica.
+func (u *run) learn(reply *Reply) {
+	replica := u.choice.replica
+	if u.request.Prompt != nil {
+		replica.learnWeights(u.request.Prompt.Model, reply.Weights)
+		return
+	}
+	if reply.Running >= 0 {
+		replica.state.Store(&State{Running: reply.Running, Queued: reply.Queued, At: u.router.clock.Now()})
+	}
+}
+
+// reject takes an answer that says that the request has not run.
+func (u *run) reject() bool {
+	replica := u.choice.replica
+	u.rejected++
+	u.excluded = append(u.excluded, replica)
+	u.router.logger.Info("route: rejected.", "request", u.request.ID, "replica", replica.ID(), "status", u.reply.Status,
+		"wrongReplica", u.reply.WrongReplica, "weights", u.choice.weights, "named", u.reply.Weights)
+	u.failure = &Failure{Reason: ReasonRejected, NotRun: u.ran == 0, RetryAfter: returnSoon}
+	return false
+}
+
+// takeStream waits for the first event, so that a replica that is lost before it
+// can be replaced.
+func (u *run) takeStream() (*Result, bool) {
+	first, err := u.nextEvent()
+	if err != nil && !errors.Is(err, io.EOF) {
+		u.noteError(err)
+		return nil, false
+	}
+	u.ran++
+	return &Result{Reply: u.reply, Stream: &Relay{run: u, first: first, ended: err != nil, pending: err == nil}}, true
+}
+
+// nextEvent reads an event of the current attempt that the caller does not have.
+func (u *run) nextEvent() (Event, error) {
+	for {
+		u.reply.SetDeadline(u.silenceEnd())
+		event, err := u.reply.Events()
+		if err != nil {
+			return event, err
+		}
+		if u.waiting {
+			u.started()
+			u.remember()
+		}
+		if event.ID >= 0 && event.ID <= u.last {
+			continue
+		}
+		if event.ID >= 0 {
+			u.last = event.ID
+		}
+		return event, nil
+	}
+}
+
+// silenceEnd is when the current attempt is given up without another event.
+func (u *run) silenceEnd() time.Time {
+	route := u.request.Route
+	if u.waiting || !route.repeatable() || u.ran >= route.MaxAttempts {
+		return u.request.Until
+	}
+	if end := u.router.clock.Now().Add(silenceLimit); end.Before(u.request.Until) {
+		return end
+	}
+	return u.request.Until
+}
+
+// remember notes that the replica has read the shared parts of the prompt.
+func (u *run) remember() {
+	if u.choice.shared != 0 && u.reply.Weights == u.choice.weights {
+		u.router.holders.add(u.choice.shared, u.choice.replica)
+	}
+}
+
+// Relay yields the events of a stream, over the replicas that it takes. It is
+// used by one goroutine.
+type Relay struct {
+	run   *run
+	first Event
+	// pending is set while first was not returned yet.
+	pending bool
+	ended   bool
+}
+
+// Next returns the next event. io.EOF means that the stream is whole.
+func (s *Relay) Next() (Event, error) {
+	if s.pending {
+		s.pending = false
+		return s.first, nil
+	}
+	if s.ended {
+		return Event{}, io.EOF
+	}
+	for {
+		event, err := s.run.nextEvent()
+		if err == nil {
+			return event, nil
+		}
+		if errors.Is(err, io.EOF) {
+			s.ended = true
+			return Event{}, io.EOF
+		}
+		if err := s.run.resume(err); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+// Close ends the exchange with the replica.
+func (s *Relay) Close() { s.run.end() }
+
+// resume goes on behind the last event at another replica.
+func (u *run) resume(cause error) error {
+	route := u.request.Route
+	replica := u.choice.replica
+	u.router.logger.Info("route: stream broke off.", "request", u.request.ID, "replica", replica.ID(), "last", u.last, "err", cause)
+	u.excluded = append(u.excluded, replica)
+	if u.ctx.Err() == nil {
+		replica.failed(u.router.clock.Now())
+	}
+	u.closeAttempt()
+	if !route.repeatable() || u.last < 0 || u.ran >= route.MaxAttempts || u.expired() != nil || !u.budget.Spend() {
+		return cause
+	}
+	u.failure = &Failure{Reason: ReasonBroken}
+	if failure := u.open(); failure != nil {
+		return cause
+	}
+	u.learn(u.reply)
+	if u.reply.NotRun || u.reply.Events == nil || u.reply.Status >= 300 {
+		return cause
+	}
+	u.ran++
+	u.router.logger.Info("route: stream resumed.", "request", u.request.ID, "replica", u.choice.replica.ID(), "after", u.last)
+	return nil
+}
--- /dev/null
+++ b/internal/weights/orderer/order.go
@@ -0,0 +1,256 @@
+// Package orderer brings one replica to the newest weights. It runs in the sidecar
+// beside the replica, which alone gives it orders.
+//
+// Replicas take turns without asking anybody: they stand in an order that all
+// sidecars derive from the list of replicas, each waits for the one a few places
+// before it, and goes ahead without it after a while.
+package orderer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/routing/router"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/joomcode/errorx"
+)
+
+// ErrSuperseded means that the replica refused an order for a newer fence.
+var ErrSuperseded = errorx.NewNamespace("orderer").NewType("superseded").New("a newer fence was used")
+
+const (
+	// idlePeriod and activePeriod are the times between two looks at the replica.
+	idlePeriod   = 200 * time.Millisecond
+	activePeriod = 40 * time.Millisecond
+	// prepareTime is how long entries need to stop sending, so that no request
+	// meets the order.
+	prepareTime = 120 * time.Millisecond
+	// orderAgain is when an order without effect is given again.
+	orderAgain = 800 * time.Millisecond
+	// missedReports is how many looks must fail before the replica counts as
+	// unreachable.
+	missedReports = 2
+	// resumeLimit is how long an unreachable replica holds its turn.
+	callLimit = 300 * time.Millisecond
+)
+
+// Report is what a replica says of itself.
+type Report struct {
+	Weights map[string]int
+	// Busy is set while an order is carried out.
+	Busy bool
+	// Sequence counts the accepted orders.
+	Sequence int
+	// Started tells lives apart, in Unix milliseconds.
+	Started                     int64
+	Running, Queued, MemoryUsed int
+}
+
+// Order asks for a version of a model.
+type Order struct {
+	Model   string
+	Version int
+	// Fence is not lower than that of any earlier order.
+	Fence uint64
+	// Sequence is what the replica must have reported, so that an order that
+	// arrives late has no effect.
+	Sequence int
+}
+
+// Replica is the seam to the replica.
+type Replica struct {
+	Report func(ctx context.Context) (Report, error)
+	Give   func(ctx context.Context, order Order) error
+}
+
+// Wanted is the newest version of a model.
+type Wanted struct {
+	Model   string
+	Version int
+	Fence   uint64
+	// Since is when this sidecar learnt of it.
+	Since time.Time
+}
+
+// Turn tells whether the replica may load.
+type Turn int
+
+// The turns of a replica.
+const (
+	// Wait means that others go first.
+	Wait Turn = iota
+	// Prepare means that the turn comes soon.
+	Prepare
+	// Load means that the turn has come.
+	Load
+)
+
+// Dependencies are what an orderer works with.
+type Dependencies struct {
+	Replica Replica
+	// Wanted returns the newest version of each model.
+	Wanted func() []Wanted
+	// Turn judges the place of the replica in the order.
+	Turn func(Wanted) Turn
+	// Changed is called when Status has something new to say at once.
+	Changed func()
+	Clock   timekeeper.Clock
+	Logger  *log.Logger
+}
+
+// Orderer runs until it is closed.
+type Orderer struct {
+	d      Dependencies
+	cancel context.CancelFunc
+	done   chan struct{}
+	status chan router.State
+
+	// The fields below are used by the goroutine only.
+	phase  router.Phase
+	missed int
+	report Report
+	// preparedAt is when preparing began, orderedAt when the last order left.
+	preparedAt, orderedAt time.Time
+	ordered               Order
+	// refused is the highest fence that the replica has refused.
+	refused uint64
+}
+
+// New starts an orderer.
+func New(d Dependencies) *Orderer {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &Orderer{d: d, cancel: cancel, done: make(chan struct{}), status: make(chan router.State, 1), phase: router.Unreachable}
+	o.status <- router.State{Phase: router.Unreachable}
+	go func() {
+		defer close(o.done)
+		for ctx.Err() == nil {
+			period := o.step(ctx)
+			select {
+			case <-ctx.Done():
+			case <-d.Clock.After(period):
+			}
+		}
+	}()
+	return o
+}
+
+// Close ends the orderer. An order that was given is carried out all the same.
+func (o *Orderer) Close() {
+	o.cancel()
+	<-o.done
+}
+
+// Status returns what the replica is doing.
+func (o *Orderer) Status() router.State {
+	state := <-o.status
+	o.status <- state
+	return state
+}
+
+// step looks at the replica once and returns the time until the next look.
+func (o *Orderer) step(ctx context.Context) time.Duration {
+	call, cancel := context.WithTimeout(ctx, callLimit)
+	report, err := o.d.Replica.Report(call)
+	cancel()
+	if err != nil {
+		o.missed++
+		if o.missed >= missedReports {
+			o.enter(router.Unreachable, "err", err)
+		}
+		return idlePeriod
+	}
+	o.missed = 0
+	if report.Started != o.report.Started {
+		// A restarted replica has forgotten its orders.
+		o.orderedAt, o.preparedAt, o.refused = time.Time{}, time.Time{}, 0
+	}
+	o.report = report
+	wanted, behind := o.behind()
+	switch {
+	case !behind && report.Busy:
+		o.enter(router.Loading)
+	case !behind:
+		o.preparedAt, o.orderedAt = time.Time{}, time.Time{}
+		o.enter(router.Serving)
+	default:
+		o.advance(ctx, wanted)
+	}
+	if o.phase == router.Serving {
+		return idlePeriod
+	}
+	return activePeriod
+}
+
+// behind returns the first model whose weights are older than wanted.
+func (o *Orderer) behind() (Wanted, bool) {
+	for _, wanted := range o.d.Wanted() {
+		if version, found := o.report.Weights[wanted.Model]; found && version < wanted.Version {
+			return wanted, true
+		}
+	}
+	return Wanted{}, false
+}
+
+// advance takes the next step towards the wanted weights.
+func (o *Orderer) advance(ctx context.Context, wanted Wanted) {
+	now := o.d.Clock.Now()
+	if o.report.Busy {
+		o.enter(router.Loading)
+		return
+	}
+	if !o.orderedAt.IsZero() && now.Sub(o.orderedAt) < orderAgain && o.ordered.Sequence == o.report.Sequence {
+		return
+	}
+	turn := o.d.Turn(wanted)
+	switch {
+	case turn == Wait:
+		o.preparedAt = time.Time{}
+		o.enter(router.Serving)
+		return
+	case o.preparedAt.IsZero():
+		o.preparedAt = now
+		o.enter(router.Preparing, "model", wanted.Model, "version", wanted.Version)
+		return
+	case turn == Prepare || now.Sub(o.preparedAt) < prepareTime || wanted.Fence <= o.refused:
+		o.enter(router.Preparing)
+		return
+	}
+	o.give(ctx, wanted)
+}
+
+func (o *Orderer) give(ctx context.Context, wanted Wanted) {
+	o.ordered = Order{Model: wanted.Model, Version: wanted.Version, Fence: wanted.Fence, Sequence: o.report.Sequence}
+	o.orderedAt = o.d.Clock.Now()
+	call, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	err := o.d.Replica.Give(call, o.ordered)
+	o.d.Logger.Info("weights: order given.", "model", wanted.Model, "version", wanted.Version, "fence", wanted.Fence, "sequence", o.ordered.Sequence, "err", err)
+	if errors.Is(err, ErrSuperseded) {
+		o.refused = wanted.Fence
+	}
+	if err == nil {
+		o.enter(router.Loading)
+	}
+}
+
+// enter changes the phase and tells others of it.
+func (o *Orderer) enter(phase router.Phase, fields ...any) {
+	if phase != o.phase {
+		o.d.Logger.Info("weights: phase.", append([]any{"phase", phase.String(), "weights", o.report.Weights}, fields...)...)
+	}
+	old := <-o.status
+	o.status <- router.State{
+		Phase:      phase,
+		Started:    o.report.Started,
+		Weights:    o.report.Weights,
+		Running:    o.report.Running,
+		Queued:     o.report.Queued,
+		MemoryUsed: o.report.MemoryUsed,
+	}
+	o.phase = phase
+	if old.Phase != phase {
+		o.d.Changed()
+	}
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -92,7 +92,7 @@
 
 // OnOpen implements gnet.EventHandler.
 func (l *Listener) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
-	c := &conn{raw: raw, local: raw.LocalAddr(), remote: raw.RemoteAddr(), inboundLimit: l.inboundLimit}
+	c := &conn{raw: raw, local: raw.LocalAddr(), remote: raw.RemoteAddr(), inboundLimit: l.inboundLimit, gone: make(chan struct{})}
 	c.changed = sync.NewCond(&c.mu)
 	raw.SetContext(c)
 	select {
@@ -163,6 +163,8 @@
 	raw           gnet.Conn
 	local, remote net.Addr
 	inboundLimit  int
+	// gone is closed when ended is set.
+	gone chan struct{}
 
 	// mu guards the fields below; changed is signalled whenever one changes.
 	mu      sync.Mutex
@@ -197,10 +199,23 @@
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = true
+	if !c.ended {
+		c.ended = true
+		close(c.gone)
+	}
 	c.changed.Broadcast()
 }
 
+// Gone returns a channel that is closed when the client's connection has ended,
+// also while a request on it is being answered. It is nil, and so never ready,
+// for a connection of another listener.
+func Gone(c net.Conn) <-chan struct{} {
+	if own, ok := c.(*conn); ok {
+		return own.gone
+	}
+	return nil
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
