Tell entries what replicas have cached; sidecars take the store's changes from entries

Change: sidecars follow their replica's cache events and pass them on to entries; the choice goes by the deepest part that a replica holds, or that another can send; a part that is being read counts for the replica that reads it. Sidecars watch the store only while no entry says that the store serves it.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -54,6 +54,15 @@
 	Status func() *Status
 	// OnStatus takes what others say of theirs.
 	OnStatus func(Status)
+	// OnCache takes what others say of the cache of the replica at an address.
+	OnCache func(address string, news CacheNews)
+	// Cache is the log of the own replica's cache, nil if there is none.
+	Cache *CacheLog
+	// Fed reports whether the store serves this daemon.
+	Fed func() bool
+	// PullDelay is how long the copy may be behind another before it asks for the
+	// changes. Where the store itself is watched, it brings them sooner.
+	PullDelay time.Duration
 	// Notice wakes the senders.
 	Notice *Notice
 	Clock  timekeeper.Clock
@@ -69,8 +78,12 @@
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 
-	// mu guards reached.
+	// mu guards the fields below.
 	mu sync.Mutex
+	// fedAt is when another daemon last said that the store serves it.
+	fedAt time.Time
+	// askedAt is when changes were last asked for.
+	askedAt time.Time
 	// reached holds what ends the speaking with each address.
 	reached map[string]context.CancelFunc
 }
@@ -107,8 +120,32 @@
 // speak runs one session and closes the connection.
 func (a *Announcer) speak(ctx context.Context, conn net.Conn) error {
 	defer func() { _ = conn.Close() }()
-	s := newSession(conn, a.d.Table, a.d.Status, a.d.OnStatus, a.d.Clock, a.d.Logger)
-	return s.run(ctx, a.d.Notice.Wait)
+	return newSession(a, conn).run(ctx)
+}
+
+func (a *Announcer) fed() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fedAt = a.d.Clock.Now()
+}
+
+// OthersFed reports whether the store serves a daemon that speaks with this one,
+// which then brings changes as soon as it has them.
+func (a *Announcer) OthersFed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.fedAt.IsZero() && a.d.Clock.Now().Sub(a.fedAt) < 2*period
+}
+
+// mayAsk reports whether it is time to ask for changes, and notes it.
+func (a *Announcer) mayAsk(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.askedAt) < askAgain {
+		return false
+	}
+	a.askedAt = now
+	return true
 }
 
 // Reach keeps a session with each address and ends those with others.
--- /dev/null
+++ b/internal/fleet/announcer/cachelog.go
@@ -0,0 +1,92 @@
+package announcer
+
+import "sync"
+
+// maxChanges bounds the changes that are kept for sessions; one that is behind by
+// more is told everything.
+const maxChanges = 4096
+
+// CacheNews is what changed in a replica's cache. Keys name prompt parts.
+type CacheNews struct {
+	Added   []uint64 `cbor:"1,keyasint,omitempty"`
+	Dropped []uint64 `cbor:"2,keyasint,omitempty"`
+	// Whole is set if Added is all that the cache holds.
+	Whole bool `cbor:"3,keyasint,omitempty"`
+}
+
+// CacheLog keeps what a replica's cache holds and the latest changes. It is safe
+// for concurrent use.
+type CacheLog struct {
+	// mu guards the fields below.
+	mu   sync.Mutex
+	held map[uint64]bool
+	// changes holds the latest changes; first is the number of its first one,
+	// beginning with 1.
+	changes []change
+	first   uint64
+}
+
+type change struct {
+	key   uint64
+	added bool
+}
+
+// NewCacheLog returns the log of an empty cache.
+func NewCacheLog() *CacheLog {
+	return &CacheLog{held: make(map[uint64]bool), first: 1}
+}
+
+// Change notes that the cache holds a part, or no longer.
+func (l *CacheLog) Change(key uint64, added bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held[key] == added {
+		return
+	}
+	if added {
+		l.held[key] = true
+	} else {
+		delete(l.held, key)
+	}
+	l.changes = append(l.changes, change{key: key, added: added})
+	if len(l.changes) > 2*maxChanges {
+		l.first += maxChanges
+		l.changes = append(l.changes[:0], l.changes[maxChanges:]...)
+	}
+}
+
+// Clear notes that the cache is empty.
+func (l *CacheLog) Clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = make(map[uint64]bool)
+	l.first += uint64(len(l.changes)) + 1
+	l.changes = l.changes[:0]
+}
+
+// since returns what changed behind a cursor, nil for nothing, and the cursor to go
+// on from. A cursor of 0 gets everything.
+func (l *CacheLog) since(cursor uint64) (*CacheNews, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := l.first + uint64(len(l.changes))
+	if cursor == next {
+		return nil, next
+	}
+	news := &CacheNews{}
+	if cursor < l.first {
+		news.Whole = true
+		for key := range l.held {
+			news.Added = append(news.Added, key)
+		}
+		return news, next
+	}
+	for _, c := range l.changes[cursor-l.first:] {
+		if c.added {
+			news.Added = append(news.Added, c.key)
+		} else {
+			news.Dropped = append(news.Dropped, c.key)
+		}
+	}
+	return news, next
+}
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -14,9 +14,7 @@
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
-	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -25,9 +23,9 @@
 	period = 250 * time.Millisecond
 	// silenceLimit is how long an end waits for a message, 4 periods.
 	silenceLimit = time.Second
-	// pullDelay is how long a copy may be behind another before it asks for the
-	// changes. In quiet times the store itself brings them sooner.
-	pullDelay = 500 * time.Millisecond
+	// askAgain is when changes that were asked for and did not come are asked for
+	// again.
+	askAgain = 150 * time.Millisecond
 )
 
 // Status is what a sidecar says of its replica.
@@ -55,18 +53,21 @@
 	After uint64 `cbor:"4,keyasint,omitempty"`
 	// Delta answers a Want.
 	Delta *replicator.Delta `cbor:"5,keyasint,omitempty"`
+	// Fed is set while the store serves the sender.
+	Fed bool `cbor:"6,keyasint,omitempty"`
+	// Cache is what changed in the cache of the sender's replica.
+	Cache *CacheNews `cbor:"7,keyasint,omitempty"`
 }
 
 // session is one connection between two daemons.
 type session struct {
-	conn     net.Conn
-	table    *replicator.Table
-	status   func() *Status
-	onStatus func(Status)
-	clock    timekeeper.Clock
-	logger   *log.Logger
-	encoder  *cbor.Encoder
-	writer   *bufio.Writer
+	owner   *Announcer
+	conn    net.Conn
+	encoder *cbor.Encoder
+	writer  *bufio.Writer
+	// cursor is the place in the cache log up to which the other end was told.
+	// Only the sender uses it.
+	cursor uint64
 
 	// mu guards the writer and encoder.
 	mu sync.Mutex
@@ -75,13 +76,14 @@
 	behindSince time.Time
 }
 
-func newSession(conn net.Conn, table *replicator.Table, status func() *Status, onStatus func(Status), clock timekeeper.Clock, logger *log.Logger) *session {
+func newSession(owner *Announcer, conn net.Conn) *session {
 	writer := bufio.NewWriter(conn)
-	return &session{conn: conn, table: table, status: status, onStatus: onStatus, clock: clock, logger: logger, writer: writer, encoder: cbor.NewEncoder(writer)}
+	return &session{owner: owner, conn: conn, writer: writer, encoder: cbor.NewEncoder(writer)}
 }
 
 // run speaks until the connection fails or ctx ends.
-func (s *session) run(ctx context.Context, changed func() <-chan struct{}) error {
+func (s *session) run(ctx context.Context) error {
+	d := &s.owner.d
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
@@ -89,14 +91,18 @@
 	go func() {
 		defer cancel()
 		for ctx.Err() == nil {
-			news := changed()
-			if s.send(message{Status: s.status()}) != nil {
+			news := d.Notice.Wait()
+			m := message{Status: d.Status()}
+			if d.Cache != nil {
+				m.Cache, s.cursor = d.Cache.since(s.cursor)
+			}
+			if s.send(m) != nil {
 				return
 			}
 			select {
 			case <-ctx.Done():
 			case <-news:
-			case <-s.clock.After(period):
+			case <-d.Clock.After(period):
 			}
 		}
 	}()
@@ -114,7 +120,7 @@
 }
 
 func (s *session) send(m message) error {
-	m.Revision = s.table.Newest()
+	m.Revision, m.Fed = s.owner.d.Table.Newest(), s.owner.d.Fed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_ = s.conn.SetWriteDeadline(time.Now().Add(silenceLimit))
@@ -128,14 +134,21 @@
 }
 
 func (s *session) handle(m *message) error {
+	d := &s.owner.d
+	if m.Fed {
+		s.owner.fed()
+	}
 	if m.Status != nil {
-		s.onStatus(*m.Status)
+		d.OnStatus(*m.Status)
+		if m.Cache != nil {
+			d.OnCache(m.Status.Address, *m.Cache)
+		}
 	}
-	if m.Delta != nil && s.table.Apply(*m.Delta) {
-		s.logger.Info("fleet: changes taken from another daemon.", "from", s.conn.RemoteAddr(), "revision", m.Delta.Revision, "items", len(m.Delta.Items))
+	if m.Delta != nil && d.Table.Apply(*m.Delta) {
+		d.Logger.Debug("fleet: changes taken from another daemon.", "from", s.conn.RemoteAddr(), "revision", m.Delta.Revision, "items", len(m.Delta.Items))
 	}
 	if m.Want {
-		delta := s.table.Since(m.After)
+		delta := d.Table.Since(m.After)
 		return s.send(message{Delta: &delta})
 	}
 	return s.pull(m.Revision)
@@ -143,18 +156,18 @@
 
 // pull asks for changes once the other copy has been ahead for a while.
 func (s *session) pull(revision uint64) error {
-	newest := s.table.Newest()
+	d := &s.owner.d
+	newest := d.Table.Newest()
 	if revision <= newest {
 		s.behindSince = time.Time{}
 		return nil
 	}
-	now := s.clock.Now()
+	now := d.Clock.Now()
 	if s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	if s.table.Filled() && now.Sub(s.behindSince) < pullDelay {
+	if d.Table.Filled() && now.Sub(s.behindSince) < d.PullDelay || !s.owner.mayAsk(now) {
 		return nil
 	}
-	s.behindSince = now
 	return s.send(message{Want: true, After: newest})
 }
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -17,9 +17,9 @@
 	// zoneFetch and regionFetch are how many times as long a transfer takes
 	// between availability zones and between regions.
 	zoneFetch, regionFetch = 2, 10
-	// unknownShare is the share of a home's parts that is expected to be read
-	// there anew when nothing is known of it.
-	unknownShare = 0.3
+	// readAgainTime is what reading a shared token counts for that another replica
+	// has read or is about to, besides its own time: it delays the requests behind.
+	readAgainTime = 60 * time.Microsecond
 	// failurePenalty is the cost of a replica that fails every request.
 	failurePenalty = 600 * time.Millisecond
 	// coldPenalty is the cost of a replica that has just started.
@@ -49,9 +49,8 @@
 	// weights is the version that the attempt asks for, 0 for any.
 	weights int
 	scope   string
-	// shared names the shared parts of the prompt under the scope, 0 if there
-	// are none.
-	shared uint64
+	// parts is what is known of the shared parts under the scope.
+	parts *parts
 	// missing is how many tokens the replica is expected to read.
 	missing int
 	// fetchFrom has the parts that the replica lacks, or is nil.
@@ -68,12 +67,39 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
-func tokensOf(parts []Part) int {
+// parts is what is known of the shared parts of a prompt under one cache scope.
+type parts struct {
+	scope string
+	// keys, tokens, known and reading have an element for each shared part: its
+	// name, the tokens up to its end, the replicas that have it and the one that
+	// is reading it.
+	keys    []uint64
+	tokens  []int
+	known   [][]*Replica
+	reading []*Replica
+}
+
+// lookUp returns what is known of a prompt's shared parts.
+func (r *Router) lookUp(scope string, shared []Part) *parts {
+	n := len(shared)
+	p := &parts{scope: scope, keys: make([]uint64, n), tokens: make([]int, n), known: make([][]*Replica, n), reading: make([]*Replica, n)}
 	sum := 0
-	for _, part := range parts {
+	for i, part := range shared {
 		sum += part.Tokens
+		p.keys[i], p.tokens[i] = PartKey(scope, part.ID), sum
+		p.known[i], p.reading[i] = r.holders.get(p.keys[i])
+	}
+	return p
+}
+
+// held returns how many tokens of the shared parts a replica has.
+func (p *parts) held(replica *Replica) int {
+	for i := len(p.known) - 1; i >= 0; i-- {
+		if contains(p.known[i], replica) {
+			return p.tokens[i]
+		}
 	}
-	return sum
+	return 0
 }
 
 // choose returns the replica with the least expected time to the first event. The
@@ -82,12 +108,13 @@
 	list := r.pool.Service(service)
 	best := choice{}
 	found := false
+	var known []*parts
 	for _, allowed := range []Phase{Serving, Preparing} {
 		for _, replica := range list {
 			if contains(excluded, replica) {
 				continue
 			}
-			c, ok := r.evaluate(request, service, replica, allowed)
+			c, ok := r.evaluate(request, service, replica, allowed, &known)
 			if ok && (!found || c.cost < best.cost) {
 				best, found = c, true
 			}
@@ -96,9 +123,6 @@
 			break
 		}
 	}
-	if found && best.shared != 0 {
-		best.fetchFrom = r.fetchSource(request, service, &best)
-	}
 	return best, found
 }
 
@@ -112,7 +136,7 @@
 }
 
 // evaluate returns the cost of one replica, or false if it may not be used.
-func (r *Router) evaluate(request *Request, service string, replica *Replica, allowed Phase) (choice, bool) {
+func (r *Router) evaluate(request *Request, service string, replica *Replica, allowed Phase, known *[]*parts) (choice, bool) {
 	now := r.clock.Now()
 	descriptor := replica.descriptor.Load()
 	avoided, failureRate := replica.avoided(now)
@@ -136,7 +160,7 @@
 	if !ok {
 		return choice{}, false
 	}
-	c.cost += penalty + r.readTime(request, service, replica, &c) + r.modelWait(request, service, replica, state)
+	c.cost += penalty + r.readTime(request, service, &c, known) + r.modelWait(request, service, replica, state)
 	return c, true
 }
 
@@ -204,32 +228,48 @@
 	return fmt.Sprintf("%s/%d", request.Prompt.Model, weights)
 }
 
-// readTime is the expected time for reading the prompt or fetching it.
-func (r *Router) readTime(request *Request, service string, replica *Replica, c *choice) time.Duration {
+// readTime is the expected time for reading the prompt or fetching parts of it. It
+// fixes what the replica is expected to read and where it fetches from.
+func (r *Router) readTime(request *Request, service string, c *choice, known *[]*parts) time.Duration {
 	shared := request.Prompt.sharedParts()
-	sharedTokens := tokensOf(shared)
 	c.missing = request.Prompt.Tokens
-	if sharedTokens == 0 || c.weights == 0 {
+	if len(shared) == 0 || c.weights == 0 {
 		return r.tokensTime(c.missing)
 	}
-	c.shared = partKey(c.scope, shared)
-	known := r.holders.get(c.shared)
-	unique := max(0, request.Prompt.Tokens-sharedTokens)
-	if contains(known[:], replica) {
-		c.missing, c.reason = unique, "cached"
-		return r.tokensTime(unique)
+	for _, p := range *known {
+		if p.scope == c.scope {
+			c.parts = p
+		}
 	}
-	if holder := r.nearest(known[:], replica); holder != nil {
-		c.missing, c.reason = unique, "fetch"
-		return r.tokensTime(unique) + r.fetchTime(request, service, holder, replica, sharedTokens)
+	if c.parts == nil {
+		c.parts = r.lookUp(c.scope, shared)
+		*known = append(*known, c.parts)
 	}
-	c.missing = unique + int(unknownShare*float64(sharedTokens))
-	if r.home(service, request.Prompt.Model, c.shared, c.weights, replica.descriptor.Load().Region) == replica {
+	held := c.parts.held(c.replica)
+	holder, fetched := r.nearest(c.parts, c.replica, held)
+	last := len(shared) - 1
+	total := c.parts.tokens[last]
+	cost := time.Duration(0)
+	switch {
+	case held == total:
+		c.reason = "cached"
+	case fetched == total:
+		c.reason = "fetch"
+	case c.parts.reading[last] == c.replica:
+		c.reason = "reading"
+		fetched = total
+	case c.parts.reading[last] == nil && r.home(service, request.Prompt.Model, c.parts.keys[last], c.weights, c.replica.descriptor.Load().Region) == c.replica:
 		c.reason = "home"
-		return r.tokensTime(c.missing)
+	default:
+		c.reason = "spill"
+		cost = time.Duration(total-max(held, fetched)) * readAgainTime
 	}
-	c.reason = "spill"
-	return r.tokensTime(c.missing) + 2*fetchSetup
+	if holder != nil {
+		c.fetchFrom = holder
+		cost += r.fetchTime(request, service, holder, c.replica, max(0, fetched-held))
+	}
+	c.missing = max(0, request.Prompt.Tokens-max(held, fetched))
+	return cost + r.tokensTime(c.missing)
 }
 
 func (r *Router) tokensTime(tokens int) time.Duration {
@@ -257,19 +297,26 @@
 	return regionFetch
 }
 
-// nearest returns the holder with the fastest way to a replica, or nil.
-func (r *Router) nearest(known []*Replica, to *Replica) *Replica {
-	var best *Replica
+// nearest returns the replica with more of the shared parts than are held that has
+// the fastest way to another, and how many tokens it has. It returns nil if none
+// has more.
+func (r *Router) nearest(p *parts, to *Replica, held int) (*Replica, int) {
 	now := r.clock.Now()
-	for _, holder := range known {
-		if holder == nil || holder == to || !r.mayFetch(holder, now) {
-			continue
+	for i := len(p.known) - 1; i >= 0 && p.tokens[i] > held; i-- {
+		var best *Replica
+		for _, holder := range p.known[i] {
+			if holder == to || !r.mayFetch(holder, now) {
+				continue
+			}
+			if best == nil || fetchFactor(holder, to) < fetchFactor(best, to) {
+				best = holder
+			}
 		}
-		if best == nil || fetchFactor(holder, to) < fetchFactor(best, to) {
-			best = holder
+		if best != nil {
+			return best, p.tokens[i]
 		}
 	}
-	return best
+	return nil, held
 }
 
 // mayFetch reports whether a replica may be asked for cached parts. A dead one
@@ -285,32 +332,6 @@
 	return state == nil || state.Phase != Unreachable
 }
 
-// fetchSource returns the replica that most likely has the shared parts that the
-// chosen one lacks, or nil.
-func (r *Router) fetchSource(request *Request, service string, c *choice) *Replica {
-	if c.reason == "cached" {
-		return nil
-	}
-	known := r.holders.get(c.shared)
-	if holder := r.nearest(known[:], c.replica); holder != nil {
-		return holder
-	}
-	region := c.replica.descriptor.Load().Region
-	now := r.clock.Now()
-	if home := r.home(service, request.Prompt.Model, c.shared, c.weights, region); home != nil && home != c.replica && r.mayFetch(home, now) {
-		return home
-	}
-	for _, other := range r.options.Regions {
-		if other == region {
-			continue
-		}
-		if home := r.home(service, request.Prompt.Model, c.shared, c.weights, other); home != nil && r.mayFetch(home, now) {
-			return home
-		}
-	}
-	return nil
-}
-
 // home returns the replica of a region at which all daemons expect the parts, by
 // rendezvous hashing over the replicas that serve the version.
 func (r *Router) home(service, model string, key uint64, weights int, region string) *Replica {
--- a/internal/routing/router/holders.go
+++ b/internal/routing/router/holders.go
@@ -1,101 +1,108 @@
 package router
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/zeebo/xxh3"
 )
 
 const (
-	// holderEntries bounds one generation of the memory; an entry takes some 60
+	// holderEntries bounds one generation of the memory; an entry takes some 100
 	// bytes.
 	holderEntries = 20_000
 	// holdersPerPart is how many replicas are remembered for one part.
-	holdersPerPart = 4
+	holdersPerPart = 64
 )
 
-// holders remembers which replicas have read which prompt parts. Entries that are
-// not used for two generations are forgotten. It is safe for concurrent use.
+// PartKey names a prompt part under a cache scope.
+func PartKey(scope, id string) uint64 {
+	return xxh3.HashStringSeed(id, xxh3.HashString(scope))
+}
+
+// holders remembers which replicas have read which prompt parts, and which are
+// about to. Entries that are not used for two generations are forgotten. It is
+// safe for concurrent use.
 type holders struct {
-	// mu guards the generations.
+	// mu guards the fields below. The lists are replaced, never changed.
 	mu       sync.Mutex
-	current  map[uint64]*[holdersPerPart]*Replica
-	previous map[uint64]*[holdersPerPart]*Replica
+	current  map[uint64][]*Replica
+	previous map[uint64][]*Replica
+	// reading holds the replica that got the first request with a part, until it
+	// has read it.
+	reading map[uint64]*Replica
 }
 
 func newHolders() *holders {
-	return &holders{current: make(map[uint64]*[holdersPerPart]*Replica)}
-}
-
-// partKey names a part with all parts before it under one cache scope.
-func partKey(scope string, parts []Part) uint64 {
-	key := xxh3.HashString(scope)
-	for _, part := range parts {
-		key = xxh3.HashStringSeed(part.ID, key)
-	}
-	return key
+	return &holders{current: make(map[uint64][]*Replica), reading: make(map[uint64]*Replica)}
 }
 
-// get returns the replicas that have the part.
-func (h *holders) get(key uint64) [holdersPerPart]*Replica {
+// get returns the replicas that have the part, and the one that is reading it or
+// nil.
+func (h *holders) get(key uint64) (list []*Replica, reading *Replica) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if list := h.current[key]; list != nil {
-		return *list
+	return h.list(key), h.reading[key]
+}
+
+// list returns the holders of a part. The caller holds mu.
+func (h *holders) list(key uint64) []*Replica {
+	if list, found := h.current[key]; found {
+		return list
 	}
-	if list := h.previous[key]; list != nil {
+	list, found := h.previous[key]
+	if found {
 		h.store(key, list)
-		return *list
 	}
-	return [holdersPerPart]*Replica{}
+	return list
 }
 
-// add remembers a replica. The one that was added first is forgotten for it.
+// add remembers that a replica has the part.
 func (h *holders) add(key uint64, replica *Replica) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := h.current[key]
-	if list == nil {
-		if list = h.previous[key]; list == nil {
-			list = new([holdersPerPart]*Replica)
-		}
-		h.store(key, list)
+	list := h.list(key)
+	if slices.Contains(list, replica) {
+		return
 	}
-	for i, known := range list {
-		if known == replica {
-			return
-		}
-		if known == nil {
-			list[i] = replica
-			return
-		}
+	if len(list) >= holdersPerPart {
+		list = list[1:]
 	}
-	copy(list[:], list[1:])
-	list[holdersPerPart-1] = replica
+	h.store(key, append(slices.Clip(list), replica))
 }
 
 // remove forgets that a replica has the part.
 func (h *holders) remove(key uint64, replica *Replica) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := h.current[key]
-	if list == nil {
-		return
+	list := h.list(key)
+	if i := slices.Index(list, replica); i >= 0 {
+		h.store(key, append(slices.Clip(list[:i]), list[i+1:]...))
 	}
-	kept := 0
-	for _, known := range list {
-		if known != nil && known != replica {
-			list[kept] = known
-			kept++
-		}
+}
+
+// begin notes that a replica got a request with a part that nobody has.
+func (h *holders) begin(key uint64, replica *Replica) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.reading[key] == nil {
+		h.reading[key] = replica
+	}
+}
+
+// end takes begin back.
+func (h *holders) end(key uint64, replica *Replica) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.reading[key] == replica {
+		delete(h.reading, key)
 	}
-	clear(list[kept:])
 }
 
 // store begins a new generation if the current one is full. The caller holds mu.
-func (h *holders) store(key uint64, list *[holdersPerPart]*Replica) {
-	if len(h.current) >= holderEntries {
-		h.previous, h.current = h.current, make(map[uint64]*[holdersPerPart]*Replica)
+func (h *holders) store(key uint64, list []*Replica) {
+	if _, found := h.current[key]; !found && len(h.current) >= holderEntries {
+		h.previous, h.current = h.current, make(map[uint64][]*Replica)
 	}
 	h.current[key] = list
 }
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -204,6 +204,9 @@
 // Replica returns a replica by id, or nil.
 func (p *Pool) Replica(id string) *Replica { return p.view.Load().byID[id] }
 
+// At returns the replica at an address, or nil.
+func (p *Pool) At(address string) *Replica { return p.view.Load().byAddress[address] }
+
 // Len returns the number of replicas.
 func (p *Pool) Len() int { return len(p.view.Load().byID) }
 
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -103,3 +103,18 @@
 	}
 	return result
 }
+
+// LearnCache takes what was added to and dropped from the cache of the replica at
+// an address, by the names that PartKey gives.
+func (r *Router) LearnCache(address string, added, dropped []uint64) {
+	replica := r.pool.At(address)
+	if replica == nil {
+		return
+	}
+	for _, key := range added {
+		r.holders.add(key, replica)
+	}
+	for _, key := range dropped {
+		r.holders.remove(key, replica)
+	}
+}
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -100,6 +100,11 @@
 		u.waiting = false
 		u.choice.replica.unstarted.Add(-1)
 		u.choice.replica.waitingTokens.Add(-int64(u.choice.missing))
+		if u.choice.parts != nil {
+			for _, key := range u.choice.parts.keys {
+				u.router.holders.end(key, u.choice.replica)
+			}
+		}
 	}
 }
 
@@ -198,6 +203,11 @@
 	if request.Prompt != nil {
 		r.noteMissing(c.missing)
 	}
+	if c.parts != nil {
+		for _, key := range c.parts.keys {
+			r.holders.begin(key, c.replica)
+		}
+	}
 	r.logger.Debug("route: sent.", "request", request.ID, "replica", descriptor.ID, "service", u.service, "reason", c.reason,
 		"cost", c.cost, "weights", c.weights, "missing", c.missing, "fetchFrom", attempt.FetchFrom, "configuration", request.Catalog.Version, "after", u.last)
 	ctx, cancel := context.WithCancel(u.ctx)
@@ -365,8 +375,11 @@
 
 // remember notes that the replica has read the shared parts of the prompt.
 func (u *run) remember() {
-	if u.choice.shared != 0 && u.reply.Weights == u.choice.weights {
-		u.router.holders.add(u.choice.shared, u.choice.replica)
+	if u.choice.parts == nil || u.reply.Weights != u.choice.weights {
+		return
+	}
+	for _, key := range u.choice.parts.keys {
+		u.router.holders.add(key, u.choice.replica)
 	}
 }
 
--- a/internal/state/watcher/watch.go
+++ b/internal/state/watcher/watch.go
@@ -43,10 +43,15 @@
 	Ended time.Time
 }
 
+// pausePeriod is how often a paused watcher looks whether it must go on.
+const pausePeriod = 250 * time.Millisecond
+
 // Watcher runs until it is closed.
 type Watcher struct {
 	source Source
 	table  *replicator.Table
+	// paused reports whether others bring the changes.
+	paused func() bool
 	clock  timekeeper.Clock
 	logger *log.Logger
 	cancel context.CancelFunc
@@ -57,10 +62,11 @@
 	outage Outage
 }
 
-// New starts a watcher that fills the table.
-func New(source Source, table *replicator.Table, clock timekeeper.Clock, logger *log.Logger) *Watcher {
+// New starts a watcher that fills the table. It leaves the store alone while paused
+// reports that other daemons bring the changes.
+func New(source Source, table *replicator.Table, paused func() bool, clock timekeeper.Clock, logger *log.Logger) *Watcher {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &Watcher{source: source, table: table, clock: clock, logger: logger, cancel: cancel, done: make(chan struct{})}
+	w := &Watcher{source: source, table: table, paused: paused, clock: clock, logger: logger, cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
 		w.run(ctx)
@@ -86,6 +92,13 @@
 	pause := retryLeast
 	known := false
 	for ctx.Err() == nil {
+		if w.table.Filled() && w.paused() {
+			select {
+			case <-ctx.Done():
+			case <-w.clock.After(pausePeriod):
+			}
+			continue
+		}
 		var err error
 		if known {
 			revision, err = w.follow(ctx, revision)
