Choose by expected loss of worth; tell sidecars what waits; age of weights by the first newer version

And the cost in time could not weigh old weights or parts read again against a late answer.

Change: the observer keeps when each version was learnt; a choice weighs lateness against the target, old weights, parts read again, distance and failures as shares of the request's worth; entries tell sidecars their waiting prompt tokens, and these tell all entries the sum.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -56,6 +56,9 @@
 	OnStatus func(Status)
 	// OnCache takes what others say of the cache of the replica at an address.
 	OnCache func(address string, news CacheNews)
+	// Waiting returns how many prompt tokens this daemon has sent to the replica at
+	// an address that are not read yet.
+	Waiting func(address string) int
 	// Cache is the log of the own replica's cache, nil if there is none.
 	Cache *CacheLog
 	// Fed reports whether the store serves this daemon.
@@ -80,6 +83,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
+	// sessions holds all that are open.
+	sessions map[*session]bool
 	// fedAt is when another daemon last said that the store serves it.
 	fedAt time.Time
 	// askedAt is when changes were last asked for.
@@ -90,7 +95,7 @@
 
 // New starts an announcer. An empty address means that nobody connects to it.
 func New(address string, d Dependencies) (*Announcer, error) {
-	a := &Announcer{d: d, reached: make(map[string]context.CancelFunc)}
+	a := &Announcer{d: d, reached: make(map[string]context.CancelFunc), sessions: make(map[*session]bool)}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if address == "" {
 		return a, nil
@@ -120,7 +125,28 @@
 // speak runs one session and closes the connection.
 func (a *Announcer) speak(ctx context.Context, conn net.Conn) error {
 	defer func() { _ = conn.Close() }()
-	return newSession(a, conn).run(ctx)
+	s := newSession(a, conn)
+	a.mu.Lock()
+	a.sessions[s] = true
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.sessions, s)
+	}()
+	return s.run(ctx)
+}
+
+// waiting returns the prompt tokens that all other daemons have sent to the own
+// replica and that are not read yet.
+func (a *Announcer) waiting() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sum := int64(0)
+	for s := range a.sessions {
+		sum += s.waiting.Load()
+	}
+	return int(sum)
 }
 
 func (a *Announcer) fed() {
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
@@ -20,8 +21,8 @@
 
 const (
 	// period is the longest time between two messages of one end.
-	period = 250 * time.Millisecond
-	// silenceLimit is how long an end waits for a message, 4 periods.
+	period = 125 * time.Millisecond
+	// silenceLimit is how long an end waits for a message, 8 periods.
 	silenceLimit = time.Second
 	// askAgain is when changes that were asked for and did not come are asked for
 	// again.
@@ -40,6 +41,9 @@
 	Running    int            `cbor:"5,keyasint"`
 	Queued     int            `cbor:"6,keyasint"`
 	MemoryUsed int            `cbor:"7,keyasint"`
+	// Waiting is how many prompt tokens all entries have sent that the replica has
+	// not read yet.
+	Waiting int `cbor:"8,keyasint,omitempty"`
 }
 
 // message is all that daemons say to each other.
@@ -57,6 +61,9 @@
 	Fed bool `cbor:"6,keyasint,omitempty"`
 	// Cache is what changed in the cache of the sender's replica.
 	Cache *CacheNews `cbor:"7,keyasint,omitempty"`
+	// Waiting is how many prompt tokens the sender has sent to the receiver's
+	// replica that are not read yet.
+	Waiting int `cbor:"8,keyasint,omitempty"`
 }
 
 // session is one connection between two daemons.
@@ -69,6 +76,11 @@
 	// Only the sender uses it.
 	cursor uint64
 
+	// replica is the address of the other end's replica, nil before it was named.
+	replica atomic.Pointer[string]
+	// waiting is what the other end last said in Waiting.
+	waiting atomic.Int64
+
 	// mu guards the writer and encoder.
 	mu sync.Mutex
 	// behindSince is when the other copy was first seen ahead, zero if it is not.
@@ -93,6 +105,12 @@
 		for ctx.Err() == nil {
 			news := d.Notice.Wait()
 			m := message{Status: d.Status()}
+			if m.Status != nil {
+				m.Status.Waiting = s.owner.waiting()
+			}
+			if replica := s.replica.Load(); replica != nil {
+				m.Waiting = d.Waiting(*replica)
+			}
 			if d.Cache != nil {
 				m.Cache, s.cursor = d.Cache.since(s.cursor)
 			}
@@ -139,11 +157,13 @@
 		s.owner.fed()
 	}
 	if m.Status != nil {
+		s.replica.Store(&m.Status.Address)
 		d.OnStatus(*m.Status)
 		if m.Cache != nil {
 			d.OnCache(m.Status.Address, *m.Cache)
 		}
 	}
+	s.waiting.Store(int64(m.Waiting))
 	if m.Delta != nil && d.Table.Apply(*m.Delta) {
 		d.Logger.Debug("fleet: changes taken from another daemon.", "from", s.conn.RemoteAddr(), "revision", m.Delta.Revision, "items", len(m.Delta.Items))
 	}
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -63,6 +63,9 @@
 	Weights map[string]int
 	// Running and Queued count requests of all callers.
 	Running, Queued int
+	// Waiting is how many prompt tokens all daemons have sent that the replica has
+	// not read yet.
+	Waiting int
 	// MemoryUsed is the memory that cannot be freed, in tokens.
 	MemoryUsed int
 	// At is when the state arrived.
@@ -76,10 +79,11 @@
 	state atomic.Pointer[State]
 	// hash spreads homes.
 	hash uint64
-	// unstarted and waitingTokens are this daemon's requests at the replica before
-	// their first event, and their prompt tokens to read.
-	unstarted     atomic.Int64
+	// waitingTokens is what this daemon's requests at the replica, before their
+	// first event, have it read.
 	waitingTokens atomic.Int64
+	// told is what the replica's sidecar was last told of waitingTokens.
+	told atomic.Int64
 	// running counts this daemon's requests at the replica.
 	running atomic.Int64
 
@@ -207,6 +211,18 @@
 // At returns the replica at an address, or nil.
 func (p *Pool) At(address string) *Replica { return p.view.Load().byAddress[address] }
 
+// Waiting returns the prompt tokens that this daemon has sent to the replica at an
+// address and that are not read yet, and notes that its sidecar is told so.
+func (p *Pool) Waiting(address string) int {
+	replica := p.At(address)
+	if replica == nil {
+		return 0
+	}
+	waiting := replica.waitingTokens.Load()
+	replica.told.Store(waiting)
+	return int(waiting)
+}
+
 // Len returns the number of replicas.
 func (p *Pool) Len() int { return len(p.view.Load().byID) }
 
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -1,9 +1,7 @@
 package router
 
 import (
-	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -11,14 +9,6 @@
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
 
-const (
-	// missingStart is the number of prompt tokens to read that is expected of
-	// other daemons' requests before any was seen.
-	missingStart = 2000
-	// missingWeight is the weight of one request in their mean.
-	missingWeight = 0.05
-)
-
 // Options are the fixed values of a router.
 type Options struct {
 	// Zone and Region are where the daemon is; Regions are all that there are.
@@ -38,8 +28,9 @@
 	// OldWeightsLimit is how long after a newer version was named requests may
 	// begin on older weights.
 	OldWeightsLimit time.Duration
-	// Wanted returns the newest named version of a model; zero if none is known.
-	Wanted func(model string) Weights
+	// Superseded returns when a newer version of a model was first named, false if
+	// there is none.
+	Superseded func(model string, version int) (time.Time, bool)
 }
 
 // Router serves the requests of one daemon. It is safe for concurrent use.
@@ -50,9 +41,6 @@
 	clock     timekeeper.Clock
 	logger    *log.Logger
 	holders   *holders
-	// missing holds the bits of a float64: the mean of the tokens that requests
-	// have to read. Of racing updates one may be lost.
-	missing atomic.Uint64
 
 	// mu guards budgets.
 	mu      sync.Mutex
@@ -61,7 +49,7 @@
 
 // New returns a router for the replicas of the pool.
 func New(options Options, pool *Pool, transport Transport, clock timekeeper.Clock, logger *log.Logger) *Router {
-	r := &Router{
+	return &Router{
 		options:   options,
 		pool:      pool,
 		transport: transport,
@@ -70,8 +58,6 @@
 		holders:   newHolders(),
 		budgets:   make(map[string]*limiter.Window),
 	}
-	r.missing.Store(math.Float64bits(missingStart))
-	return r
 }
 
 // budget returns the retry budget of a service.
@@ -86,13 +72,6 @@
 	return budget
 }
 
-func (r *Router) meanMissing() float64 { return math.Float64frombits(r.missing.Load()) }
-
-func (r *Router) noteMissing(tokens int) {
-	mean := r.meanMissing()
-	r.missing.Store(math.Float64bits(mean + missingWeight*(float64(tokens)-mean)))
-}
-
 // Begin starts a request. The caller must call the Close of a stream, and nothing
 // for other results.
 func (r *Router) Begin(request *Request) *Result {
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -98,7 +98,6 @@
 func (u *run) started() {
 	if u.waiting {
 		u.waiting = false
-		u.choice.replica.unstarted.Add(-1)
 		u.choice.replica.waitingTokens.Add(-int64(u.choice.missing))
 		if u.choice.parts != nil {
 			for _, key := range u.choice.parts.keys {
@@ -198,18 +197,14 @@
 	}
 	u.counted, u.waiting = true, true
 	c.replica.running.Add(1)
-	c.replica.unstarted.Add(1)
 	c.replica.waitingTokens.Add(int64(c.missing))
-	if request.Prompt != nil {
-		r.noteMissing(c.missing)
-	}
 	if c.parts != nil {
 		for _, key := range c.parts.keys {
 			r.holders.begin(key, c.replica)
 		}
 	}
-	r.logger.Debug("route: sent.", "request", request.ID, "replica", descriptor.ID, "service", u.service, "reason", c.reason,
-		"cost", c.cost, "weights", c.weights, "missing", c.missing, "fetchFrom", attempt.FetchFrom, "configuration", request.Catalog.Version, "after", u.last)
+	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "service", u.service, "reason", c.reason,
+		"wait", c.wait, "loss", c.loss, "weights", c.weights, "missing", c.missing, "fetchFrom", attempt.FetchFrom, "configuration", request.Catalog.Version, "after", u.last)
 	ctx, cancel := context.WithCancel(u.ctx)
 	u.cancelAttempt = cancel
 	if limit, limited := u.patience(); limited {
@@ -350,6 +345,8 @@
 		if u.waiting {
 			u.started()
 			u.remember()
+			u.router.logger.Info("route: first event.", "request", u.request.ID, "replica", u.choice.replica.ID(),
+				"expected", u.choice.wait, "took", u.router.clock.Now().Sub(u.sent), "missing", u.choice.missing)
 		}
 		if event.ID >= 0 && event.ID <= u.last {
 			continue
--- /dev/null
+++ b/internal/routing/router/wait.go
@@ -0,0 +1,125 @@
+package router
+
+import "time"
+
+const (
+	// firstTime is what a first event takes without a prompt: the head, a step and
+	// the way back.
+	firstTime = 45 * time.Millisecond
+	// zoneTime and regionTime are round trips to another availability zone of the
+	// region and to another region.
+	zoneTime, regionTime = 3 * time.Millisecond, 42 * time.Millisecond
+	// fetchSetup is what a transfer of cached parts costs besides its bytes.
+	fetchSetup = 8 * time.Millisecond
+	// zoneFetch and regionFetch are how many times as long a transfer takes
+	// between availability zones and between regions.
+	zoneFetch, regionFetch = 2, 10
+	// coldTime is what a replica that has just started takes longer.
+	coldTime = 60 * time.Millisecond
+)
+
+// distance returns the time to a replica and back, and the price of the way.
+func (r *Router) distance(d *Descriptor) (time.Duration, float64) {
+	switch {
+	case d.Zone == r.options.Zone:
+		return 0, 0
+	case d.Region == r.options.Region:
+		return zoneTime, zoneLoss
+	}
+	return regionTime, regionLoss
+}
+
+// plainWait is the expected time to the answer of a plain server.
+func (r *Router) plainWait(replica *Replica, d *Descriptor, state *State) time.Duration {
+	busy := replica.running.Load()
+	if state != nil {
+		busy = max(busy, int64(state.Running+state.Queued))
+	}
+	slots := int64(max(1, d.Slots))
+	wait := r.options.PlainWork + time.Duration(busy)*r.options.PlainWork/time.Duration(4*slots)
+	if busy >= slots {
+		wait += time.Duration(busy-slots+1) * r.options.PlainWork / time.Duration(slots)
+	}
+	return wait
+}
+
+// modelWait is the expected time before the replica begins to read the prompt,
+// and to its first event behind it.
+func (r *Router) modelWait(request *Request, replica *Replica, state *State) time.Duration {
+	waiting := replica.waitingTokens.Load()
+	running := replica.running.Load()
+	if state != nil {
+		waiting += max(0, int64(state.Waiting)-replica.told.Load())
+		running = max(running, int64(state.Running))
+	}
+	return firstTime + r.tokensTime(int(waiting)) + time.Duration(running)*r.options.RunningCost
+}
+
+// readTime is the expected time for reading the prompt or fetching parts of it. It
+// fixes what the replica is expected to read and where it fetches from.
+func (r *Router) readTime(request *Request, service string, c *choice, known *[]*parts) time.Duration {
+	shared := request.Prompt.sharedParts()
+	c.missing = request.Prompt.Tokens
+	if len(shared) == 0 || c.weights == 0 {
+		return r.tokensTime(c.missing)
+	}
+	for _, p := range *known {
+		if p.scope == c.scope {
+			c.parts = p
+		}
+	}
+	if c.parts == nil {
+		c.parts = r.lookUp(c.scope, shared)
+		*known = append(*known, c.parts)
+	}
+	held := c.parts.held(c.replica)
+	holder, fetched := r.nearest(c.parts, c.replica, held)
+	last := len(shared) - 1
+	total := c.parts.tokens[last]
+	switch {
+	case held == total:
+		c.reason = "cached"
+	case fetched == total:
+		c.reason = "fetch"
+	case c.parts.reading[last] == c.replica:
+		c.reason = "reading"
+		fetched = total
+	case c.parts.reading[last] == nil && r.home(service, request.Prompt.Model, c.parts.keys[last], c.weights, c.replica.descriptor.Load().Region) == c.replica:
+		c.reason = "home"
+	default:
+		c.reason = "spill"
+		c.again = total - max(held, fetched)
+	}
+	c.missing = max(0, request.Prompt.Tokens-max(held, fetched))
+	wait := r.tokensTime(c.missing)
+	if holder != nil {
+		c.fetchFrom = holder
+		wait += r.fetchTime(request, service, holder, c.replica, max(0, fetched-held))
+	}
+	return wait
+}
+
+func (r *Router) tokensTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / r.options.ReadTokensPerSecond * float64(time.Second))
+}
+
+// fetchTime is the time of a transfer of cached tokens.
+func (r *Router) fetchTime(request *Request, service string, from, to *Replica, tokens int) time.Duration {
+	engine := r.engine(request, service)
+	if engine == nil || engine.LinkBitsPerSecond <= 0 {
+		return fetchSetup
+	}
+	seconds := float64(tokens) * engine.TokenBytes * 8 / engine.LinkBitsPerSecond
+	return fetchSetup + time.Duration(seconds*float64(fetchFactor(from, to))*float64(time.Second))
+}
+
+func fetchFactor(a, b *Replica) int {
+	from, to := a.descriptor.Load(), b.descriptor.Load()
+	switch {
+	case from.Zone == to.Zone:
+		return 1
+	case from.Region == to.Region:
+		return zoneFetch
+	}
+	return regionFetch
+}
--- a/internal/weights/observer/observe.go
+++ b/internal/weights/observer/observe.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
 
@@ -18,6 +17,9 @@
 	Revision uint64
 }
 
+// maxHistory bounds the versions that are remembered of one model.
+const maxHistory = 64
+
 // Observer is safe for concurrent use.
 type Observer struct {
 	clock timekeeper.Clock
@@ -32,9 +34,17 @@
 	begun bool
 }
 
+// known is what was named of one model.
 type known struct {
 	named Named
-	since time.Time
+	// history holds every version with the time at which this daemon learnt of
+	// it, in ascending order of both.
+	history []naming
+}
+
+type naming struct {
+	version int
+	since   time.Time
 }
 
 // New returns an observer that knows nothing.
@@ -52,18 +62,24 @@
 	}
 	o.begun = true
 	for _, named := range list {
-		if named.Version > o.models[named.Model].named.Version {
-			o.models[named.Model] = known{named: named, since: now}
+		if k := o.models[named.Model]; named.Version > k.named.Version {
+			history := append(k.history, naming{version: named.Version, since: now})
+			o.models[named.Model] = known{named: named, history: history[max(0, len(history)-maxHistory):]}
 		}
 	}
 }
 
-// Wanted returns the newest version of a model.
-func (o *Observer) Wanted(model string) router.Weights {
+// Superseded returns when this daemon learnt of the first version of a model that
+// is newer than the given one. The second result is false if there is none.
+func (o *Observer) Superseded(model string, version int) (time.Time, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	k := o.models[model]
-	return router.Weights{Version: k.named.Version, Since: k.since}
+	for _, n := range o.models[model].history {
+		if n.version > version {
+			return n.since, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // Newest returns the newest version of each model.
--- a/internal/weights/orderer/order.go
+++ b/internal/weights/orderer/order.go
@@ -70,8 +70,6 @@
 	Model   string
 	Version int
 	Fence   uint64
-	// Since is when this sidecar learnt of it.
-	Since time.Time
 }
 
 // Turn tells whether the replica may load.
@@ -226,7 +224,7 @@
 	call, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	err := o.d.Replica.Give(call, o.ordered)
-	o.d.Logger.Info("weights: order given.", "model", wanted.Model, "version", wanted.Version, "fence", wanted.Fence, "sequence", o.ordered.Sequence, "err", err)
+	o.d.Logger.Info("weights: order given.", "model", wanted.Model, "version", wanted.Version, "fence", wanted.Fence, "sequence", o.ordered.Sequence, "running", o.report.Running, "queued", o.report.Queued, "err", err)
 	if errors.Is(err, ErrSuperseded) {
 		o.refused = wanted.Fence
 	}
--- a/internal/weights/orderer/turn.go
+++ b/internal/weights/orderer/turn.go
@@ -70,8 +70,9 @@
 }
 
 // Turn judges whether the own replica may load. before is the last word of the
-// replica before it, nil if there is none that holds.
-func (q Queue) Turn(wanted Wanted, before *router.State, now time.Time) Turn {
+// replica before it, nil if there is none that holds; age is how long the sidecar
+// has known of the wanted version.
+func (q Queue) Turn(wanted Wanted, before *router.State, age time.Duration) Turn {
 	place := q.place(wanted.Version)
 	if place == 0 || q.Before == nil {
 		return Load
@@ -84,7 +85,7 @@
 			return Prepare
 		}
 	}
-	if now.Sub(wanted.Since) > time.Duration(place)*placeLimit {
+	if age > time.Duration(place)*placeLimit {
 		return Load
 	}
 	return Wait
