Reset abandoned exchanges; replicas about to load take short requests

Change 1: an exchange that did not end whole is reset.

Cause 2: a load was held up by the long runs at its replica (1.84 s in place of 0.78), and a replica that waited for its turn stood idle. Change 2: while a replica prepares it takes short requests; entries stop sending 60 ms before the order.

--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -26,6 +26,9 @@
 	// zoneLoss and regionLoss are the price of bytes to other availability zones
 	// and regions: 3 KB a request at 3.2 and 13 a MB, of a worth of 2 to 6.
 	zoneLoss, regionLoss = 0.003, 0.012
+	// preparingLoss is what a long request loses at a replica that is about to load
+	// weights: it would hold the load up. It stands behind a late answer elsewhere.
+	preparingLoss = 0.8
 	// tieLoss keeps daemons that know the same from choosing the same.
 	tieLoss = 0.004
 )
@@ -34,6 +37,9 @@
 	// rampFrom and rampTo are the expected times, as shares of the target, between
 	// which an answer becomes late: expectations are off by about a half.
 	rampFrom, rampTo = 0.5, 1.3
+	// shortOutput is the most tokens that a short request may generate: at 8 ms a
+	// token, a fifth of a second.
+	shortOutput = 25
 	// oldWeightsGrace is how long after a newer version is named answers on older
 	// weights are as good: 1.5 s, less the wait.
 	oldWeightsGrace = 1300 * time.Millisecond
@@ -66,18 +72,13 @@
 	best := choice{}
 	found := false
 	var known []*parts
-	for _, allowed := range []Phase{Serving, Preparing} {
-		for _, replica := range list {
-			if contains(excluded, replica) {
-				continue
-			}
-			c, ok := r.evaluate(request, service, replica, allowed, &known)
-			if ok && (!found || c.loss < best.loss) {
-				best, found = c, true
-			}
+	for _, replica := range list {
+		if contains(excluded, replica) {
+			continue
 		}
-		if found {
-			break
+		c, ok := r.evaluate(request, service, replica, &known)
+		if ok && (!found || c.loss < best.loss) {
+			best, found = c, true
 		}
 	}
 	return best, found
@@ -94,7 +95,7 @@
 
 // evaluate returns what one replica is expected to lose, or false if it may not be
 // used.
-func (r *Router) evaluate(request *Request, service string, replica *Replica, allowed Phase, known *[]*parts) (choice, bool) {
+func (r *Router) evaluate(request *Request, service string, replica *Replica, known *[]*parts) (choice, bool) {
 	now := r.clock.Now()
 	descriptor := replica.descriptor.Load()
 	avoided, failureRate := replica.avoided(now)
@@ -102,13 +103,18 @@
 		return choice{}, false
 	}
 	state := replica.Fresh(now)
-	if state != nil && state.Phase > allowed {
-		return choice{}, false
-	}
 	c := choice{replica: replica}
+	if state != nil && state.Phase != Serving {
+		if state.Phase != Preparing {
+			return choice{}, false
+		}
+		if !request.short() {
+			c.loss += preparingLoss
+		}
+	}
 	wait, distance := r.distance(descriptor)
 	c.wait = wait
-	c.loss = distance + failureRate*failureLoss + rand.Float64()*tieLoss
+	c.loss += distance + failureRate*failureLoss + rand.Float64()*tieLoss
 	if descriptor.ColdFor > 0 {
 		c.wait += coldTime
 	}
@@ -127,6 +133,9 @@
 	return c, true
 }
 
+// short reports whether the request ends soon behind its first event.
+func (r *Request) short() bool { return r.Prompt == nil || r.Prompt.Output <= shortOutput }
+
 // waitLoss is what a request is expected to lose by an answer behind a time.
 func (r *Request) waitLoss(wait time.Duration) float64 {
 	target := r.Route.Target
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -50,9 +50,10 @@
 const (
 	// Serving replicas take requests.
 	Serving Phase = iota
-	// Preparing replicas finish their requests before new weights are loaded.
+	// Preparing replicas finish long requests and take short ones, since new weights
+	// are loaded soon.
 	Preparing
-	// Loading replicas load weights.
+	// Loading replicas take no requests: they load weights or begin to at once.
 	Loading
 	// Unreachable replicas do not answer their own sidecar.
 	Unreachable
--- a/internal/weights/orderer/order.go
+++ b/internal/weights/orderer/order.go
@@ -24,15 +24,18 @@
 	// idlePeriod and activePeriod are the times between two looks at the replica.
 	idlePeriod   = 200 * time.Millisecond
 	activePeriod = 40 * time.Millisecond
-	// prepareTime is how long entries need to stop sending, so that no request
-	// meets the order.
-	prepareTime = 120 * time.Millisecond
+	// prepareTime is how long long requests get to end before the order, which
+	// holds up all others. Short ones go on being taken meanwhile.
+	prepareTime = 300 * time.Millisecond
+	// closeTime is how long entries need to stop sending, so that no request meets
+	// the order: a way between regions and some more.
+	closeTime = 60 * time.Millisecond
 	// orderAgain is when an order without effect is given again.
 	orderAgain = 800 * time.Millisecond
 	// missedReports is how many looks must fail before the replica counts as
 	// unreachable.
 	missedReports = 2
-	// resumeLimit is how long an unreachable replica holds its turn.
+	// callLimit bounds a call to the replica, which is on the same host.
 	callLimit = 300 * time.Millisecond
 )
 
@@ -109,8 +112,9 @@
 	phase  router.Phase
 	missed int
 	report Report
-	// preparedAt is when preparing began, orderedAt when the last order left.
-	preparedAt, orderedAt time.Time
+	// preparedAt is when preparing began, closedAt when entries were told to stop
+	// sending, orderedAt when the last order left; zero before.
+	preparedAt, closedAt, orderedAt time.Time
 	ordered               Order
 	// refused is the highest fence that the replica has refused.
 	refused uint64
@@ -162,7 +166,7 @@
 	o.missed = 0
 	if report.Started != o.report.Started {
 		// A restarted replica has forgotten its orders.
-		o.orderedAt, o.preparedAt, o.refused = time.Time{}, time.Time{}, 0
+		o.orderedAt, o.preparedAt, o.closedAt, o.refused = time.Time{}, time.Time{}, time.Time{}, 0
 	}
 	o.report = report
 	wanted, behind := o.behind()
@@ -170,7 +174,7 @@
 	case !behind && report.Busy:
 		o.enter(router.Loading)
 	case !behind:
-		o.preparedAt, o.orderedAt = time.Time{}, time.Time{}
+		o.preparedAt, o.closedAt, o.orderedAt = time.Time{}, time.Time{}, time.Time{}
 		o.enter(router.Serving)
 	default:
 		o.advance(ctx, wanted)
@@ -204,18 +208,20 @@
 	turn := o.d.Turn(wanted)
 	switch {
 	case turn == Wait:
-		o.preparedAt = time.Time{}
+		o.preparedAt, o.closedAt = time.Time{}, time.Time{}
 		o.enter(router.Serving)
-		return
 	case o.preparedAt.IsZero():
 		o.preparedAt = now
 		o.enter(router.Preparing, "model", wanted.Model, "version", wanted.Version)
-		return
 	case turn == Prepare || now.Sub(o.preparedAt) < prepareTime || wanted.Fence <= o.refused:
+		o.closedAt = time.Time{}
 		o.enter(router.Preparing)
-		return
+	case o.closedAt.IsZero():
+		o.closedAt = now
+		o.enter(router.Loading, "model", wanted.Model, "version", wanted.Version)
+	case now.Sub(o.closedAt) >= closeTime:
+		o.give(ctx, wanted)
 	}
-	o.give(ctx, wanted)
 }
 
 func (o *Orderer) give(ctx context.Context, wanted Wanted) {
@@ -228,9 +234,7 @@
 	if errors.Is(err, ErrSuperseded) {
 		o.refused = wanted.Fence
 	}
-	if err == nil {
-		o.enter(router.Loading)
-	}
+	o.enter(router.Loading)
 }
 
 // enter changes the phase and tells others of it.
--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -136,6 +136,10 @@
 		a.client.keep(a.address, a.conn, idleTime(string(a.header.Peek(fasthttp.HeaderKeepAlive))))
 		return
 	}
+	if !a.whole {
+		a.conn.reset()
+		return
+	}
 	_ = a.conn.Close()
 }
 
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -115,6 +115,16 @@
 	idleLimit time.Duration
 }
 
+// reset closes the connection so that bytes which are held up on the way are lost
+// and do not reach the server after all.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// A connection that has failed already cannot be set; it holds nothing.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // New returns a client for servers that echo ids in the given header field.
 func New(idField string, clock timekeeper.Clock) *Client {
 	dialer := &net.Dialer{KeepAlive: -1}
@@ -136,7 +146,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	answer := &Answer{client: c, conn: connection, address: request.Address}
-	answer.stop = context.AfterFunc(ctx, func() { _ = connection.Close() })
+	answer.stop = context.AfterFunc(ctx, connection.reset)
 	_ = connection.SetDeadline(request.Deadline)
 	if err := c.write(answer, request); err != nil {
 		answer.Close()
