The life that started last is the replica at an address

Cause: after a final power cut replicas come back under new ids at the same addresses, while the entries of the old ones lapse 3.6 s later.

Change: of several entries at one address the one that started last is used; a replica whose address answers under another id, or whose sidecar names a later start, counts as ended. A request that came back is admitted for half of its caller's patience, since later ones go before it.

--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -99,7 +99,7 @@
 	now := r.clock.Now()
 	descriptor := replica.descriptor.Load()
 	avoided, failureRate := replica.avoided(now)
-	if descriptor.Draining || avoided {
+	if descriptor.Draining || avoided || !r.pool.present(replica) {
 		return choice{}, false
 	}
 	state := replica.Fresh(now)
--- a/internal/routing/router/parts.go
+++ b/internal/routing/router/parts.go
@@ -85,7 +85,7 @@
 // mayFetch reports whether a replica may be asked for cached parts. A dead one
 // costs the asker some hundred milliseconds.
 func (r *Router) mayFetch(holder *Replica, now time.Time) bool {
-	if r.pool.Replica(holder.ID()) != holder {
+	if !r.pool.present(holder) {
 		return false
 	}
 	if avoided, _ := holder.avoided(now); avoided {
@@ -102,7 +102,7 @@
 	var bestHash uint64
 	for _, replica := range r.pool.Service(service) {
 		d := replica.descriptor.Load()
-		if d.Region != region || d.Draining || replica.Weights(model) != weights {
+		if d.Region != region || d.Draining || !r.pool.present(replica) || replica.Weights(model) != weights {
 			continue
 		}
 		if hash := mix(replica.hash ^ key); best == nil || hash > bestHash {
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,8 @@
 	state atomic.Pointer[State]
 	// hash spreads homes.
 	hash uint64
+	// ended is set once another replica, or another life, was met at the address.
+	ended atomic.Bool
 	// waiting is what this daemon's requests at the replica, before their first
 	// event, have it read, by priority.
 	waiting [Priorities]atomic.Int64
@@ -202,13 +205,48 @@
 			replica = &Replica{hash: xxh3.HashString(descriptor.ID)}
 		}
 		replica.descriptor.Store(&descriptor)
-		next.byID[descriptor.ID] = replica
-		next.byAddress[descriptor.Address] = replica
+		next.add(replica)
 		next.byService[descriptor.Service] = append(next.byService[descriptor.Service], replica)
 	}
 	p.view.Store(next)
 }
 
+// add puts a replica into the view. Of several at one address the one that started
+// last is there; the entries of the others have not lapsed yet.
+func (v *view) add(replica *Replica) {
+	d := replica.descriptor.Load()
+	v.byID[d.ID] = replica
+	if other := v.byAddress[d.Address]; other != nil && !other.ended.Load() {
+		if replica.ended.Load() || other.descriptor.Load().Started > d.Started {
+			return
+		}
+	}
+	v.byAddress[d.Address] = replica
+}
+
+// End notes that a replica is not at its address any more.
+func (p *Pool) End(replica *Replica) {
+	if !replica.ended.CompareAndSwap(false, true) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.view.Load()
+	next := &view{byID: old.byID, byService: old.byService, byAddress: maps.Clone(old.byAddress)}
+	delete(next.byAddress, replica.Address())
+	for _, other := range old.byID {
+		if other.Address() == replica.Address() && !other.ended.Load() {
+			next.add(other)
+		}
+	}
+	p.view.Store(next)
+}
+
+// present reports whether the replica is the one at its address.
+func (p *Pool) present(replica *Replica) bool {
+	return !replica.ended.Load() && p.view.Load().byAddress[replica.Address()] == replica
+}
+
 // Service returns the replicas of a service in the order of the list.
 func (p *Pool) Service(name string) []*Replica { return p.view.Load().byService[name] }
 
@@ -243,7 +281,10 @@
 	if replica == nil {
 		return
 	}
-	if known := replica.descriptor.Load().Started; known != 0 && state.Started != 0 && state.Started < known {
+	if known := replica.descriptor.Load().Started; known != 0 && state.Started != 0 && state.Started != known {
+		if state.Started > known {
+			p.End(replica)
+		}
 		return
 	}
 	state.At = p.clock.Now()
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -100,6 +100,8 @@
 	// WrongReplica is set if another replica has the address, or the weights
 	// were of another version.
 	WrongReplica bool
+	// ReplicaID is the replica that answered, "" if it is not named.
+	ReplicaID string
 	// Weights is the version that the answer was made on, 0 if not named.
 	Weights int
 	// Running and Queued are the replica's load if it tells it, else -1.
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -35,6 +35,9 @@
 	abandonPauses  = 8
 	// patienceShare of that time is used; the rest is for errors of expectation.
 	patienceShare = 0.8
+	// behindShare is the part of that which a request that came back may be expected
+	// to wait: others that arrive later go before it.
+	behindShare = 0.5
 	// silenceLimit is how long a resumable stream may pause before another
 	// replica goes on with it. Preempted requests pause for less.
 	silenceLimit = 1200 * time.Millisecond
@@ -200,7 +203,7 @@
 	}
 	limit := min(time.Duration(shedTargets*float64(route.Target)), u.callerPatience())
 	if request.Returned {
-		limit = u.callerPatience()
+		limit = time.Duration(behindShare * float64(u.callerPatience()))
 	}
 	wait := u.router.clock.Now().Sub(request.Arrived) + c.wait
 	if wait <= limit {
@@ -384,6 +387,10 @@
 	u.excluded = append(u.excluded, replica)
 	u.router.logger.Info("route: rejected.", "request", u.request.ID, "replica", replica.ID(), "status", u.reply.Status,
 		"wrongReplica", u.reply.WrongReplica, "weights", u.choice.weights, "named", u.reply.Weights)
+	if met := u.reply.ReplicaID; u.reply.WrongReplica && met != "" && met != replica.ID() {
+		u.router.logger.Info("route: another replica has the address.", "replica", replica.ID(), "met", met)
+		u.router.pool.End(replica)
+	}
 	u.failure = &Failure{Reason: ReasonRejected, NotRun: u.ran == 0, RetryAfter: returnSoon}
 	return false
 }
--- a/internal/weights/orderer/order.go
+++ b/internal/weights/orderer/order.go
@@ -115,7 +115,7 @@
 	// preparedAt is when preparing began, closedAt when entries were told to stop
 	// sending, orderedAt when the last order left; zero before.
 	preparedAt, closedAt, orderedAt time.Time
-	ordered               Order
+	ordered                         Order
 	// refused is the highest fence that the replica has refused.
 	refused uint64
 }
