Turns for new weights skip lost and held up replicas

Change: a turn looks past lost replicas of its lane and past loads longer than 0.9 s; weights near the end of their time are loaded whatever others do; an order without effect is given again after 0.25 s, which fresh reports allow.

--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -36,6 +36,8 @@
 	Address string `cbor:"1,keyasint"`
 	// Phase is a router.Phase.
 	Phase int `cbor:"2,keyasint"`
+	// PhaseAge is how long the phase has lasted.
+	PhaseAge time.Duration `cbor:"9,keyasint,omitempty"`
 	// Started tells lives under one id apart, in Unix milliseconds.
 	Started    int64          `cbor:"3,keyasint"`
 	Weights    map[string]int `cbor:"4,keyasint,omitempty"`
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -63,6 +63,8 @@
 // State is what a replica or its sidecar said last.
 type State struct {
 	Phase Phase
+	// PhaseAge is how long the phase has lasted.
+	PhaseAge time.Duration
 	// Started tells lives under one id apart, in Unix milliseconds.
 	Started int64
 	// Weights is the version of each model.
--- a/internal/weights/orderer/order.go
+++ b/internal/weights/orderer/order.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,8 +31,11 @@
 	// closeTime is how long entries need to stop sending, so that no request meets
 	// the order: a way between regions and some more.
 	closeTime = 60 * time.Millisecond
-	// orderAgain is when an order without effect is given again.
-	orderAgain = 800 * time.Millisecond
+	// giveLimit bounds an order; the replica is on the same host.
+	giveLimit = 100 * time.Millisecond
+	// orderAgain is when an order without effect is given again. Reports are fresh,
+	// so an accepted one shows at once.
+	orderAgain = 250 * time.Millisecond
 	// missedReports is how many looks must fail before the replica counts as
 	// unreachable.
 	missedReports = 2
@@ -93,8 +97,9 @@
 	Replica Replica
 	// Wanted returns the newest version of each model.
 	Wanted func() []Wanted
-	// Turn judges the place of the replica in the order.
-	Turn func(Wanted) Turn
+	// Turn judges the place of the replica, which has the current version, in the
+	// order.
+	Turn func(wanted Wanted, current int) Turn
 	// Changed is called when Status has something new to say at once.
 	Changed func()
 	Clock   timekeeper.Clock
@@ -106,7 +111,12 @@
 	d      Dependencies
 	cancel context.CancelFunc
 	done   chan struct{}
-	status chan router.State
+
+	// mu guards status and entered.
+	mu sync.Mutex
+	// status is what others are told, entered when its phase began.
+	status  router.State
+	entered time.Time
 
 	// The fields below are used by the goroutine only.
 	phase  router.Phase
@@ -123,8 +133,7 @@
 // New starts an orderer.
 func New(d Dependencies) *Orderer {
 	ctx, cancel := context.WithCancel(context.Background())
-	o := &Orderer{d: d, cancel: cancel, done: make(chan struct{}), status: make(chan router.State, 1), phase: router.Unreachable}
-	o.status <- router.State{Phase: router.Unreachable}
+	o := &Orderer{d: d, cancel: cancel, done: make(chan struct{}), phase: router.Unreachable, status: router.State{Phase: router.Unreachable}, entered: d.Clock.Now()}
 	go func() {
 		defer close(o.done)
 		for ctx.Err() == nil {
@@ -146,8 +155,10 @@
 
 // Status returns what the replica is doing.
 func (o *Orderer) Status() router.State {
-	state := <-o.status
-	o.status <- state
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.status
+	state.PhaseAge = o.d.Clock.Now().Sub(o.entered)
 	return state
 }
 
@@ -205,7 +216,7 @@
 	if !o.orderedAt.IsZero() && now.Sub(o.orderedAt) < orderAgain && o.ordered.Sequence == o.report.Sequence {
 		return
 	}
-	turn := o.d.Turn(wanted)
+	turn := o.d.Turn(wanted, o.report.Weights[wanted.Model])
 	switch {
 	case turn == Wait:
 		o.preparedAt, o.closedAt = time.Time{}, time.Time{}
@@ -227,7 +238,7 @@
 func (o *Orderer) give(ctx context.Context, wanted Wanted) {
 	o.ordered = Order{Model: wanted.Model, Version: wanted.Version, Fence: wanted.Fence, Sequence: o.report.Sequence}
 	o.orderedAt = o.d.Clock.Now()
-	call, cancel := context.WithTimeout(ctx, callLimit)
+	call, cancel := context.WithTimeout(ctx, giveLimit)
 	defer cancel()
 	err := o.d.Replica.Give(call, o.ordered)
 	o.d.Logger.Info("weights: order given.", "model", wanted.Model, "version", wanted.Version, "fence", wanted.Fence, "sequence", o.ordered.Sequence, "running", o.report.Running, "queued", o.report.Queued, "err", err)
@@ -242,8 +253,11 @@
 	if phase != o.phase {
 		o.d.Logger.Info("weights: phase.", append([]any{"phase", phase.String(), "weights", o.report.Weights}, fields...)...)
 	}
-	old := <-o.status
-	o.status <- router.State{
+	o.mu.Lock()
+	if phase != o.phase {
+		o.entered = o.d.Clock.Now()
+	}
+	o.status = router.State{
 		Phase:      phase,
 		Started:    o.report.Started,
 		Weights:    o.report.Weights,
@@ -251,8 +265,9 @@
 		Queued:     o.report.Queued,
 		MemoryUsed: o.report.MemoryUsed,
 	}
-	o.phase = phase
-	if old.Phase != phase {
+	o.mu.Unlock()
+	if phase != o.phase {
+		o.phase = phase
 		o.d.Changed()
 	}
 }
--- a/internal/weights/orderer/turn.go
+++ b/internal/weights/orderer/turn.go
@@ -18,15 +18,25 @@
 	// placeLimit is how long the place before may take before the next goes ahead
 	// without it.
 	placeLimit = 1500 * time.Millisecond
+	// loadingLimit is how long a load is waited for. One that takes longer is held
+	// up by long requests and does not slow others down; loads take 0.2 to 0.8 s.
+	loadingLimit = 900 * time.Millisecond
+	// urgentFrom and urgentTo are the parts of the time in which requests may begin
+	// on older weights, after which the first and the last of the queue load
+	// whatever the others do.
+	urgentFrom, urgentTo = 0.35, 0.7
+	// befores is how many replicas of the lane are looked at, the nearest first: of
+	// several that are lost at once, the one behind them is waited for.
+	befores = 3
 )
 
 // Queue is the order in which the replicas of a service load new weights.
 type Queue struct {
-	// own is the place of the own replica, before the one that it waits for.
-	own, before int
+	// own is the place of the own replica.
+	own         int
 	lanes, size int
-	// Before is the replica that the own one waits for, nil if there is none.
-	Before *router.Descriptor
+	// Before holds the replicas that the own one waits for, the nearest first.
+	Before []router.Descriptor
 }
 
 // NewQueue derives the order from the list. The availability zones take turns, so
@@ -54,9 +64,12 @@
 	if q.own < 0 {
 		return Queue{}, false
 	}
-	q.before = (q.own - q.lanes + q.size) % q.size
-	if q.before != q.own {
-		q.Before = &order[q.before]
+	for i := 1; i <= befores; i++ {
+		before := ((q.own-i*q.lanes)%q.size + q.size) % q.size
+		if before == q.own {
+			break
+		}
+		q.Before = append(q.Before, order[before])
 	}
 	return q, true
 }
@@ -69,23 +82,39 @@
 	return (q.own - start + q.size) % q.size / q.lanes
 }
 
-// Turn judges whether the own replica may load. before is the last word of the
-// replica before it, nil if there is none that holds; age is how long the sidecar
-// has known of the wanted version.
-func (q Queue) Turn(wanted Wanted, before *router.State, age time.Duration) Turn {
+// Age is how long the sidecar has known of newer weights.
+type Age struct {
+	// Wanted is the age of the wanted version, Replaced that of the first version
+	// that is newer than the replica's.
+	Wanted, Replaced time.Duration
+	// Limit is how long requests may begin on older weights.
+	Limit time.Duration
+}
+
+// Turn judges whether the own replica may load. state returns the last word of
+// another replica, nil if there is none that holds.
+func (q Queue) Turn(wanted Wanted, state func(router.Descriptor) *router.State, age Age) Turn {
 	place := q.place(wanted.Version)
-	if place == 0 || q.Before == nil {
+	share := urgentFrom + (urgentTo-urgentFrom)*float64(q.own)/float64(max(1, q.size))
+	if age.Replaced > time.Duration(share*float64(age.Limit)) || age.Wanted > time.Duration(place)*placeLimit {
 		return Load
 	}
-	if before != nil {
-		if before.Weights[wanted.Model] >= wanted.Version && before.Phase == router.Serving {
-			return Load
+	for i := range min(place, len(q.Before)) {
+		before := state(q.Before[i])
+		if before == nil || before.Phase == router.Unreachable {
+			continue
 		}
-		if before.Phase == router.Loading {
+		switch {
+		case before.Weights[wanted.Model] >= wanted.Version && before.Phase == router.Serving:
+			return Load
+		case before.Phase == router.Loading && before.PhaseAge > loadingLimit:
+			return Load
+		case before.Phase == router.Loading:
 			return Prepare
 		}
+		return Wait
 	}
-	if age > time.Duration(place)*placeLimit {
+	if place <= len(q.Before) {
 		return Load
 	}
 	return Wait
