Daemons speak less between regions; turns wait for loads only; tests of the core

Change 1: cache news goes to other regions with the next message, every 300 ms. Change 2: only a load that is held up by running requests is passed by; urgency begins at half of the time.

The reset of abandoned exchanges fails when the connection is closed in order.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -117,16 +117,16 @@
 				<-d.Clock.After(redialLeast)
 				continue
 			}
-			a.tasks.Go(func() { _ = a.speak(a.ctx, conn) })
+			a.tasks.Go(func() { _ = a.speak(a.ctx, conn, false) })
 		}
 	})
 	return a, nil
 }
 
 // speak runs one session and closes the connection.
-func (a *Announcer) speak(ctx context.Context, conn net.Conn) error {
+func (a *Announcer) speak(ctx context.Context, conn net.Conn, far bool) error {
 	defer func() { _ = conn.Close() }()
-	s := newSession(a, conn)
+	s := newSession(a, conn, far)
 	a.mu.Lock()
 	a.sessions[s] = true
 	a.mu.Unlock()
@@ -164,7 +164,7 @@
 func (a *Announcer) OthersFed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.fedAt.IsZero() && a.d.Clock.Now().Sub(a.fedAt) < 2*period
+	return !a.fedAt.IsZero() && a.d.Clock.Now().Sub(a.fedAt) < 2*farPeriod
 }
 
 // mayAsk reports whether it is time to ask for changes, and notes it.
@@ -178,19 +178,28 @@
 	return true
 }
 
-// Reach keeps a session with each address and ends those with others.
-func (a *Announcer) Reach(addresses []string) {
+// Peer is a daemon to speak with.
+type Peer struct {
+	// Address is its IP address and port.
+	Address string
+	// Far is set if it is in another region.
+	Far bool
+}
+
+// Reach keeps a session with each peer and ends those with others.
+func (a *Announcer) Reach(peers []Peer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	wanted := make(map[string]bool, len(addresses))
-	for _, address := range addresses {
+	wanted := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		address := peer.Address
 		wanted[address] = true
 		if a.reached[address] != nil || a.ctx.Err() != nil {
 			continue
 		}
 		ctx, cancel := context.WithCancel(a.ctx)
 		a.reached[address] = cancel
-		a.tasks.Go(func() { a.keep(ctx, address) })
+		a.tasks.Go(func() { a.keep(ctx, peer) })
 	}
 	for address, cancel := range a.reached {
 		if !wanted[address] {
@@ -201,7 +210,8 @@
 }
 
 // keep connects again whenever a session ends.
-func (a *Announcer) keep(ctx context.Context, address string) {
+func (a *Announcer) keep(ctx context.Context, peer Peer) {
+	address := peer.Address
 	pause := redialLeast
 	dialer := net.Dialer{Timeout: dialLimit, KeepAlive: -1}
 	for ctx.Err() == nil {
@@ -209,7 +219,7 @@
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
 			a.d.Logger.Debug("fleet: reached daemon.", "address", address)
-			err = a.speak(ctx, conn)
+			err = a.speak(ctx, conn, peer.Far)
 		}
 		if ctx.Err() != nil {
 			return
--- a/internal/fleet/announcer/cachelog.go
+++ b/internal/fleet/announcer/cachelog.go
@@ -17,6 +17,9 @@
 // CacheLog keeps what a replica's cache holds and the latest changes. It is safe
 // for concurrent use.
 type CacheLog struct {
+	// changed wakes those who pass the changes on.
+	changed *Notice
+
 	// mu guards the fields below.
 	mu   sync.Mutex
 	held map[uint64]bool
@@ -33,7 +36,7 @@
 
 // NewCacheLog returns the log of an empty cache.
 func NewCacheLog() *CacheLog {
-	return &CacheLog{held: make(map[uint64]bool), first: 1}
+	return &CacheLog{changed: NewNotice(), held: make(map[uint64]bool), first: 1}
 }
 
 // Change notes that the cache holds a part, or no longer.
@@ -55,6 +58,9 @@
 	}
 }
 
+// Publish has the changes passed on.
+func (l *CacheLog) Publish() { l.changed.Send() }
+
 // Clear notes that the cache is empty.
 func (l *CacheLog) Clear() {
 	l.mu.Lock()
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// period is the longest time between two messages of one end.
-	period = 125 * time.Millisecond
+	// period is the longest time between two messages of one end within a region;
+	// farPeriod that to another region, where bytes are dear.
+	period    = 125 * time.Millisecond
+	farPeriod = 300 * time.Millisecond
 	// silenceLimit is how long an end waits for a message, 8 periods.
 	silenceLimit = time.Second
 	// askAgain is when changes that were asked for and did not come are asked for
@@ -67,6 +69,8 @@
 	// Waiting is how many prompt tokens the sender has sent to the receiver's
 	// replica that are not read yet.
 	Waiting [router.Priorities]int `cbor:"8,keyasint,omitempty"`
+	// Far is set if the sender has found the receiver in another region.
+	Far bool `cbor:"9,keyasint,omitempty"`
 }
 
 // session is one connection between two daemons.
@@ -79,6 +83,8 @@
 	// Only the sender uses it.
 	cursor uint64
 
+	// far is set if the ends are in different regions.
+	far atomic.Bool
 	// replica is the address of the other end's replica, nil before it was named.
 	replica atomic.Pointer[string]
 	// waiting is what the other end last said in Waiting.
@@ -91,9 +97,27 @@
 	behindSince time.Time
 }
 
-func newSession(owner *Announcer, conn net.Conn) *session {
+func newSession(owner *Announcer, conn net.Conn, far bool) *session {
 	writer := bufio.NewWriter(conn)
-	return &session{owner: owner, conn: conn, writer: writer, encoder: cbor.NewEncoder(writer)}
+	s := &session{owner: owner, conn: conn, writer: writer, encoder: cbor.NewEncoder(writer)}
+	s.far.Store(far)
+	return s
+}
+
+// cacheChanged returns a channel that is closed when there is news of the cache. To
+// other regions it goes with the next message.
+func (s *session) cacheChanged() <-chan struct{} {
+	if cache := s.owner.d.Cache; cache != nil && !s.far.Load() {
+		return cache.changed.Wait()
+	}
+	return nil
+}
+
+func (s *session) period() time.Duration {
+	if s.far.Load() {
+		return farPeriod
+	}
+	return period
 }
 
 // run speaks until the connection fails or ctx ends.
@@ -106,8 +130,8 @@
 	go func() {
 		defer cancel()
 		for ctx.Err() == nil {
-			news := d.Notice.Wait()
-			m := message{Status: d.Status()}
+			news, cached := d.Notice.Wait(), s.cacheChanged()
+			m := message{Status: d.Status(), Far: s.far.Load()}
 			if m.Status != nil {
 				m.Status.Waiting = s.owner.waiting()
 			}
@@ -123,7 +147,8 @@
 			select {
 			case <-ctx.Done():
 			case <-news:
-			case <-d.Clock.After(period):
+			case <-cached:
+			case <-d.Clock.After(s.period()):
 			}
 		}
 	}()
@@ -156,6 +181,9 @@
 
 func (s *session) handle(m *message) error {
 	d := &s.owner.d
+	if m.Far {
+		s.far.Store(true)
+	}
 	if m.Fed {
 		s.owner.fed()
 	}
--- /dev/null
+++ b/internal/routing/router/load_test.go
@@ -0,0 +1,164 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// readers is a model of replicas that read prompts one after the other, more
+// urgent ones first.
+type readers struct {
+	mu sync.Mutex
+	// free is when each replica has read what is before a rank.
+	free map[string]*[Priorities]time.Time
+	rate float64
+}
+
+// read waits until a replica has read the tokens.
+func (r *readers) read(a *Attempt, tokens int) {
+	r.mu.Lock()
+	free := r.free[a.ReplicaID]
+	if free == nil {
+		free = new([Priorities]time.Time)
+		r.free[a.ReplicaID] = free
+	}
+	now := time.Now()
+	work := time.Duration(float64(tokens) / r.rate * float64(time.Second))
+	begin := now
+	if free[a.Priority].After(begin) {
+		begin = free[a.Priority]
+	}
+	end := begin.Add(work)
+	for i := a.Priority; i < Priorities; i++ {
+		if free[i].Before(end) {
+			free[i] = end
+		}
+	}
+	r.mu.Unlock()
+	<-time.After(end.Sub(now))
+}
+
+// load sends requests of one size at a rate and counts how they end.
+type load struct {
+	asked, inTime, late, refused int
+	slowestRefusal               time.Duration
+}
+
+func runLoad(t *testing.T, replicas int, perSecond float64, lost func(at time.Duration) int) load {
+	t.Helper()
+	model := &readers{free: make(map[string]*[Priorities]time.Time), rate: 60_000}
+	b := newBed(replicas, nil)
+	b.router.transport.Send = func(_ context.Context, a *Attempt) (*Reply, error) {
+		model.read(a, a.Request.Prompt.Tokens)
+		return stream(0, 1, io.EOF), nil
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	r := route(Stream, 1, false)
+	var result load
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	began := time.Now()
+	for n := 0; time.Since(began) < 20*time.Second; n++ {
+		for i := range replicas {
+			phase := Serving
+			if i < lost(time.Since(began)) {
+				phase = Unreachable
+			}
+			b.pool.Learn(fmt.Sprintf("10.0.0.%d:80", i), State{Phase: phase, Started: 1})
+		}
+		tasks.Go(func() {
+			request := modelRequest(r, Part{fmt.Sprint(n), 3000})
+			sent := time.Now()
+			got := b.router.Begin(request)
+			took := time.Since(sent)
+			mu.Lock()
+			defer mu.Unlock()
+			result.asked++
+			switch {
+			case got.Failure != nil:
+				result.refused++
+				result.slowestRefusal = max(result.slowestRefusal, took)
+				assert.Check(t, got.Failure.NotRun && got.Failure.RetryAfter > 0)
+			case took <= r.Target:
+				result.inTime++
+			default:
+				result.late++
+			}
+			if got.Stream != nil {
+				got.Stream.Close()
+			}
+		})
+		<-time.After(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+	tasks.Wait()
+	return result
+}
+
+// TestLossOfAQuarterUnderLoad answers the pattern "a quarter of the replicas is lost
+// for most of a busy day": the rest could read four fifths of what is asked. What
+// they read must be in time, the surplus must be refused at once with a time to
+// return, and nothing may be refused before or after.
+func TestLossOfAQuarterUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calm := runLoad(t, 8, 120, func(time.Duration) int { return 0 })
+		assert.Equal(t, calm.refused, 0)
+		assert.Equal(t, calm.late, 0)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		// Six replicas read 120 requests of 3,000 tokens a second.
+		hard := runLoad(t, 8, 150, func(at time.Duration) int {
+			if at > 2*time.Second && at < 16*time.Second {
+				return 2
+			}
+			return 0
+		})
+		assert.Equal(t, hard.slowestRefusal, time.Duration(0))
+		share := float64(hard.inTime) / float64(hard.asked)
+		assert.Assert(t, share > 0.75, "%+v", hard)
+		assert.Assert(t, float64(hard.late) < 0.1*float64(hard.asked), "%+v", hard)
+	})
+}
+
+// TestReturnedRequestsGoBehind answers the pattern "callers that were refused come
+// back while the rush lasts": one that came back gets a later rank than one that
+// can still be in time, and waits for longer before it is refused.
+func TestReturnedRequestsGoBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(1, func(int, *Attempt) (*Reply, error) { return stream(0, 1, io.EOF), nil })
+		b.pool.Replica("i-0").waiting[0].Store(40_000)
+		fresh := modelRequest(route(Stream, 1, false), Part{"a", 1000})
+		assert.Equal(t, b.router.Begin(fresh).Failure.Reason, ReasonOverload)
+		back := modelRequest(route(Stream, 1, false), Part{"a", 1000})
+		back.Returned = true
+		result := b.router.Begin(back)
+		assert.Assert(t, result.Failure == nil)
+		assert.Equal(t, b.attempts[0].Priority, returnedRank)
+		result.Stream.Close()
+	})
+}
+
+// TestPatienceKnowsWhoCameBack compares the time that callers have left.
+func TestPatienceKnowsWhoCameBack(t *testing.T) {
+	p := NewPatience()
+	assert.Assert(t, !p.Returned("r", 3*time.Second))
+	assert.Assert(t, !p.Returned("r", 2995*time.Millisecond))
+	assert.Assert(t, p.Returned("r", 2500*time.Millisecond))
+	assert.Assert(t, !p.Returned("other", 2500*time.Millisecond))
+}
+
+// BenchmarkChoose is one decision among 48 replicas.
+func BenchmarkChoose(b *testing.B) {
+	bed := newBed(48, nil)
+	request := modelRequest(route(Stream, 1, false), Part{"a", 500}, Part{"b", 5000}, Part{"own", 1000})
+	for b.Loop() {
+		bed.router.choose(request, "s", nil)
+	}
+}
--- a/internal/weights/orderer/turn.go
+++ b/internal/weights/orderer/turn.go
@@ -18,13 +18,13 @@
 	// placeLimit is how long the place before may take before the next goes ahead
 	// without it.
 	placeLimit = 1500 * time.Millisecond
-	// loadingLimit is how long a load is waited for. One that takes longer is held
-	// up by long requests and does not slow others down; loads take 0.2 to 0.8 s.
-	loadingLimit = 900 * time.Millisecond
+	// endingLimit is how long a replica is waited for whose load is held up by its
+	// last requests. Until they end it slows no other load down.
+	endingLimit = 700 * time.Millisecond
 	// urgentFrom and urgentTo are the parts of the time in which requests may begin
 	// on older weights, after which the first and the last of the queue load
 	// whatever the others do.
-	urgentFrom, urgentTo = 0.35, 0.7
+	urgentFrom, urgentTo = 0.5, 0.85
 	// befores is how many replicas of the lane are looked at, the nearest first: of
 	// several that are lost at once, the one behind them is waited for.
 	befores = 3
@@ -107,7 +107,7 @@
 		switch {
 		case before.Weights[wanted.Model] >= wanted.Version && before.Phase == router.Serving:
 			return Load
-		case before.Phase == router.Loading && before.PhaseAge > loadingLimit:
+		case before.Phase == router.Loading && before.Running > 0 && before.PhaseAge > endingLimit:
 			return Load
 		case before.Phase == router.Loading:
 			return Prepare
--- /dev/null
+++ b/peer/replica/client_test.go
@@ -0,0 +1,310 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"gotest.tools/v3/assert"
+)
+
+const idField = "X-Test-Id"
+
+// serve accepts connections and hands each to the function, one after the other.
+func serve(t *testing.T, handle func(conn net.Conn, reader *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			handle(conn, bufio.NewReader(conn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// readRequest reads one request with its body.
+func readRequest(reader *bufio.Reader) (*http.Request, string, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(request.Body)
+	return request, string(body), err
+}
+
+func request(address, id, body string) *Request {
+	return &Request{
+		Address: address, Method: "POST", Path: "/a/b?c=d", Fields: []Field{{Name: "Host", Value: "h.example"}, {Name: idField, Value: id}},
+		Body: []byte(body), ID: id, ConnectLimit: 5 * time.Second, Deadline: time.Now().Add(20 * time.Second), KeptLimit: time.Minute,
+	}
+}
+
+func newClient() *Client { return New(idField, timekeeper.System{}) }
+
+// TestExchangeKeepsItsConnection sends two requests with bodies of both kinds and
+// finds them unchanged on one connection.
+func TestExchangeKeepsItsConnection(t *testing.T) {
+	connections := make(chan int, 4)
+	count := 0
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		count++
+		connections <- count
+		for {
+			r, body, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			answer := r.Method + " " + r.RequestURI + " " + body
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idField+": "+r.Header.Get(idField)+"\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for _, chunk := range []string{answer[:3], answer[3:]} {
+				_, _ = io.WriteString(conn, chunkOf(chunk))
+			}
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}
+	})
+	c := newClient()
+	for _, body := range []string{"small", strings.Repeat("x", 3*inlineBody)} {
+		answer, err := c.Do(context.Background(), request(address, "r1", body))
+		assert.NilError(t, err)
+		got, err := answer.ReadAll(1 << 20)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), "POST /a/b?c=d "+body)
+		answer.Close()
+	}
+	assert.Equal(t, <-connections, 1)
+	assert.Equal(t, len(connections), 0)
+}
+
+func chunkOf(s string) string {
+	const digits = "0123456789abcdef"
+	n, size := len(s), ""
+	for n > 0 {
+		size = string(digits[n%16]) + size
+		n /= 16
+	}
+	return size + "\r\n" + s + "\r\n"
+}
+
+// TestAnswersToOtherRequestsAreSkipped sends a late answer to an earlier request
+// before the right one. The connection is not used again.
+func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idField+": old\r\nContent-Length: 5\r\n\r\nwrong")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idField+": new\r\nContent-Length: 5\r\n\r\nright")
+	})
+	c := newClient()
+	answer, err := c.Do(context.Background(), request(address, "new", "x"))
+	assert.NilError(t, err)
+	got, err := answer.ReadAll(100)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "right")
+	answer.Close()
+	assert.Equal(t, len(c.idle[address]), 0)
+}
+
+// TestExtraBytesEndTheConnection finds bytes behind a whole answer and does not use
+// the connection again.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idField+": r\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n")
+	})
+	c := newClient()
+	answer, err := c.Do(context.Background(), request(address, "r", "x"))
+	assert.NilError(t, err)
+	_, err = answer.ReadAll(100)
+	assert.NilError(t, err)
+	answer.Close()
+	assert.Equal(t, len(c.idle[address]), 0)
+}
+
+// TestBrokenBodiesAreNotWhole cuts answers of each framing short.
+func TestBrokenBodiesAreNotWhole(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":  "Content-Length: 9\r\n\r\npart",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"trailer": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+	} {
+		address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+			_, _, _ = readRequest(reader)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idField+": r\r\n"+head)
+			_ = conn.Close()
+		})
+		answer, err := newClient().Do(context.Background(), request(address, "r", "x"))
+		assert.NilError(t, err, name)
+		_, err = answer.ReadAll(100)
+		assert.ErrorIs(t, err, ErrBroken, name)
+		answer.Close()
+	}
+}
+
+// TestResetAnswerWithoutLengthIsNotWhole resets a connection whose end is the end
+// of the answer.
+func TestResetAnswerWithoutLengthIsNotWhole(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+			_, _, _ = readRequest(reader)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+idField+": r\r\n\r\npart")
+			if reset {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		})
+		answer, err := newClient().Do(context.Background(), request(address, "r", "x"))
+		if err == nil {
+			_, err = answer.ReadAll(100)
+			answer.Close()
+		}
+		if reset {
+			assert.ErrorIs(t, err, ErrBroken)
+		} else {
+			assert.NilError(t, err)
+		}
+	}
+}
+
+// TestEarlyAnswerToALongBody answers before the body is read. The answer arrives,
+// and the connection, on which the rest of the body is due, is not used again.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _ = reader.ReadString('\n')
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\n"+idField+": r\r\nContent-Length: 0\r\n\r\n")
+	})
+	c := newClient()
+	answer, err := c.Do(context.Background(), request(address, "r", strings.Repeat("x", 64<<20)))
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Header().StatusCode(), 503)
+	_, err = answer.ReadAll(100)
+	assert.NilError(t, err)
+	answer.Close()
+	assert.Equal(t, len(c.idle[address]), 0)
+}
+
+// TestAbandonedExchangeIsReset gives a request up while the server has not
+// answered. Bytes that are held up on the way must not arrive afterwards, so the
+// connection is reset and not closed in order.
+func TestAbandonedExchangeIsReset(t *testing.T) {
+	arrived, ended := make(chan struct{}), make(chan error, 1)
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		close(arrived)
+		_, err := reader.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := newClient().Do(ctx, request(address, "r", "x"))
+	assert.ErrorIs(t, err, ErrBroken)
+	assert.Assert(t, errors.Is(<-ended, syscall.ECONNRESET))
+}
+
+// TestClosedKeptConnectionIsNotUsed closes a kept connection; the next request goes
+// over another one.
+func TestClosedKeptConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idField+": r\r\nContent-Length: 2\r\n\r\nok")
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	c := newClient()
+	for range 2 {
+		answer, err := c.Do(context.Background(), request(address, "r", "x"))
+		assert.NilError(t, err)
+		_, err = answer.ReadAll(100)
+		assert.NilError(t, err)
+		answer.Close()
+		<-closed
+	}
+}
+
+// TestNothingSentIsSaid refuses the connection.
+func TestNothingSentIsSaid(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, err = newClient().Do(context.Background(), request(address, "r", "x"))
+	assert.ErrorIs(t, err, ErrNotSent)
+}
+
+// TestEventsAreWholeOrNot splits streams at every place.
+func TestEventsAreWholeOrNot(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 5\ndata: c\n\n"
+	for step := 1; step < len(stream); step++ {
+		events := NewEvents(&slowReader{rest: stream, step: step}, 100)
+		var raw string
+		var ids []int64
+		for {
+			event, err := events.Next()
+			if err == io.EOF {
+				break
+			}
+			assert.NilError(t, err)
+			raw += string(event.Raw)
+			ids = append(ids, event.ID)
+		}
+		assert.Equal(t, raw, stream)
+		assert.DeepEqual(t, ids, []int64{1, 2, -1, 5})
+	}
+	events := NewEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: "), 100)
+	_, err := events.Next()
+	assert.NilError(t, err)
+	_, err = events.Next()
+	assert.ErrorIs(t, err, ErrBroken)
+	_, err = NewEvents(strings.NewReader(strings.Repeat("x", 5000)), 100).Next()
+	assert.ErrorIs(t, err, errEventTooLarge)
+}
+
+// slowReader yields at most step bytes at once.
+type slowReader struct {
+	rest string
+	step int
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.rest == "" {
+		return 0, io.EOF
+	}
+	n := copy(p, r.rest[:min(r.step, len(r.rest))])
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+// FuzzEvents checks that events put together are the stream's whole part.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n\n", 3)
+	f.Add("\n\n\n", 1)
+	f.Fuzz(func(t *testing.T, stream string, step int) {
+		events := NewEvents(&slowReader{rest: stream, step: 1 + (step&0xff)%64}, 1<<20)
+		var raw string
+		for {
+			event, err := events.Next()
+			if err != nil {
+				break
+			}
+			assert.Assert(t, len(event.Raw) > 0)
+			raw += string(event.Raw)
+		}
+		assert.Assert(t, strings.HasPrefix(stream, raw))
+	})
+}
