--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -24,6 +24,7 @@
 			entryCommand(),
 			sidecarCommand(),
 			serviceCommand(),
+			explainCommand(),
 			keysCommand(),
 			settingsCommand(),
 			versionCommand(),
--- /dev/null
+++ b/internal/metrics/recorder/record_test.go
@@ -0,0 +1,33 @@
+package recorder_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"gotest.tools/v3/assert"
+)
+
+// TestTextTellsCountsAndTimes records both kinds.
+func TestTextTellsCountsAndTimes(t *testing.T) {
+	r := recorder.New()
+	r.Count("answered")
+	r.Count("answered")
+	for i := range 100 {
+		r.Took("firstEvent", time.Duration(i+1)*time.Millisecond)
+	}
+	r.Took("firstEvent", time.Hour)
+	text := string(r.Text())
+	for _, line := range []string{"answered 2\n", "firstEvent.count 101\n", "firstEvent.p50 51."} {
+		assert.Assert(t, strings.Contains(text, line), "%s", text)
+	}
+}
+
+// BenchmarkTook is one record.
+func BenchmarkTook(b *testing.B) {
+	r := recorder.New()
+	for b.Loop() {
+		r.Took("firstEvent", 100*time.Millisecond)
+	}
+}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
@@ -40,6 +41,7 @@
 	transport Transport
 	clock     timekeeper.Clock
 	logger    *log.Logger
+	recorder  *recorder.Recorder
 	holders   *holders
 
 	// mu guards budgets.
@@ -48,13 +50,14 @@
 }
 
 // New returns a router for the replicas of the pool.
-func New(options Options, pool *Pool, transport Transport, clock timekeeper.Clock, logger *log.Logger) *Router {
+func New(options Options, pool *Pool, transport Transport, clock timekeeper.Clock, logger *log.Logger, metrics *recorder.Recorder) *Router {
 	return &Router{
 		options:   options,
 		pool:      pool,
 		transport: transport,
 		clock:     clock,
 		logger:    logger,
+		recorder:  metrics,
 		holders:   newHolders(),
 		budgets:   make(map[string]*limiter.Window),
 	}
@@ -75,8 +78,12 @@
 // Begin starts a request. The caller must call the Close of a stream, and nothing
 // for other results.
 func (r *Router) Begin(request *Request) *Result {
+	r.recorder.Count("requests")
 	u := newRun(r, request)
 	result := u.begin()
+	if result.Failure != nil {
+		r.recorder.Count("failed." + string(result.Failure.Reason))
+	}
 	if result.Stream == nil {
 		u.end()
 	}
--- a/internal/routing/router/router_test.go
+++ b/internal/routing/router/router_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
@@ -52,7 +53,7 @@
 		n := len(b.attempts)
 		b.mu.Unlock()
 		return b.send(n, a)
-	}}, clock, log.New(io.Discard))
+	}}, clock, log.New(io.Discard), recorder.New())
 	return b
 }
 
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -249,6 +249,7 @@
 	if c.fetchFrom != nil {
 		attempt.FetchFrom = c.fetchFrom.Address()
 	}
+	r.recorder.Count("attempts")
 	u.counted, u.waiting = true, true
 	c.replica.running.Add(1)
 	c.replica.waiting[request.priority()].Add(int64(c.missing))
@@ -310,6 +311,7 @@
 func (u *run) noteError(err error) {
 	replica := u.choice.replica
 	notSent := errors.Is(err, ErrNotSent)
+	u.router.recorder.Count("attempts.lost")
 	u.router.logger.Info("route: attempt failed.", "request", u.request.ID, "replica", replica.ID(), "notSent", notSent, "err", err)
 	u.excluded = append(u.excluded, replica)
 	if u.ctx.Err() == nil {
@@ -365,6 +367,7 @@
 		return nil, false
 	}
 	u.started()
+	r.recorder.Took("answer", r.clock.Now().Sub(u.request.Arrived))
 	return &Result{Reply: reply, Body: body}, true
 }
 
@@ -384,6 +387,7 @@
 func (u *run) reject() bool {
 	replica := u.choice.replica
 	u.rejected++
+	u.router.recorder.Count("attempts.rejected")
 	u.excluded = append(u.excluded, replica)
 	u.router.logger.Info("route: rejected.", "request", u.request.ID, "replica", replica.ID(), "status", u.reply.Status,
 		"wrongReplica", u.reply.WrongReplica, "weights", u.choice.weights, "named", u.reply.Weights)
@@ -418,6 +422,7 @@
 		if u.waiting {
 			u.started()
 			u.remember()
+			u.router.recorder.Took("firstEvent", u.router.clock.Now().Sub(u.request.Arrived))
 			u.router.logger.Info("route: first event.", "request", u.request.ID, "replica", u.choice.replica.ID(),
 				"expected", u.choice.wait, "took", u.router.clock.Now().Sub(u.sent), "missing", u.choice.missing)
 		}
@@ -494,6 +499,7 @@
 func (u *run) resume(cause error) error {
 	route := u.request.Route
 	replica := u.choice.replica
+	u.router.recorder.Count("streams.broken")
 	u.router.logger.Info("route: stream broke off.", "request", u.request.ID, "replica", replica.ID(), "last", u.last, "err", cause)
 	u.excluded = append(u.excluded, replica)
 	if u.ctx.Err() == nil {
@@ -512,6 +518,7 @@
 		return cause
 	}
 	u.ran++
+	u.router.recorder.Count("streams.resumed")
 	u.router.logger.Info("route: stream resumed.", "request", u.request.ID, "replica", u.choice.replica.ID(), "after", u.last)
 	return nil
 }
