--- a/internal/routing/router/parts.go
+++ b/internal/routing/router/parts.go
@@ -13,6 +13,14 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// lastShared returns the id of the last shared part, "" if there is none.
+func (p *Prompt) lastShared() string {
+	if shared := p.sharedParts(); len(shared) > 0 {
+		return shared[len(shared)-1].ID
+	}
+	return ""
+}
+
 // parts is what is known of the shared parts of a prompt under one cache scope.
 type parts struct {
 	scope string
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -259,7 +259,7 @@
 		}
 	}
 	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "service", u.service, "reason", c.reason,
-		"wait", c.wait, "loss", c.loss, "weights", c.weights, "missing", c.missing, "again", c.again, "fetchFrom", attempt.FetchFrom, "configuration", request.Catalog.Version, "after", u.last)
+		"wait", c.wait, "loss", c.loss, "weights", c.weights, "missing", c.missing, "again", c.again, "scope", c.scope, "part", request.Prompt.lastShared(), "fetchFrom", attempt.FetchFrom, "configuration", request.Catalog.Version, "after", u.last)
 	ctx, cancel := context.WithCancel(u.ctx)
 	u.cancelAttempt = cancel
 	if limit, limited := u.patience(); limited {
