One look at each replica for a decision

Change: a survey reads each replica once; what is known of the prompt and the homes are worked out once for each version of the weights.

--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -51,7 +52,8 @@
 	// weights is the version that the attempt asks for, 0 for any.
 	weights int
 	scope   string
-	// parts is what is known of the shared parts under the scope.
+	// parts is what is known of the shared parts under the scope, nil if there are
+	// none.
 	parts *parts
 	// missing is how many tokens the replica is expected to read, and again how
 	// many of these another replica has read or is about to.
@@ -65,18 +67,55 @@
 	reason string
 }
 
+// candidate is one replica with what was read of it once.
+type candidate struct {
+	replica     *Replica
+	descriptor  *Descriptor
+	state       *State
+	weights     int
+	failureRate float64
+	// usable is unset for a replica that may not get the request.
+	usable bool
+}
+
+// survey is a look at all replicas of a service for one decision.
+type survey struct {
+	router     *Router
+	request    *Request
+	service    string
+	engine     *Engine
+	now        time.Time
+	candidates []candidate
+	// scopes holds what is known of the prompt for each version of the weights.
+	scopes []*parts
+}
+
+// surveys saves the memory of ended surveys.
+var surveys = sync.Pool{New: func() any { return new(survey) }}
+
 // choose returns the replica with the least expected loss. The second result is
 // false if no replica may take the request.
 func (r *Router) choose(request *Request, service string, excluded []*Replica) (choice, bool) {
-	list := r.pool.Service(service)
-	best := choice{}
-	found := false
-	var known []*parts
-	for _, replica := range list {
-		if contains(excluded, replica) {
+	s := surveys.Get().(*survey)
+	defer func() {
+		clear(s.candidates)
+		clear(s.scopes)
+		*s = survey{candidates: s.candidates[:0], scopes: s.scopes[:0]}
+		surveys.Put(s)
+	}()
+	s.router, s.request, s.service, s.now = r, request, service, r.clock.Now()
+	if known := request.Catalog.Service(service); known != nil {
+		s.engine = known.Engine
+	}
+	for _, replica := range r.pool.Service(service) {
+		s.look(replica, contains(excluded, replica))
+	}
+	best, found := choice{}, false
+	for i := range s.candidates {
+		if !s.candidates[i].usable {
 			continue
 		}
-		c, ok := r.evaluate(request, service, replica, &known)
+		c, ok := s.evaluate(&s.candidates[i])
 		if ok && (!found || c.loss < best.loss) {
 			best, found = c, true
 		}
@@ -84,6 +123,21 @@
 	return best, found
 }
 
+// look adds a replica unless it has left.
+func (s *survey) look(replica *Replica, excluded bool) {
+	descriptor := replica.descriptor.Load()
+	if descriptor.Draining || !s.router.pool.present(replica) {
+		return
+	}
+	avoided, failureRate := replica.avoided(s.now)
+	c := candidate{replica: replica, descriptor: descriptor, state: replica.Fresh(s.now), failureRate: failureRate}
+	c.usable = !avoided && !excluded && (c.state == nil || c.state.Phase <= Preparing)
+	if s.request.Prompt != nil {
+		c.weights = replica.Weights(s.request.Prompt.Model, s.now)
+	}
+	s.candidates = append(s.candidates, c)
+}
+
 func contains(list []*Replica, replica *Replica) bool {
 	for _, other := range list {
 		if other == replica {
@@ -95,41 +149,30 @@
 
 // evaluate returns what one replica is expected to lose, or false if it may not be
 // used.
-func (r *Router) evaluate(request *Request, service string, replica *Replica, known *[]*parts) (choice, bool) {
-	now := r.clock.Now()
-	descriptor := replica.descriptor.Load()
-	avoided, failureRate := replica.avoided(now)
-	if descriptor.Draining || avoided || !r.pool.present(replica) {
-		return choice{}, false
-	}
-	state := replica.Fresh(now)
-	c := choice{replica: replica}
-	if state != nil && state.Phase != Serving {
-		if state.Phase != Preparing {
-			return choice{}, false
-		}
-		if !request.short() {
-			c.loss += preparingLoss
-		}
-	}
-	wait, distance := r.distance(descriptor)
+func (s *survey) evaluate(from *candidate) (choice, bool) {
+	r, request := s.router, s.request
+	c := choice{replica: from.replica, weights: from.weights}
+	wait, distance := r.distance(from.descriptor)
 	c.wait = wait
-	c.loss += distance + failureRate*failureLoss + rand.Float64()*tieLoss
-	if descriptor.ColdFor > 0 {
+	c.loss = distance + from.failureRate*failureLoss + rand.Float64()*tieLoss
+	if from.state != nil && from.state.Phase == Preparing && !request.short() {
+		c.loss += preparingLoss
+	}
+	if from.descriptor.ColdFor > 0 {
 		c.wait += coldTime
 	}
 	if request.Prompt == nil {
-		c.wait += r.plainWait(replica, descriptor, state)
+		c.wait += r.plainWait(from)
 	} else {
-		loss, ok := r.weightsLoss(request, replica, &c, now)
+		loss, ok := s.weightsLoss(from)
 		if !ok {
 			return choice{}, false
 		}
-		c.wait += r.readTime(request, service, &c, known) + r.modelWait(request, replica, state)
-		c.loss += loss + r.memoryLoss(request, service, replica, state)
+		c.wait += s.readTime(&c) + r.modelWait(request, from)
+		c.loss += loss + s.memoryLoss(from)
 		c.loss += readAgainLoss * float64(c.again) / float64(max(1, request.Prompt.Tokens))
 	}
-	c.loss += request.waitLoss(now.Sub(request.Arrived) + c.wait)
+	c.loss += request.waitLoss(s.now.Sub(request.Arrived) + c.wait)
 	return c, true
 }
 
@@ -155,18 +198,15 @@
 	return nil
 }
 
-// weightsLoss fixes the version that the attempt asks for. It returns false if the
-// replica's weights are too old to begin a request on.
-func (r *Router) weightsLoss(request *Request, replica *Replica, c *choice, now time.Time) (float64, bool) {
-	model := request.Prompt.Model
-	c.weights = replica.Weights(model, now)
-	c.scope = cacheScope(c.weights, request)
-	since, superseded := r.options.Superseded(model, c.weights)
-	if c.weights == 0 || !superseded {
+// weightsLoss is what is lost on the replica's weights. It returns false if they
+// are too old to begin a request on.
+func (s *survey) weightsLoss(from *candidate) (float64, bool) {
+	since, superseded := s.router.options.Superseded(s.request.Prompt.Model, from.weights)
+	if from.weights == 0 || !superseded {
 		return 0, true
 	}
-	switch age := now.Sub(since); {
-	case age >= r.options.OldWeightsLimit:
+	switch age := s.now.Sub(since); {
+	case age >= s.router.options.OldWeightsLimit:
 		return 0, false
 	case age >= oldWeightsGrace:
 		return oldWeightsLoss, true
@@ -175,21 +215,14 @@
 }
 
 // memoryLoss is what is lost if the replica has no room for the request.
-func (r *Router) memoryLoss(request *Request, service string, replica *Replica, state *State) float64 {
-	engine := r.engine(request, service)
-	if engine == nil || state == nil {
+func (s *survey) memoryLoss(from *candidate) float64 {
+	if s.engine == nil || from.state == nil {
 		return 0
 	}
-	running := max(replica.running.Load(), int64(state.Running))
-	if state.MemoryUsed+request.Prompt.Tokens+request.Prompt.Output > engine.MemoryTokens || running >= int64(engine.Slots) {
+	running := max(from.replica.running.Load(), int64(from.state.Running))
+	prompt := s.request.Prompt
+	if from.state.MemoryUsed+prompt.Tokens+prompt.Output > s.engine.MemoryTokens || running >= int64(s.engine.Slots) {
 		return fullLoss
 	}
 	return 0
 }
-
-func (r *Router) engine(request *Request, service string) *Engine {
-	if s := request.Catalog.Service(service); s != nil {
-		return s.Engine
-	}
-	return nil
-}
--- a/internal/routing/router/parts.go
+++ b/internal/routing/router/parts.go
@@ -21,9 +21,11 @@
 	return ""
 }
 
-// parts is what is known of the shared parts of a prompt under one cache scope.
+// parts is what is known of the shared parts of a prompt on one version of the
+// weights.
 type parts struct {
-	scope string
+	weights int
+	scope   string
 	// keys, tokens, known and reading have an element for each shared part: its
 	// name, the tokens up to its end, the replicas that have it and the one that
 	// is reading it.
@@ -31,6 +33,66 @@
 	tokens  []int
 	known   [][]*Replica
 	reading []*Replica
+	// homes holds the home of the last shared part in each region.
+	homes []home
+}
+
+// home is the replica of a region at which all daemons expect a part.
+type home struct {
+	region  string
+	replica *Replica
+	hash    uint64
+}
+
+// parts returns what is known of the prompt on a version of the weights.
+func (s *survey) parts(weights int) *parts {
+	for _, p := range s.scopes {
+		if p.weights == weights {
+			return p
+		}
+	}
+	p := s.router.lookUp(cacheScope(weights, s.request), s.request.Prompt.sharedParts())
+	p.weights = weights
+	s.findHomes(p)
+	s.scopes = append(s.scopes, p)
+	return p
+}
+
+// findHomes chooses the homes by rendezvous hashing over the replicas that serve
+// the version.
+func (s *survey) findHomes(p *parts) {
+	if len(p.keys) == 0 {
+		return
+	}
+	key := p.keys[len(p.keys)-1]
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		if c.weights == p.weights {
+			p.propose(home{region: c.descriptor.Region, replica: c.replica, hash: mix(c.replica.hash ^ key)})
+		}
+	}
+}
+
+func (p *parts) propose(h home) {
+	for i := range p.homes {
+		if p.homes[i].region == h.region {
+			if h.hash > p.homes[i].hash {
+				p.homes[i] = h
+			}
+			return
+		}
+	}
+	p.homes = append(p.homes, h)
+}
+
+// isHome reports whether the replica is the home of its region.
+func (p *parts) isHome(replica *Replica) bool {
+	for _, h := range p.homes {
+		if h.replica == replica {
+			return true
+		}
+	}
+	return false
 }
 
 // lookUp returns what is known of a prompt's shared parts.
@@ -71,12 +133,11 @@
 // nearest returns the replica with more of the shared parts than are held that has
 // the fastest way to another, and how many tokens it has. It returns nil if none
 // has more.
-func (r *Router) nearest(p *parts, to *Replica, held int) (*Replica, int) {
-	now := r.clock.Now()
+func (s *survey) nearest(p *parts, to *Replica, held int) (*Replica, int) {
 	for i := len(p.known) - 1; i >= 0 && p.tokens[i] > held; i-- {
 		var best *Replica
 		for _, holder := range p.known[i] {
-			if holder == to || !r.mayFetch(holder, now) {
+			if holder == to || !s.router.mayFetch(holder, s.now) {
 				continue
 			}
 			if best == nil || fetchFactor(holder, to) < fetchFactor(best, to) {
@@ -103,24 +164,6 @@
 	return state == nil || state.Phase != Unreachable
 }
 
-// home returns the replica of a region at which all daemons expect the parts, by
-// rendezvous hashing over the replicas that serve the version.
-func (r *Router) home(service, model string, key uint64, weights int, region string) *Replica {
-	var best *Replica
-	var bestHash uint64
-	now := r.clock.Now()
-	for _, replica := range r.pool.Service(service) {
-		d := replica.descriptor.Load()
-		if d.Region != region || d.Draining || !r.pool.present(replica) || replica.Weights(model, now) != weights {
-			continue
-		}
-		if hash := mix(replica.hash ^ key); best == nil || hash > bestHash {
-			best, bestHash = replica, hash
-		}
-	}
-	return best
-}
-
 // mix spreads the bits of x (the finalizer of splitmix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -30,12 +30,12 @@
 }
 
 // plainWait is the expected time to the answer of a plain server.
-func (r *Router) plainWait(replica *Replica, d *Descriptor, state *State) time.Duration {
-	busy := replica.running.Load()
-	if state != nil {
-		busy = max(busy, int64(state.Running+state.Queued))
+func (r *Router) plainWait(from *candidate) time.Duration {
+	busy := from.replica.running.Load()
+	if from.state != nil {
+		busy = max(busy, int64(from.state.Running+from.state.Queued))
 	}
-	slots := int64(max(1, d.Slots))
+	slots := int64(max(1, from.descriptor.Slots))
 	wait := r.options.PlainWork + time.Duration(busy)*r.options.PlainWork/time.Duration(4*slots)
 	if busy >= slots {
 		wait += time.Duration(busy-slots+1) * r.options.PlainWork / time.Duration(slots)
@@ -45,7 +45,8 @@
 
 // modelWait is the expected time before the replica begins to read the prompt,
 // and to its first event behind it.
-func (r *Router) modelWait(request *Request, replica *Replica, state *State) time.Duration {
+func (r *Router) modelWait(request *Request, from *candidate) time.Duration {
+	replica, state := from.replica, from.state
 	waiting, running := int64(0), replica.running.Load()
 	// Replicas read the prompts of more urgent requests first.
 	for i := range request.priority() + 1 {
@@ -62,44 +63,37 @@
 
 // readTime is the expected time for reading the prompt or fetching parts of it. It
 // fixes what the replica is expected to read and where it fetches from.
-func (r *Router) readTime(request *Request, service string, c *choice, known *[]*parts) time.Duration {
-	shared := request.Prompt.sharedParts()
-	c.missing = request.Prompt.Tokens
-	if len(shared) == 0 || c.weights == 0 {
+func (s *survey) readTime(c *choice) time.Duration {
+	r, prompt := s.router, s.request.Prompt
+	p := s.parts(c.weights)
+	c.scope, c.missing = p.scope, prompt.Tokens
+	if len(p.keys) == 0 || c.weights == 0 {
 		return r.tokensTime(c.missing)
 	}
-	for _, p := range *known {
-		if p.scope == c.scope {
-			c.parts = p
-		}
-	}
-	if c.parts == nil {
-		c.parts = r.lookUp(c.scope, shared)
-		*known = append(*known, c.parts)
-	}
-	held := c.parts.held(c.replica)
-	holder, fetched := r.nearest(c.parts, c.replica, held)
-	last := len(shared) - 1
-	total := c.parts.tokens[last]
+	c.parts = p
+	held := p.held(c.replica)
+	holder, fetched := s.nearest(p, c.replica, held)
+	last := len(p.keys) - 1
+	total := p.tokens[last]
 	switch {
 	case held == total:
 		c.reason = "cached"
 	case fetched == total:
 		c.reason = "fetch"
-	case c.parts.reading[last] == c.replica:
+	case p.reading[last] == c.replica:
 		c.reason = "reading"
 		fetched = total
-	case c.parts.reading[last] == nil && r.home(service, request.Prompt.Model, c.parts.keys[last], c.weights, c.replica.descriptor.Load().Region) == c.replica:
+	case p.reading[last] == nil && p.isHome(c.replica):
 		c.reason = "home"
 	default:
 		c.reason = "spill"
 		c.again = total - max(held, fetched)
 	}
-	c.missing = max(0, request.Prompt.Tokens-max(held, fetched))
+	c.missing = max(0, prompt.Tokens-max(held, fetched))
 	wait := r.tokensTime(c.missing)
 	if holder != nil {
 		c.fetchFrom = holder
-		wait += r.fetchTime(request, service, holder, c.replica, max(0, fetched-held))
+		wait += s.fetchTime(holder, c.replica, max(0, fetched-held))
 	}
 	return wait
 }
@@ -109,8 +103,8 @@
 }
 
 // fetchTime is the time of a transfer of cached tokens.
-func (r *Router) fetchTime(request *Request, service string, from, to *Replica, tokens int) time.Duration {
-	engine := r.engine(request, service)
+func (s *survey) fetchTime(from, to *Replica, tokens int) time.Duration {
+	engine := s.engine
 	if engine == nil || engine.LinkBitsPerSecond <= 0 {
 		return fetchSetup
 	}
