One line for a decision and one for the end of a stream

Cause: logging took a quarter of an entry's own processor time in a profile of the path (0.12 of 0.45 s); three lines stood for each stream. Change: the end of a stream tells its replica, expected and actual time to the first event and attempts; the line for the first event is gone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,7 +162,7 @@
 func (s *streamBody) Close() error {
 	s.relay.Close()
 	whole := errors.Is(s.err, io.EOF)
-	fields := []any{"request", s.request.ID, "route", s.request.Route.Name, "whole", whole, "events", s.events, "took", s.gateway.clock.Now().Sub(s.request.Arrived)}
+	fields := append(s.relay.Facts(), "request", s.request.ID, "route", s.request.Route.Name, "whole", whole, "events", s.events, "took", s.gateway.clock.Now().Sub(s.request.Arrived))
 	if s.err != nil && !whole {
 		fields = append(fields, "err", s.err)
 	}
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -63,6 +63,8 @@
 	// unwatch ends the watching for the loss of the replica, nil if there is none.
 	unwatch func()
 	sent    time.Time
+	// firstEvent is the time from sent to the attempt's first event.
+	firstEvent time.Duration
 	// waiting is set until the attempt's first event, counted until its end.
 	waiting, counted bool
 	// last is the id of the last event that was passed on, -1 before the first.
@@ -423,8 +425,7 @@
 			u.started()
 			u.remember()
 			u.router.recorder.Took("firstEvent", u.router.clock.Now().Sub(u.request.Arrived))
-			u.router.logger.Info("route: first event.", "request", u.request.ID, "replica", u.choice.replica.ID(),
-				"expected", u.choice.wait, "took", u.router.clock.Now().Sub(u.sent), "missing", u.choice.missing)
+			u.firstEvent = u.router.clock.Now().Sub(u.sent)
 		}
 		if event.ID >= 0 && event.ID <= u.last {
 			continue
@@ -495,6 +496,13 @@
 // Close ends the exchange with the replica.
 func (s *Relay) Close() { s.run.end() }
 
+// Facts returns what decided the stream, as keys and values of a log line: the last
+// replica, the expected and the actual time to its first event, and the attempts.
+func (s *Relay) Facts() []any {
+	u := s.run
+	return []any{"replica", u.choice.replica.ID(), "expected", u.choice.wait, "firstEvent", u.firstEvent, "ran", u.ran, "rejected", u.rejected}
+}
+
 // resume goes on behind the last event at another replica.
 func (u *run) resume(cause error) error {
 	route := u.request.Route
