--- a/internal/cache/follower/follow.go
+++ b/internal/cache/follower/follow.go
@@ -1,4 +1,7 @@
 // Package follower follows the cache events of one replica.
+//
+// Events are late and some are lost. What is believed to be cached is a hint: a
+// replica that is asked for a part that it has dropped says so within a millisecond.
 package follower
 
 import (
@@ -30,9 +33,7 @@
 	// Epoch changes when the cache begins anew.
 	Epoch int64
 	// Next is the number to go on from.
-	Next int64
-	// Lost is set if events are missing.
-	Lost   bool
+	Next   int64
 	Events []Event
 }
 
@@ -47,43 +48,27 @@
 
 // Follower runs until it is closed.
 type Follower struct {
+	poll   func(ctx context.Context, since int64) (Batch, error)
+	sink   Sink
+	logger *log.Logger
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	// The fields below are used by the goroutine only.
+
+	// epoch and since are where the next call goes on; epoch is 0 before the first.
+	epoch, since int64
+	failing      bool
 }
 
 // New starts a follower. poll waits for events behind a number.
 func New(poll func(ctx context.Context, since int64) (Batch, error), sink Sink, clock timekeeper.Clock, logger *log.Logger) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{cancel: cancel, done: make(chan struct{})}
+	f := &Follower{poll: poll, sink: sink, logger: logger, cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(f.done)
-		var epoch, since int64
-		failing := false
 		for ctx.Err() == nil {
-			call, end := context.WithTimeout(ctx, callLimit)
-			batch, err := poll(call, since)
-			end()
-			pause := gather
-			switch {
-			case err != nil:
-				if !failing {
-					logger.Warn("cache: events lost.", "err", err)
-				}
-				pause = retryPause
-			case batch.Epoch != epoch:
-				sink.Clear()
-				if epoch == 0 {
-					apply(batch, sink)
-					since = batch.Next
-				} else {
-					since = 0
-				}
-				epoch = batch.Epoch
-			default:
-				apply(batch, sink)
-				since = batch.Next
-			}
-			failing = err != nil
+			pause := f.step(ctx)
 			select {
 			case <-ctx.Done():
 			case <-clock.After(pause):
@@ -93,13 +78,33 @@
 	return f
 }
 
-func apply(batch Batch, sink Sink) {
+// step makes one call and returns the time until the next.
+func (f *Follower) step(ctx context.Context) time.Duration {
+	call, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	batch, err := f.poll(call, f.since)
+	if err != nil {
+		if !f.failing && ctx.Err() == nil {
+			f.logger.Warn("cache: events lost.", "err", err)
+		}
+		f.failing = true
+		return retryPause
+	}
+	f.failing = false
+	if batch.Epoch != f.epoch && f.epoch != 0 {
+		// The cache began anew; the call went on from a number of the one before.
+		f.sink.Clear()
+		f.epoch, f.since = batch.Epoch, 0
+		return gather
+	}
+	f.epoch, f.since = batch.Epoch, batch.Next
 	for _, event := range batch.Events {
-		sink.Event(event)
+		f.sink.Event(event)
 	}
 	if len(batch.Events) > 0 {
-		sink.Changed()
+		f.sink.Changed()
 	}
+	return gather
 }
 
 // Close ends the following.
--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -66,7 +66,9 @@
 	Fed func() bool
 	// PullDelay is how long the copy may be behind another before it asks for the
 	// changes. Where the store itself is watched, it brings them sooner.
-	PullDelay time.Duration
+	PullDelay func() time.Duration
+	// Rank orders entries; 0 for sidecars.
+	Rank uint64
 	// Notice wakes the senders.
 	Notice *Notice
 	Clock  timekeeper.Clock
@@ -178,6 +180,35 @@
 	return !a.fedAt.IsZero() && a.d.Clock.Now().Sub(a.fedAt) < 2*farPeriod
 }
 
+// placeOf returns how many entries the store serves whose rank is below that of the
+// other end.
+func (a *Announcer) placeOf(to *session) int {
+	rank := to.rank.Load()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	place := 0
+	for s := range a.sessions {
+		if other := s.rank.Load(); other != 0 && other < rank && s.fed.Load() {
+			place++
+		}
+	}
+	return place
+}
+
+// Place returns how many entries of a lower rank the store serves, by the word of the
+// sidecar that knows of the fewest; 0 without a session.
+func (a *Announcer) Place() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	least := -1
+	for s := range a.sessions {
+		if place := int(s.place.Load()); least < 0 || place < least {
+			least = place
+		}
+	}
+	return max(0, least)
+}
+
 // mayAsk reports whether it is time to ask for changes, and notes it.
 func (a *Announcer) mayAsk(now time.Time) bool {
 	a.mu.Lock()
--- a/internal/fleet/announcer/announcer_test.go
+++ b/internal/fleet/announcer/announcer_test.go
@@ -26,13 +26,19 @@
 	mu     sync.Mutex
 	fed    bool
 	status *Status
+	rank   uint64
 	heard  map[string]Status
 	caches map[uint64]bool
 }
 
 func newNode(t *testing.T, listening bool) *node {
 	t.Helper()
-	n := &node{table: replicator.New(), cache: NewCacheLog(), notice: NewNotice(), heard: map[string]Status{}, caches: map[uint64]bool{}}
+	return newRankedNode(t, listening, 0)
+}
+
+func newRankedNode(t *testing.T, listening bool, rank uint64) *node {
+	t.Helper()
+	n := &node{rank: rank, table: replicator.New(), cache: NewCacheLog(), notice: NewNotice(), heard: map[string]Status{}, caches: map[uint64]bool{}}
 	if listening {
 		n.address = freeAddress(t)
 		n.status = &Status{Address: n.address, Weights: map[string]int{"m": 1}}
@@ -82,7 +88,9 @@
 			waiting[1] = 700
 			return waiting
 		},
-		Cache: n.cache,
+		Cache:     n.cache,
+		PullDelay: func() time.Duration { return 0 },
+		Rank:      n.rank,
 		Fed: func() bool {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -208,3 +216,35 @@
 	news, _ = cache.since(cursor)
 	assert.Assert(t, news.Whole && len(news.Added) == 0)
 }
+
+// TestEntriesKnowTheirPlace has five entries whom the store serves speak with two
+// sidecars. Each learns how many go before it; when one is not served any more, those
+// behind it move up.
+func TestEntriesKnowTheirPlace(t *testing.T) {
+	sidecars := []Peer{{Address: newNode(t, true).address}, {Address: newNode(t, true).address}}
+	var entries []*node
+	for i := range 5 {
+		e := newRankedNode(t, false, uint64(10+i))
+		e.fed = true
+		e.announcer.Reach(sidecars)
+		entries = append(entries, e)
+	}
+	places := func(want ...int) poll.Check {
+		return func(poll.LogT) poll.Result {
+			for i, e := range entries {
+				if e.announcer.Place() != want[i] {
+					return poll.Continue("place of %d is %d", i, e.announcer.Place())
+				}
+			}
+			return poll.Success()
+		}
+	}
+	wait(t, places(0, 1, 2, 3, 4))
+	entries[1].mu.Lock()
+	entries[1].fed = false
+	entries[1].mu.Unlock()
+	wait(t, places(0, 1, 1, 2, 3))
+	entries[0].announcer.Close()
+	entries = entries[1:]
+	wait(t, places(0, 0, 1, 2))
+}
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -69,6 +69,11 @@
 	// Waiting is how many prompt tokens the sender has sent to the receiver's
 	// replica that are not read yet.
 	Waiting [router.Priorities]int `cbor:"8,keyasint,omitempty"`
+	// Rank orders entries that watch the store; 0 for sidecars.
+	Rank uint64 `cbor:"10,keyasint,omitempty"`
+	// Place is how many entries of a lower rank the store serves, as the sender
+	// knows.
+	Place int `cbor:"11,keyasint,omitempty"`
 	// Far is set if the sender has found the receiver in another region.
 	Far bool `cbor:"9,keyasint,omitempty"`
 }
@@ -83,6 +88,10 @@
 	// Only the sender uses it.
 	cursor uint64
 
+	// rank, fed and place are what the other end last said.
+	rank  atomic.Uint64
+	fed   atomic.Bool
+	place atomic.Int64
 	// far is set if the ends are in different regions.
 	far atomic.Bool
 	// replica is the address of the other end's replica, nil before it was named.
@@ -131,7 +140,7 @@
 		defer cancel()
 		for ctx.Err() == nil {
 			news, cached := d.Notice.Wait(), s.cacheChanged()
-			m := message{Status: d.Status(), Far: s.far.Load()}
+			m := message{Status: d.Status(), Far: s.far.Load(), Rank: d.Rank, Place: s.owner.placeOf(s)}
 			if m.Status != nil {
 				m.Status.Waiting = s.owner.waiting()
 			}
@@ -187,8 +196,13 @@
 	if m.Fed {
 		s.owner.fed()
 	}
+	s.fed.Store(m.Fed)
+	if m.Rank != 0 {
+		s.rank.Store(m.Rank)
+	}
 	if m.Status != nil {
 		s.replica.Store(&m.Status.Address)
+		s.place.Store(int64(m.Place))
 		d.OnStatus(*m.Status)
 		if m.Cache != nil {
 			d.OnCache(m.Status.Address, *m.Cache)
@@ -217,7 +231,7 @@
 	if s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	if d.Table.Filled() && now.Sub(s.behindSince) < d.PullDelay || !s.owner.mayAsk(now) {
+	if d.Table.Filled() && now.Sub(s.behindSince) < d.PullDelay() || !s.owner.mayAsk(now) {
 		return nil
 	}
 	return s.send(message{Want: true, After: newest})
--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -83,8 +83,6 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	// Idle is how long a caller's connection may wait between requests.
-	Idle time.Duration
 	// Body is the size of the largest body, in bytes.
 	Body int
 }
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -12,9 +12,8 @@
 
 // Options are the fixed values of a router.
 type Options struct {
-	// Zone and Region are where the daemon is; Regions are all that there are.
+	// Zone and Region are where the daemon is.
 	Zone, Region string
-	Regions      []string
 	// ReadTokensPerSecond is the speed at which a replica reads prompts while
 	// others generate.
 	ReadTokensPerSecond float64
--- a/internal/routing/router/router_test.go
+++ b/internal/routing/router/router_test.go
@@ -41,7 +41,7 @@
 	}
 	b.pool.Set(list)
 	options := Options{
-		Zone: "z0", Region: "r", Regions: []string{"r"}, ReadTokensPerSecond: 60_000, RunningCost: time.Millisecond, PlainWork: 15 * time.Millisecond,
+		Zone: "z0", Region: "r", ReadTokensPerSecond: 60_000, RunningCost: time.Millisecond, PlainWork: 15 * time.Millisecond,
 		RetryShare: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second, OldWeightsLimit: 5 * time.Second,
 		Superseded: func(_ string, version int) (time.Time, bool) {
 			return clock.Now().Add(-b.superseded), version < b.newest
