Large prompts are not refused for their size; the router's files by what they do

Cause: found by reading.

Admission and streams have files of their own.

Result: the new test is red before (refused) and green after.

--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -62,8 +62,9 @@
 	fetchFrom *Replica
 	// wait is the expected time to the first event, or to a plain answer.
 	wait time.Duration
-	// reading is the part of it in which the replica reads prompts.
-	reading time.Duration
+	// reading is the part of it in which the replica reads prompts, queue that in
+	// which it reads those of other requests.
+	reading, queue time.Duration
 	// loss is the share of the request's worth that the choice is expected to lose.
 	loss   float64
 	reason string
--- a/internal/routing/router/load_test.go
+++ b/internal/routing/router/load_test.go
@@ -163,6 +163,21 @@
 	})
 }
 
+// TestLargeRequestsAreNotRefusedForTheirSize sends a prompt that takes longer than the
+// target to an idle replica: it is late whenever it comes, so it is served. Behind
+// others it is refused.
+func TestLargeRequestsAreNotRefusedForTheirSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(1, func(int, *Attempt) (*Reply, error) { return stream(0, 1, io.EOF), nil })
+		large := func() *Request { return modelRequest(route(Stream, 1, false), Part{"a", 40_000}) }
+		result := b.router.Begin(large())
+		assert.Assert(t, result.Failure == nil)
+		result.Stream.Close()
+		b.pool.Replica("i-0").waiting[0].Store(30_000)
+		assert.Equal(t, b.router.Begin(large()).Failure.Reason, ReasonOverload)
+	})
+}
+
 // TestPatienceKnowsWhoCameBack compares the time that callers have left.
 func TestPatienceKnowsWhoCameBack(t *testing.T) {
 	p := NewPatience()
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"math/rand/v2"
 	"time"
 )
 
@@ -21,25 +19,6 @@
 	patienceTargets = 3
 	// patienceLeast bounds that wait from below.
 	patienceLeast = 400 * time.Millisecond
-	// shedTargets is how many times its target a new request may be expected to
-	// take. Expectations are at the median: of those that are expected just in time half
-	// are late.
-	shedTargets = 0.9
-	// returnedRank is by how many ranks requests that came back are put behind.
-	returnedRank = 4
-	// abandonLeast, abandonTargets and abandonPauses are the longest of the times
-	// after which callers leave a stream without an event.
-	abandonLeast   = 2 * time.Second
-	abandonTargets = 4
-	abandonPauses  = 8
-	// patienceShare of that time is used; the rest is for errors of expectation.
-	patienceShare = 0.8
-	// behindShare is the part of that which a request that came back may be expected
-	// to wait: others that arrive later go before it.
-	behindShare = 0.5
-	// silenceLimit is how long a resumable stream may pause before another
-	// replica goes on with it. Preempted requests pause for less.
-	silenceLimit = 1200 * time.Millisecond
 )
 
 // run is one request on its way to an answer. It is used by one goroutine.
@@ -163,7 +142,7 @@
 		if !found {
 			return u.noReplica()
 		}
-		if failure := u.hopeless(c); failure != nil {
+		if failure := u.refuse(c); failure != nil {
 			return failure
 		}
 		err := u.send(c)
@@ -191,35 +170,6 @@
 	return nil
 }
 
-// hopeless refuses a request that would not be answered in time. One that comes
-// for the first time is refused while it would only be late: it would make all
-// behind it late too. One that came back, or that a replica may have run, goes on
-// as long as its caller waits for it.
-func (u *run) hopeless(c choice) *Failure {
-	route, request := u.request.Route, u.request
-	if request.Prompt == nil || route.Target <= 0 || u.ran > 0 || request.After >= 0 {
-		return nil
-	}
-	limit := min(time.Duration(shedTargets*float64(route.Target)), u.callerPatience())
-	if request.Returned {
-		limit = time.Duration(behindShare * float64(u.callerPatience()))
-	}
-	wait := u.router.clock.Now().Sub(request.Arrived) + c.wait
-	if wait <= limit {
-		return nil
-	}
-	back := time.Duration((1 + rand.Float64()/2) * float64(max(returnSoon, c.wait-route.Target/2)))
-	u.router.logger.Info("route: refused.", "request", request.ID, "expected", wait, "limit", limit, "returned", request.Returned, "back", back)
-	return &Failure{Reason: ReasonOverload, NotRun: true, RetryAfter: back}
-}
-
-// callerPatience is how long the caller waits for the first event.
-func (u *run) callerPatience() time.Duration {
-	route := u.request.Route
-	gap := max(abandonLeast, abandonTargets*route.Target, abandonPauses*route.Pause)
-	return time.Duration(patienceShare * float64(min(gap, u.request.Until.Sub(u.request.Arrived))))
-}
-
 func (u *run) remaining() time.Duration { return u.request.Until.Sub(u.router.clock.Now()) }
 
 func (u *run) noReplica() *Failure {
@@ -292,20 +242,6 @@
 	return max(patienceLeast, patienceTargets*u.request.Route.Target), true
 }
 
-// priority is the rank of the request; a workspace's own goes before the route's.
-// A request that came back is late already: it goes behind those that can still be
-// in time.
-func (r *Request) priority() int {
-	priority := r.Route.Priority
-	if r.Workspace != nil && r.Workspace.Priority != nil {
-		priority = *r.Workspace.Priority
-	}
-	if r.Returned {
-		priority += returnedRank
-	}
-	return min(max(0, priority), Priorities-1)
-}
-
 // noteError judges an attempt that got no answer.
 func (u *run) noteError(err error) {
 	replica := u.choice.replica
@@ -397,134 +333,3 @@
 	u.failure = &Failure{Reason: ReasonRejected, NotRun: u.ran == 0, RetryAfter: returnSoon}
 	return false
 }
-
-// takeStream waits for the first event, so that a replica that is lost before it
-// can be replaced.
-func (u *run) takeStream() (*Result, bool) {
-	first, err := u.nextEvent()
-	if err != nil && !errors.Is(err, io.EOF) {
-		u.noteError(err)
-		return nil, false
-	}
-	u.ran++
-	return &Result{Reply: u.reply, Stream: &Relay{run: u, first: first, ended: err != nil, pending: err == nil}}, true
-}
-
-// nextEvent reads an event of the current attempt that the caller does not have.
-func (u *run) nextEvent() (Event, error) {
-	for {
-		u.reply.SetDeadline(u.silenceEnd())
-		event, err := u.reply.Events()
-		if err != nil {
-			return event, err
-		}
-		if u.waiting {
-			u.started()
-			u.remember()
-			u.router.recorder.Took("firstEvent", u.router.clock.Now().Sub(u.request.Arrived))
-			u.firstEvent = u.router.clock.Now().Sub(u.sent)
-			u.service.observe(u.choice.reading, u.choice.wait, u.firstEvent)
-		}
-		if event.ID >= 0 && event.ID <= u.last {
-			continue
-		}
-		if event.ID >= 0 {
-			u.last = event.ID
-		}
-		return event, nil
-	}
-}
-
-// silenceEnd is when the current attempt is given up without another event.
-func (u *run) silenceEnd() time.Time {
-	route := u.request.Route
-	if u.waiting || !route.repeatable() || u.ran >= route.MaxAttempts {
-		return u.request.Until
-	}
-	if end := u.router.clock.Now().Add(silenceLimit); end.Before(u.request.Until) {
-		return end
-	}
-	return u.request.Until
-}
-
-// remember notes that the replica has read the shared parts of the prompt.
-func (u *run) remember() {
-	if u.choice.parts == nil || u.reply.Weights != u.choice.weights {
-		return
-	}
-	for _, key := range u.choice.parts.keys {
-		u.router.holders.add(key, u.choice.replica)
-	}
-}
-
-// Relay yields the events of a stream, over the replicas that it takes. It is
-// used by one goroutine.
-type Relay struct {
-	run   *run
-	first Event
-	// pending is set while first was not returned yet.
-	pending bool
-	ended   bool
-}
-
-// Next returns the next event. io.EOF means that the stream is whole.
-func (s *Relay) Next() (Event, error) {
-	if s.pending {
-		s.pending = false
-		return s.first, nil
-	}
-	if s.ended {
-		return Event{}, io.EOF
-	}
-	for {
-		event, err := s.run.nextEvent()
-		if err == nil {
-			return event, nil
-		}
-		if errors.Is(err, io.EOF) {
-			s.ended = true
-			return Event{}, io.EOF
-		}
-		if err := s.run.resume(err); err != nil {
-			return Event{}, err
-		}
-	}
-}
-
-// Close ends the exchange with the replica.
-func (s *Relay) Close() { s.run.end() }
-
-// Facts returns what decided the stream, as keys and values of a log line: the last
-// replica, the expected and the actual time to its first event, and the attempts.
-func (s *Relay) Facts() []any {
-	u := s.run
-	return []any{"replica", u.choice.replica.ID(), "expected", u.choice.wait, "firstEvent", u.firstEvent, "ran", u.ran, "rejected", u.rejected}
-}
-
-// resume goes on behind the last event at another replica.
-func (u *run) resume(cause error) error {
-	route := u.request.Route
-	replica := u.choice.replica
-	u.router.recorder.Count("streams.broken")
-	u.router.logger.Info("route: stream broke off.", "request", u.request.ID, "replica", replica.ID(), "last", u.last, "err", cause)
-	u.excluded = append(u.excluded, replica)
-	if u.ctx.Err() == nil {
-		replica.failed(u.router.clock.Now())
-	}
-	u.closeAttempt()
-	if !route.repeatable() || u.last < 0 || u.ran >= route.MaxAttempts || u.expired() != nil || !u.service.budget.Spend() {
-		return cause
-	}
-	u.failure = &Failure{Reason: ReasonBroken}
-	if failure := u.open(); failure != nil {
-		return cause
-	}
-	u.learn(u.reply)
-	if u.reply.NotRun || u.reply.Events == nil || u.reply.Status >= 300 {
-		return cause
-	}
-	u.ran++
-	u.router.recorder.Count("streams.resumed")
-	u.router.logger.Info("route: stream resumed.", "request", u.request.ID, "replica", u.choice.replica.ID(), "after", u.last)
-	return nil
-}
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -59,7 +59,8 @@
 		running = max(running, int64(state.Running))
 	}
 	c.reading = s.router.tokensTime(s.service, int(waiting)+c.missing)
-	return firstTime + s.router.tokensTime(s.service, int(waiting)) + time.Duration(running)*s.router.options.RunningCost
+	c.queue = s.router.tokensTime(s.service, int(waiting))
+	return firstTime + c.queue + time.Duration(running)*s.router.options.RunningCost
 }
 
 // readTime is the expected time for reading the prompt or fetching parts of it. It
