A closed replica stays closed; a race in the follower's test

Cause 1: found by reading. A replica whose entries were told to stop sending went back to preparing when more requests ran than hold an order up for a short time only. The product was not concerned. Change: once closed, only the turn itself opens it again; the stand-in has a lock. Result: orderer and follower tests green with -race, twice.

--- a/internal/cache/follower/follow_test.go
+++ b/internal/cache/follower/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,22 +17,35 @@
 
 // cache is a replica's cache with its events.
 type cache struct {
+	// mu guards the fields below.
+	mu     sync.Mutex
 	epoch  int64
 	events []follower.Event
 	down   bool
 }
 
+func (c *cache) set(down bool, epoch int64, events []follower.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down, c.epoch, c.events = down, epoch, events
+}
+
 func (c *cache) poll(ctx context.Context, since int64) (follower.Batch, error) {
-	if c.down {
-		return follower.Batch{}, errors.New("replica is down")
-	}
-	if since >= int64(len(c.events)) {
+	c.mu.Lock()
+	none := !c.down && since >= int64(len(c.events))
+	c.mu.Unlock()
+	if none {
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Second):
 		}
-		since = int64(len(c.events))
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return follower.Batch{}, errors.New("replica is down")
+	}
+	since = min(since, int64(len(c.events)))
 	return follower.Batch{Epoch: c.epoch, Next: int64(len(c.events)), Events: c.events[since:]}, nil
 }
 
@@ -40,23 +54,35 @@
 func TestFollowerKnowsWhatIsHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &cache{epoch: 1, events: []follower.Event{{ID: "a", Stored: true}, {ID: "b", Stored: true}, {ID: "a"}}}
+		var mu sync.Mutex
 		held := map[string]bool{}
+		expect := func(want map[string]bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			assert.DeepEqual(t, held, want)
+		}
 		f := follower.New(c.poll, follower.Sink{
 			Event: func(e follower.Event) {
+				mu.Lock()
+				defer mu.Unlock()
 				if held[e.ID] = e.Stored; !e.Stored {
 					delete(held, e.ID)
 				}
 			},
-			Clear:   func() { clear(held) },
+			Clear: func() {
+				mu.Lock()
+				defer mu.Unlock()
+				clear(held)
+			},
 			Changed: func() {},
 		}, timekeeper.System{}, log.New(io.Discard))
 		defer f.Close()
 		<-time.After(3 * time.Second)
-		assert.DeepEqual(t, held, map[string]bool{"b": true})
-		c.down = true
+		expect(map[string]bool{"b": true})
+		c.set(true, 1, c.events)
 		<-time.After(3 * time.Second)
-		c.down, c.epoch, c.events = false, 2, []follower.Event{{ID: "c", Stored: true}}
+		c.set(false, 2, []follower.Event{{ID: "c", Stored: true}})
 		<-time.After(3 * time.Second)
-		assert.DeepEqual(t, held, map[string]bool{"c": true})
+		expect(map[string]bool{"c": true})
 	})
 }
--- a/internal/weights/orderer/order.go
+++ b/internal/weights/orderer/order.go
@@ -234,7 +234,7 @@
 	case o.preparedAt.IsZero():
 		o.preparedAt = now
 		o.enter(router.Preparing, "model", wanted.Model, "version", wanted.Version)
-	case turn == Prepare || !o.prepared(now) || wanted.Fence <= o.refused:
+	case turn == Prepare || wanted.Fence <= o.refused || o.closedAt.IsZero() && !o.prepared(now):
 		o.closedAt = time.Time{}
 		o.enter(router.Preparing)
 	case o.closedAt.IsZero():
