Usual terms in code and comments; no error without a line

Cause: reading the change as a newcomer. Names and comments carried words of our own (word, lives, reach, judge, notice, fed) where the field has terms, the gateway's wire format was called Interface, and three errors of servers and sessions were dropped.

Change: names and comments only, but for log lines of ended servers and sessions.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -23,18 +23,18 @@
 	redialMost  = time.Second
 )
 
-// Notice wakes all sessions when there is something to say at once.
-type Notice struct {
+// Broadcaster wakes all sessions when there is something to say at once.
+type Broadcaster struct {
 	// mu guards next.
 	mu   sync.Mutex
 	next chan struct{}
 }
 
-// NewNotice returns a notice.
-func NewNotice() *Notice { return &Notice{next: make(chan struct{})} }
+// NewBroadcaster returns a notice.
+func NewBroadcaster() *Broadcaster { return &Broadcaster{next: make(chan struct{})} }
 
 // Send wakes everybody who waits.
-func (n *Notice) Send() {
+func (n *Broadcaster) Send() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	close(n.next)
@@ -42,7 +42,7 @@
 }
 
 // Wait returns a channel that is closed at the next Send.
-func (n *Notice) Wait() <-chan struct{} {
+func (n *Broadcaster) Wait() <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.next
@@ -51,32 +51,32 @@
 // Dependencies are what an announcer works with.
 type Dependencies struct {
 	Table *replicator.Table
-	// Status returns what this daemon says of its replica, nil if it has none.
+	// Status returns what this daemon reports about its replica, nil if it has none.
 	Status func() *Status
-	// OnStatus takes what others say of theirs.
+	// OnStatus receives what other daemons report.
 	OnStatus func(Status)
-	// OnCache takes what others say of the cache of the replica at an address.
+	// OnCache receives changes of the cache of the replica at an address.
 	OnCache func(address string, news CacheNews)
 	// Waiting returns how many prompt tokens this daemon has sent to the replica at
 	// an address that are not read yet.
 	Waiting func(address string) [router.Priorities]int
 	// Cache is the log of the own replica's cache, nil if there is none.
 	Cache *CacheLog
-	// Fed reports whether the store serves this daemon.
-	Fed func() bool
+	// WatchesStore reports whether this daemon watches the store successfully.
+	WatchesStore func() bool
 	// PullDelay is how long the copy may be behind another before it asks for the
 	// changes. Where the store itself is watched, it brings them sooner.
 	PullDelay func() time.Duration
 	// Rank orders entries; 0 for sidecars.
 	Rank uint64
-	// Notice wakes the senders.
-	Notice *Notice
-	Clock  timekeeper.Clock
-	Logger *log.Logger
+	// Broadcaster wakes the senders.
+	Broadcaster *Broadcaster
+	Clock       timekeeper.Clock
+	Logger      *log.Logger
 }
 
-// Announcer speaks with other daemons: with those that connect to it, and with
-// those that it was told to reach.
+// Announcer holds sessions with other daemons: those that connect to it and those
+// that it connects to.
 type Announcer struct {
 	d        Dependencies
 	listener net.Listener
@@ -88,17 +88,17 @@
 	mu sync.Mutex
 	// sessions holds all that are open.
 	sessions map[*session]bool
-	// fedAt is when another daemon last said that the store serves it.
-	fedAt time.Time
+	// watchedAt is when a peer last reported that it watches the store.
+	watchedAt time.Time
 	// askedAt is when changes were last asked for.
 	askedAt time.Time
 	// reached holds what ends the speaking with each address.
-	reached map[string]context.CancelFunc
+	connected map[string]context.CancelFunc
 }
 
-// New starts an announcer. An empty address means that nobody connects to it.
+// New starts an announcer. An empty address means that it accepts no connections.
 func New(address string, d Dependencies) (*Announcer, error) {
-	a := &Announcer{d: d, reached: make(map[string]context.CancelFunc), sessions: make(map[*session]bool)}
+	a := &Announcer{d: d, connected: make(map[string]context.CancelFunc), sessions: make(map[*session]bool)}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if address == "" {
 		return a, nil
@@ -119,14 +119,17 @@
 				<-d.Clock.After(redialLeast)
 				continue
 			}
-			a.tasks.Go(func() { _ = a.speak(a.ctx, conn, false) })
+			a.tasks.Go(func() {
+				err := a.serve(a.ctx, conn, false)
+				d.Logger.Debug("fleet: lost daemon.", "address", conn.RemoteAddr(), "err", err)
+			})
 		}
 	})
 	return a, nil
 }
 
-// speak runs one session and closes the connection.
-func (a *Announcer) speak(ctx context.Context, conn net.Conn, far bool) error {
+// serve runs one session and closes the connection.
+func (a *Announcer) serve(ctx context.Context, conn net.Conn, far bool) error {
 	defer func() { _ = conn.Close() }()
 	s := newSession(a, conn, far)
 	a.mu.Lock()
@@ -151,8 +154,7 @@
 }
 
 // waiting returns the prompt tokens that all other daemons have sent to the own
-// replica and that are not read yet, by
-// priority.
+// replica and that are not read yet, by priority.
 func (a *Announcer) waiting() (sum [router.Priorities]int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -166,18 +168,19 @@
 	return sum
 }
 
-func (a *Announcer) fed() {
+// notePeerWatching records that a peer watches the store.
+func (a *Announcer) notePeerWatching() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.fedAt = a.d.Clock.Now()
+	a.watchedAt = a.d.Clock.Now()
 }
 
-// OthersFed reports whether the store serves a daemon that speaks with this one,
-// which then brings changes as soon as it has them.
-func (a *Announcer) OthersFed() bool {
+// PeerWatchesStore reports whether a connected daemon watches the store. It then sends
+// changes as soon as it has them.
+func (a *Announcer) PeerWatchesStore() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.fedAt.IsZero() && a.d.Clock.Now().Sub(a.fedAt) < 2*farPeriod
+	return !a.watchedAt.IsZero() && a.d.Clock.Now().Sub(a.watchedAt) < 2*farPeriod
 }
 
 // placeOf returns how many entries the store serves whose rank is below that of the
@@ -195,8 +198,8 @@
 	return place
 }
 
-// Place returns how many entries of a lower rank the store serves, by the word of the
-// sidecar that knows of the fewest; 0 without a session.
+// Place returns how many entries of a lower rank the store serves, as reported by the
+// sidecar that knows the fewest; 0 without a session.
 func (a *Announcer) Place() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -220,7 +223,7 @@
 	return true
 }
 
-// Peer is a daemon to speak with.
+// Peer is a daemon to connect to.
 type Peer struct {
 	// Address is its IP address and port.
 	Address string
@@ -228,31 +231,31 @@
 	Far bool
 }
 
-// Reach keeps a session with each peer and ends those with others.
-func (a *Announcer) Reach(peers []Peer) {
+// Connect keeps a session with each peer and ends those with others.
+func (a *Announcer) Connect(peers []Peer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	wanted := make(map[string]bool, len(peers))
 	for _, peer := range peers {
 		address := peer.Address
 		wanted[address] = true
-		if a.reached[address] != nil || a.ctx.Err() != nil {
+		if a.connected[address] != nil || a.ctx.Err() != nil {
 			continue
 		}
 		ctx, cancel := context.WithCancel(a.ctx)
-		a.reached[address] = cancel
-		a.tasks.Go(func() { a.keep(ctx, peer) })
+		a.connected[address] = cancel
+		a.tasks.Go(func() { a.maintain(ctx, peer) })
 	}
-	for address, cancel := range a.reached {
+	for address, cancel := range a.connected {
 		if !wanted[address] {
 			cancel()
-			delete(a.reached, address)
+			delete(a.connected, address)
 		}
 	}
 }
 
 // keep connects again whenever a session ends.
-func (a *Announcer) keep(ctx context.Context, peer Peer) {
+func (a *Announcer) maintain(ctx context.Context, peer Peer) {
 	address := peer.Address
 	pause := redialLeast
 	dialer := net.Dialer{Timeout: dialLimit, KeepAlive: -1}
@@ -261,7 +264,7 @@
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
 			a.d.Logger.Debug("fleet: reached daemon.", "address", address)
-			err = a.speak(ctx, conn, peer.Far)
+			err = a.serve(ctx, conn, peer.Far)
 		}
 		if ctx.Err() != nil {
 			return
--- a/internal/fleet/announcer/announcer_test.go
+++ b/internal/fleet/announcer/announcer_test.go
@@ -17,11 +17,11 @@
 
 // node is one daemon under test.
 type node struct {
-	announcer *Announcer
-	table     *replicator.Table
-	cache     *CacheLog
-	notice    *Notice
-	address   string
+	announcer   *Announcer
+	table       *replicator.Table
+	cache       *CacheLog
+	broadcaster *Broadcaster
+	address     string
 
 	mu     sync.Mutex
 	fed    bool
@@ -38,7 +38,7 @@
 
 func newRankedNode(t *testing.T, listening bool, rank uint64) *node {
 	t.Helper()
-	n := &node{rank: rank, table: replicator.New(), cache: NewCacheLog(), notice: NewNotice(), heard: map[string]Status{}, caches: map[uint64]bool{}}
+	n := &node{rank: rank, table: replicator.New(), cache: NewCacheLog(), broadcaster: NewBroadcaster(), heard: map[string]Status{}, caches: map[uint64]bool{}}
 	if listening {
 		n.address = freeAddress(t)
 		n.status = &Status{Address: n.address, Weights: map[string]int{"m": 1}}
@@ -91,14 +91,14 @@
 		Cache:     n.cache,
 		PullDelay: func() time.Duration { return 0 },
 		Rank:      n.rank,
-		Fed: func() bool {
+		WatchesStore: func() bool {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			return n.fed
 		},
-		Notice: n.notice,
-		Clock:  timekeeper.System{},
-		Logger: log.New(io.Discard),
+		Broadcaster: n.broadcaster,
+		Clock:       timekeeper.System{},
+		Logger:      log.New(io.Discard),
 	})
 	assert.NilError(t, err)
 	t.Cleanup(n.announcer.Close)
@@ -129,7 +129,7 @@
 	sidecar.cache.Change(8, false)
 	entries := []*node{newNode(t, false), newNode(t, false)}
 	for _, e := range entries {
-		e.announcer.Reach([]Peer{{Address: sidecar.address}})
+		e.announcer.Connect([]Peer{{Address: sidecar.address}})
 	}
 	for _, e := range entries {
 		wait(t, e.locked(func() bool { return e.caches[7] && !e.caches[8] && e.heard[sidecar.address].Waiting[1] == 1400 }))
@@ -154,10 +154,10 @@
 	sidecar, served, cut := newNode(t, true), newNode(t, false), newNode(t, false)
 	served.fed = true
 	for _, e := range []*node{served, cut} {
-		e.announcer.Reach([]Peer{{Address: sidecar.address, Far: e == cut}})
+		e.announcer.Connect([]Peer{{Address: sidecar.address, Far: e == cut}})
 	}
 	served.table.Apply(replicator.Delta{Revision: 3, Whole: true, Items: []replicator.Item{{Key: "a", Value: []byte("1"), Revision: 2}, {Key: "b", Revision: 3}}})
-	served.notice.Send()
+	served.broadcaster.Send()
 	value := func(key, want string) poll.Check {
 		return func(poll.LogT) poll.Result {
 			if item, _ := cut.table.Get(key); string(item.Value) == want {
@@ -168,12 +168,12 @@
 	}
 	wait(t, value("a", "1"))
 	served.table.Apply(replicator.Delta{Revision: 5, Items: []replicator.Item{{Key: "b", Revision: 4, Removed: true}, {Key: "a", Value: []byte("2"), Revision: 5}}})
-	served.notice.Send()
+	served.broadcaster.Send()
 	wait(t, value("a", "2"))
 	_, found := cut.table.Get("b")
 	assert.Assert(t, !found)
-	assert.Assert(t, sidecar.announcer.OthersFed())
-	assert.Assert(t, !cut.announcer.OthersFed())
+	assert.Assert(t, sidecar.announcer.PeerWatchesStore())
+	assert.Assert(t, !cut.announcer.PeerWatchesStore())
 }
 
 // TestSilentPeerIsLeft accepts connections and says nothing: the session ends, and a
@@ -183,7 +183,7 @@
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	entry := newNode(t, false)
-	entry.announcer.Reach([]Peer{{Address: l.Addr().String()}})
+	entry.announcer.Connect([]Peer{{Address: l.Addr().String()}})
 	for range 2 {
 		conn, err := l.Accept()
 		assert.NilError(t, err)
@@ -226,7 +226,7 @@
 	for i := range 5 {
 		e := newRankedNode(t, false, uint64(10+i))
 		e.fed = true
-		e.announcer.Reach(sidecars)
+		e.announcer.Connect(sidecars)
 		entries = append(entries, e)
 	}
 	places := func(want ...int) poll.Check {
--- a/internal/fleet/announcer/cachelog.go
+++ b/internal/fleet/announcer/cachelog.go
@@ -18,7 +18,7 @@
 // for concurrent use.
 type CacheLog struct {
 	// changed wakes those who pass the changes on.
-	changed *Notice
+	changed *Broadcaster
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -36,7 +36,7 @@
 
 // NewCacheLog returns the log of an empty cache.
 func NewCacheLog() *CacheLog {
-	return &CacheLog{changed: NewNotice(), held: make(map[uint64]bool), first: 1}
+	return &CacheLog{changed: NewBroadcaster(), held: make(map[uint64]bool), first: 1}
 }
 
 // Change notes that the cache holds a part, or no longer.
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -1,9 +1,10 @@
-// Package announcer carries word between daemons: sidecars tell entries the state
-// of their replicas, and all bring each other's copies of the platform's store up
-// to date, so that a daemon that the store does not serve still learns of changes.
+// Package announcer exchanges state between daemons: sidecars report the state and
+// cache contents of their replicas to entries, and all daemons replicate the
+// platform's store to each other, so that a daemon that the store does not serve
+// still receives changes.
 //
-// Daemons speak CBOR over TCP. Either end says something at least every period,
-// so a connection that has gone silent is noticed.
+// The protocol is CBOR over TCP. Each end sends at least one message per period, so
+// that a silent connection is detected.
 package announcer
 
 import (
@@ -32,7 +33,7 @@
 	askAgain = 150 * time.Millisecond
 )
 
-// Status is what a sidecar says of its replica.
+// Status is what a sidecar reports about its replica.
 type Status struct {
 	// Address is the replica's IP address and port.
 	Address string `cbor:"1,keyasint"`
@@ -40,7 +41,7 @@
 	Phase int `cbor:"2,keyasint"`
 	// PhaseAge is how long the phase has lasted.
 	PhaseAge time.Duration `cbor:"9,keyasint,omitempty"`
-	// Started tells lives under one id apart, in Unix milliseconds.
+	// Started distinguishes incarnations with the same id, in Unix milliseconds.
 	Started    int64          `cbor:"3,keyasint"`
 	Weights    map[string]int `cbor:"4,keyasint,omitempty"`
 	Running    int            `cbor:"5,keyasint"`
@@ -51,7 +52,7 @@
 	Waiting [router.Priorities]int `cbor:"8,keyasint,omitempty"`
 }
 
-// message is all that daemons say to each other.
+// message is the only message between daemons.
 type message struct {
 	// Status is nil if the sender has no replica or nothing changed.
 	Status *Status `cbor:"1,keyasint,omitempty"`
@@ -62,8 +63,8 @@
 	After uint64 `cbor:"4,keyasint,omitempty"`
 	// Delta answers a Want.
 	Delta *replicator.Delta `cbor:"5,keyasint,omitempty"`
-	// Fed is set while the store serves the sender.
-	Fed bool `cbor:"6,keyasint,omitempty"`
+	// WatchesStore is set while the sender watches the store successfully.
+	WatchesStore bool `cbor:"6,keyasint,omitempty"`
 	// Cache is what changed in the cache of the sender's replica.
 	Cache *CacheNews `cbor:"7,keyasint,omitempty"`
 	// Waiting is how many prompt tokens the sender has sent to the receiver's
@@ -129,7 +130,7 @@
 	return period
 }
 
-// run speaks until the connection fails or ctx ends.
+// run exchanges messages until the connection fails or ctx ends.
 func (s *session) run(ctx context.Context) error {
 	d := &s.owner.d
 	ctx, cancel := context.WithCancel(ctx)
@@ -139,7 +140,7 @@
 	go func() {
 		defer cancel()
 		for ctx.Err() == nil {
-			news, cached := d.Notice.Wait(), s.cacheChanged()
+			news, cached := d.Broadcaster.Wait(), s.cacheChanged()
 			m := message{Status: d.Status(), Far: s.far.Load(), Rank: d.Rank, Place: s.owner.placeOf(s)}
 			if m.Status != nil {
 				m.Status.Waiting = s.owner.waiting()
@@ -175,7 +176,7 @@
 }
 
 func (s *session) send(m message) error {
-	m.Revision, m.Fed = s.owner.d.Table.Newest(), s.owner.d.Fed()
+	m.Revision, m.WatchesStore = s.owner.d.Table.Newest(), s.owner.d.WatchesStore()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_ = s.conn.SetWriteDeadline(time.Now().Add(silenceLimit))
@@ -193,10 +194,10 @@
 	if m.Far {
 		s.far.Store(true)
 	}
-	if m.Fed {
-		s.owner.fed()
+	if m.WatchesStore {
+		s.owner.notePeerWatching()
 	}
-	s.fed.Store(m.Fed)
+	s.fed.Store(m.WatchesStore)
 	if m.Rank != 0 {
 		s.rank.Store(m.Rank)
 	}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -1,4 +1,4 @@
-// Package roster judges from the platform's list which replicas are there.
+// Package roster derives the existing replicas from the platform's list.
 //
 // Entries lapse while the store is away although their replicas live. An entry
 // that is found missing around an outage therefore holds for a while behind it.
@@ -51,9 +51,9 @@
 	return &Roster{d: d, known: make(map[string]*member)}
 }
 
-// Judge returns the replicas of the list. again is when to look once more although
+// Update returns the replicas of the list. again is when to look once more although
 // nothing has changed, 0 for never.
-func (r *Roster) Judge(items []replicator.Item) (list []router.Descriptor, again time.Duration) {
+func (r *Roster) Update(items []replicator.Item) (list []router.Descriptor, again time.Duration) {
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -38,7 +38,7 @@
 }
 
 func (b *bed) judge(items ...replicator.Item) []string {
-	list, _ := b.roster.Judge(items)
+	list, _ := b.roster.Update(items)
 	var ids []string
 	for _, d := range list {
 		ids = append(ids, d.ID)
@@ -84,7 +84,7 @@
 		b := newBed()
 		b.judge(present("a", 1))
 		b.outage = watcher.Outage{Ended: time.Now()}
-		_, again := b.roster.Judge([]replicator.Item{removed("a", 3)})
+		_, again := b.roster.Update([]replicator.Item{removed("a", 3)})
 		assert.Assert(t, again > 2*time.Second)
 		<-time.After(again)
 		assert.Equal(t, len(b.judge(removed("a", 3))), 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,5 @@
 // Package gateway serves callers over HTTP for a router. What requests and answers
-// look like on the wire is left to an Interface.
+// look like on the wire is left to a Protocol.
 package gateway
 
 import (
@@ -28,8 +28,8 @@
 	finishMargin = 400 * time.Millisecond
 )
 
-// Interface is how requests and answers look on the wire.
-type Interface struct {
+// Protocol is how requests and answers look on the wire.
+type Protocol struct {
 	// Parse reads a request. A false result means that it was answered.
 	Parse func(ctx *fasthttp.RequestCtx, arrived time.Time) (*router.Request, bool)
 	// WriteHead writes the status and the fields of a replica's answer.
@@ -56,7 +56,7 @@
 // Gateway serves until it is drained.
 type Gateway struct {
 	settings  Settings
-	wire      Interface
+	wire      Protocol
 	router    *router.Router
 	known     func() bool
 	clock     timekeeper.Clock
@@ -69,7 +69,7 @@
 }
 
 // New starts a gateway. known tells whether a request could be served.
-func New(settings Settings, wire Interface, r *router.Router, known func() bool, clock timekeeper.Clock, logger *log.Logger) (*Gateway, error) {
+func New(settings Settings, wire Protocol, r *router.Router, known func() bool, clock timekeeper.Clock, logger *log.Logger) (*Gateway, error) {
 	g := &Gateway{settings: settings, wire: wire, router: r, known: known, clock: clock, logger: logger}
 	var err error
 	if g.callers, err = listener.New(settings.Address, inboundLimit); err != nil {
@@ -90,11 +90,18 @@
 		Logger:                quiet{},
 	}
 	g.readiness = &fasthttp.Server{Handler: g.handleReady, ReadTimeout: readLimit, IdleTimeout: readLimit, NoDefaultServerHeader: true, Logger: quiet{}}
-	go func() { _ = g.server.Serve(g.callers) }()
-	go func() { _ = g.readiness.Serve(g.balancers) }()
+	go func() { g.serve(g.server, g.callers) }()
+	go func() { g.serve(g.readiness, g.balancers) }()
 	return g, nil
 }
 
+// serve runs a server until its listener is closed.
+func (g *Gateway) serve(server *fasthttp.Server, l *listener.Listener) {
+	if err := server.Serve(l); err != nil && !g.stopping.Load() {
+		g.logger.Error("gateway: server ended.", "address", l.Addr(), "err", err)
+	}
+}
+
 // Ready reports whether new callers would be served.
 func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.known() }
 
--- a/internal/metrics/recorder/record.go
+++ b/internal/metrics/recorder/record.go
@@ -40,8 +40,8 @@
 // Count adds one to a counter.
 func (r *Recorder) Count(name string) { r.counters.Add(name, 1) }
 
-// Took records a time.
-func (r *Recorder) Took(name string, took time.Duration) {
+// Observe records a time.
+func (r *Recorder) Observe(name string, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := r.histograms[name]
--- a/internal/metrics/recorder/record_test.go
+++ b/internal/metrics/recorder/record_test.go
@@ -15,19 +15,19 @@
 	r.Count("answered")
 	r.Count("answered")
 	for i := range 100 {
-		r.Took("firstEvent", time.Duration(i+1)*time.Millisecond)
+		r.Observe("firstEvent", time.Duration(i+1)*time.Millisecond)
 	}
-	r.Took("firstEvent", time.Hour)
+	r.Observe("firstEvent", time.Hour)
 	text := string(r.Text())
 	for _, line := range []string{"answered 2\n", "firstEvent.count 101\n", "firstEvent.p50 51."} {
 		assert.Assert(t, strings.Contains(text, line), "%s", text)
 	}
 }
 
-// BenchmarkTook is one record.
-func BenchmarkTook(b *testing.B) {
+// BenchmarkObserve is one record.
+func BenchmarkObserve(b *testing.B) {
 	r := recorder.New()
 	for b.Loop() {
-		r.Took("firstEvent", 100*time.Millisecond)
+		r.Observe("firstEvent", 100*time.Millisecond)
 	}
 }
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -193,7 +193,7 @@
 	return lateLoss*late + waitLoss*share
 }
 
-// Fresh returns the replica's last word if it is recent, else nil.
+// Fresh returns the replica's last reported state if it is recent, else nil.
 func (r *Replica) Fresh(now time.Time) *State {
 	if state := r.state.Load(); state != nil && now.Sub(state.At) < stateLife {
 		return state
--- a/internal/routing/router/load_test.go
+++ b/internal/routing/router/load_test.go
@@ -180,7 +180,7 @@
 
 // TestPatienceKnowsWhoCameBack compares the time that callers have left.
 func TestPatienceKnowsWhoCameBack(t *testing.T) {
-	p := NewPatience()
+	p := NewReturnDetector()
 	assert.Assert(t, !p.Returned("r", 3*time.Second))
 	assert.Assert(t, !p.Returned("r", 2995*time.Millisecond))
 	assert.Assert(t, p.Returned("r", 2500*time.Millisecond))
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// stateLife is how long a replica's word about itself holds, 4 periods of it.
+	// stateLife is how long a reported state is valid: three of the longest periods.
 	stateLife = time.Second
 	// avoidLeast and avoidMost bound how long a replica is left out after a
 	// failure. The bound of the first lets a restarted replica serve soon.
@@ -36,7 +36,7 @@
 	Slots   int
 	// Draining replicas get no new request.
 	Draining bool
-	// Started tells lives under one id apart, in Unix milliseconds; 0 if unknown.
+	// Started distinguishes incarnations with the same id, in Unix milliseconds; 0 if unknown.
 	Started int64
 	// ColdFor is how much longer the replica is slow after its start.
 	ColdFor time.Duration
@@ -76,12 +76,12 @@
 	Unreachable
 )
 
-// State is what a replica or its sidecar said last.
+// State is what a replica or its sidecar last reported.
 type State struct {
 	Phase Phase
 	// PhaseAge is how long the phase has lasted.
 	PhaseAge time.Duration
-	// Started tells lives under one id apart, in Unix milliseconds.
+	// Started distinguishes incarnations with the same id, in Unix milliseconds.
 	Started int64
 	// Weights is the version of each model.
 	Weights map[string]int
@@ -99,11 +99,11 @@
 // Replica is one backend server as the router sees it.
 type Replica struct {
 	descriptor atomic.Pointer[Descriptor]
-	// state is nil before the first word of the replica.
+	// state is nil before the first report.
 	state atomic.Pointer[State]
 	// hash spreads homes.
 	hash uint64
-	// ended is set once another replica, or another life, was met at the address.
+	// ended is set once another replica or incarnation was found at the address.
 	ended atomic.Bool
 	// waiting is what this daemon's requests at the replica, before their first
 	// event, have it read, by priority.
@@ -132,12 +132,12 @@
 // Address returns the replica's IP address and port.
 func (r *Replica) Address() string { return r.descriptor.Load().Address }
 
-// State returns what the replica or its sidecar said last, or nil.
+// State returns what the replica or its sidecar last reported, or nil.
 func (r *Replica) State() *State { return r.state.Load() }
 
-// Weights returns the version of a model, 0 if it is not known. The fresh word of
-// the replica's sidecar goes first; else the newest version that the list or an
-// answer named counts.
+// Weights returns the version of a model, 0 if it is not known. A recent
+// report of the replica's sidecar takes precedence over the list and answers, of
+// which the newest version counts.
 func (r *Replica) Weights(model string, now time.Time) int {
 	if state := r.Fresh(now); state != nil && state.Weights[model] > 0 {
 		return state.Weights[model]
@@ -241,8 +241,8 @@
 	v.byAddress[d.Address] = replica
 }
 
-// End notes that a replica is not at its address any more.
-func (p *Pool) End(replica *Replica) {
+// MarkEnded notes that a replica is not at its address any more.
+func (p *Pool) MarkEnded(replica *Replica) {
 	if !replica.ended.CompareAndSwap(false, true) {
 		return
 	}
@@ -292,7 +292,7 @@
 // Len returns the number of replicas.
 func (p *Pool) Len() int { return len(p.view.Load().byID) }
 
-// Learn takes the word of the sidecar beside the replica at an address.
+// Learn stores the state that the sidecar of the replica at an address reports.
 func (p *Pool) Learn(address string, state State) {
 	replica := p.view.Load().byAddress[address]
 	if replica == nil {
@@ -300,7 +300,7 @@
 	}
 	if known := replica.descriptor.Load().Started; known != 0 && state.Started != 0 && state.Started != known {
 		if state.Started > known {
-			p.End(replica)
+			p.MarkEnded(replica)
 		}
 		return
 	}
--- a/internal/routing/router/patience.go
+++ b/internal/routing/router/returned.go
@@ -13,20 +13,22 @@
 	patienceRoutes = 4096
 )
 
-// Patience knows callers that came back after a refusal by the time that they
+// ReturnDetector recognizes callers that came back after a refusal by the time that they
 // have left: less than the most that was seen on the route. It is safe for
 // concurrent use.
-type Patience struct {
+type ReturnDetector struct {
 	// mu guards longest.
 	mu      sync.Mutex
 	longest map[string]time.Duration
 }
 
-// NewPatience returns a Patience that has seen nobody.
-func NewPatience() *Patience { return &Patience{longest: make(map[string]time.Duration)} }
+// NewReturnDetector returns a detector without observations.
+func NewReturnDetector() *ReturnDetector {
+	return &ReturnDetector{longest: make(map[string]time.Duration)}
+}
 
 // Returned reports whether a caller with the given time left came back.
-func (p *Patience) Returned(route string, left time.Duration) bool {
+func (p *ReturnDetector) Returned(route string, left time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	longest := p.longest[route]
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -242,7 +242,7 @@
 	return max(patienceLeast, patienceTargets*u.request.Route.Target), true
 }
 
-// noteError judges an attempt that got no answer.
+// noteError records an attempt that got no answer.
 func (u *run) noteError(err error) {
 	replica := u.choice.replica
 	notSent := errors.Is(err, ErrNotSent)
@@ -276,7 +276,7 @@
 	return nil
 }
 
-// take judges the head of an answer. It returns false if another attempt is due;
+// take evaluates the head of an answer. It returns false if another attempt is due;
 // then failure is set.
 func (u *run) take() (*Result, bool) {
 	r, reply, replica := u.router, u.reply, u.choice.replica
@@ -302,7 +302,7 @@
 		return nil, false
 	}
 	u.started()
-	r.recorder.Took("answer", r.clock.Now().Sub(u.request.Arrived))
+	r.recorder.Observe("answer", r.clock.Now().Sub(u.request.Arrived))
 	return &Result{Reply: reply, Body: body}, true
 }
 
@@ -328,7 +328,7 @@
 		"wrongReplica", u.reply.WrongReplica, "weights", u.choice.weights, "named", u.reply.Weights)
 	if met := u.reply.ReplicaID; u.reply.WrongReplica && met != "" && met != replica.ID() {
 		u.router.logger.Info("route: another replica has the address.", "replica", replica.ID(), "met", met)
-		u.router.pool.End(replica)
+		u.router.pool.MarkEnded(replica)
 	}
 	u.failure = &Failure{Reason: ReasonRejected, NotRun: u.ran == 0, RetryAfter: returnSoon}
 	return false
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -33,7 +33,7 @@
 		if u.waiting {
 			u.started()
 			u.remember()
-			u.router.recorder.Took("firstEvent", u.router.clock.Now().Sub(u.request.Arrived))
+			u.router.recorder.Observe("firstEvent", u.router.clock.Now().Sub(u.request.Arrived))
 			u.firstEvent = u.router.clock.Now().Sub(u.sent)
 			u.service.observe(u.choice.reading, u.choice.wait, u.firstEvent)
 		}
--- a/internal/weights/observer/observe.go
+++ b/internal/weights/observer/observe.go
@@ -1,5 +1,5 @@
-// Package observer remembers which weights the operators want and for how long
-// this daemon has known.
+// Package observer tracks which versions of weights the operators want and when this
+// daemon learnt of each.
 package observer
 
 import (
--- a/internal/weights/orderer/order.go
+++ b/internal/weights/orderer/order.go
@@ -1,9 +1,9 @@
 // Package orderer brings one replica to the newest weights. It runs in the sidecar
 // beside the replica, which alone gives it orders.
 //
-// Replicas take turns without asking anybody: they stand in an order that all
-// sidecars derive from the list of replicas, each waits for the one a few places
-// before it, and goes ahead without it after a while.
+// Replicas take turns without coordination messages: all sidecars derive the same
+// order from the list of replicas. Each waits for its predecessor in the order, and
+// proceeds without it after a timeout.
 package orderer
 
 import (
@@ -55,7 +55,7 @@
 	Busy bool
 	// Sequence counts the accepted orders.
 	Sequence int
-	// Started tells lives apart, in Unix milliseconds.
+	// Started distinguishes incarnations, in Unix milliseconds.
 	Started                     int64
 	Running, Queued, MemoryUsed int
 }
@@ -74,7 +74,7 @@
 // Replica is the seam to the replica.
 type Replica struct {
 	Report func(ctx context.Context) (Report, error)
-	Give   func(ctx context.Context, order Order) error
+	Order  func(ctx context.Context, order Order) error
 }
 
 // Wanted is the newest version of a model.
@@ -84,7 +84,7 @@
 	Fence   uint64
 }
 
-// Turn tells whether the replica may load.
+// Turn is whether the replica may load.
 type Turn int
 
 // The turns of a replica.
@@ -104,8 +104,7 @@
 	Replica Replica
 	// Wanted returns the newest version of each model.
 	Wanted func() []Wanted
-	// Turn judges the place of the replica, which has the current version, in the
-	// order.
+	// Turn decides whether the replica, which has the current version, may load.
 	Turn func(wanted Wanted, current int) Turn
 	// Busy reports whether requests wait for the replica. It keeps its weights then,
 	// until that is urgent: a load takes it away and empties its cache.
@@ -180,7 +179,7 @@
 	if err != nil {
 		o.missed++
 		if o.missed >= missedReports {
-			o.enter(router.Unreachable, "err", err)
+			o.setPhase(router.Unreachable, "err", err)
 		}
 		return idlePeriod
 	}
@@ -190,13 +189,13 @@
 		o.orderedAt, o.preparedAt, o.closedAt, o.refused = time.Time{}, time.Time{}, time.Time{}, 0
 	}
 	o.report = report
-	wanted, behind := o.behind()
+	wanted, behind := o.outdated()
 	switch {
 	case !behind && report.Busy:
-		o.enter(router.Loading)
+		o.setPhase(router.Loading)
 	case !behind:
 		o.preparedAt, o.closedAt, o.orderedAt = time.Time{}, time.Time{}, time.Time{}
-		o.enter(router.Serving)
+		o.setPhase(router.Serving)
 	default:
 		o.advance(ctx, wanted)
 	}
@@ -206,8 +205,8 @@
 	return activePeriod
 }
 
-// behind returns the first model whose weights are older than wanted.
-func (o *Orderer) behind() (Wanted, bool) {
+// outdated returns the first model whose weights are older than wanted.
+func (o *Orderer) outdated() (Wanted, bool) {
 	for _, wanted := range o.d.Wanted() {
 		if version, found := o.report.Weights[wanted.Model]; found && version < wanted.Version {
 			return wanted, true
@@ -220,7 +219,7 @@
 func (o *Orderer) advance(ctx context.Context, wanted Wanted) {
 	now := o.d.Clock.Now()
 	if o.report.Busy {
-		o.enter(router.Loading)
+		o.setPhase(router.Loading)
 		return
 	}
 	if !o.orderedAt.IsZero() && now.Sub(o.orderedAt) < orderAgain && o.ordered.Sequence == o.report.Sequence {
@@ -230,18 +229,18 @@
 	switch {
 	case turn == Wait || turn == Load && o.preparedAt.IsZero() && o.d.Busy():
 		o.preparedAt, o.closedAt = time.Time{}, time.Time{}
-		o.enter(router.Serving)
+		o.setPhase(router.Serving)
 	case o.preparedAt.IsZero():
 		o.preparedAt = now
-		o.enter(router.Preparing, "model", wanted.Model, "version", wanted.Version)
+		o.setPhase(router.Preparing, "model", wanted.Model, "version", wanted.Version)
 	case turn == Prepare || wanted.Fence <= o.refused || o.closedAt.IsZero() && !o.prepared(now):
 		o.closedAt = time.Time{}
-		o.enter(router.Preparing)
+		o.setPhase(router.Preparing)
 	case o.closedAt.IsZero():
 		o.closedAt = now
-		o.enter(router.Loading, "model", wanted.Model, "version", wanted.Version)
+		o.setPhase(router.Loading, "model", wanted.Model, "version", wanted.Version)
 	case now.Sub(o.closedAt) >= closeTime:
-		o.give(ctx, wanted)
+		o.sendOrder(ctx, wanted)
 	}
 }
 
@@ -251,21 +250,21 @@
 	return age >= prepareMost || age >= prepareLeast && o.report.Running <= prepareRunning
 }
 
-func (o *Orderer) give(ctx context.Context, wanted Wanted) {
+func (o *Orderer) sendOrder(ctx context.Context, wanted Wanted) {
 	o.ordered = Order{Model: wanted.Model, Version: wanted.Version, Fence: wanted.Fence, Sequence: o.report.Sequence}
 	o.orderedAt = o.d.Clock.Now()
 	call, cancel := context.WithTimeout(ctx, giveLimit)
 	defer cancel()
-	err := o.d.Replica.Give(call, o.ordered)
+	err := o.d.Replica.Order(call, o.ordered)
 	o.d.Logger.Info("weights: order given.", "model", wanted.Model, "version", wanted.Version, "fence", wanted.Fence, "sequence", o.ordered.Sequence, "running", o.report.Running, "queued", o.report.Queued, "err", err)
 	if errors.Is(err, ErrSuperseded) {
 		o.refused = wanted.Fence
 	}
-	o.enter(router.Loading)
+	o.setPhase(router.Loading)
 }
 
-// enter changes the phase and tells others of it.
-func (o *Orderer) enter(phase router.Phase, fields ...any) {
+// setPhase changes the phase and tells others of it.
+func (o *Orderer) setPhase(phase router.Phase, fields ...any) {
 	if phase != o.phase {
 		o.d.Logger.Info("weights: phase.", append([]any{"phase", phase.String(), "weights", o.report.Weights}, fields...)...)
 	}
--- a/internal/weights/orderer/order_test.go
+++ b/internal/weights/orderer/order_test.go
@@ -112,7 +112,7 @@
 	for i, e := range f.engines {
 		queue, _ := orderer.NewQueue(f.list, "s", fmt.Sprint(i))
 		f.orderers = append(f.orderers, orderer.New(orderer.Dependencies{
-			Replica: orderer.Replica{Report: e.report, Give: e.give},
+			Replica: orderer.Replica{Report: e.report, Order: e.give},
 			Wanted: func() []orderer.Wanted {
 				f.mu.Lock()
 				defer f.mu.Unlock()
@@ -285,7 +285,7 @@
 		orders := 0
 		f.orderers[0].Close()
 		o := orderer.New(orderer.Dependencies{
-			Replica: orderer.Replica{Report: e.report, Give: func(ctx context.Context, order orderer.Order) error {
+			Replica: orderer.Replica{Report: e.report, Order: func(ctx context.Context, order orderer.Order) error {
 				orders++
 				return e.give(ctx, order)
 			}},
@@ -330,7 +330,7 @@
 		assert.Equal(t, len(current), 2)
 		queue, found := orderer.NewQueue(current, "s", "2")
 		assert.Assert(t, found)
-		for _, before := range queue.Before {
+		for _, before := range queue.Predecessors {
 			assert.Equal(t, before.ID, "b-alive")
 		}
 	}
--- a/internal/weights/orderer/turn.go
+++ b/internal/weights/orderer/turn.go
@@ -25,9 +25,9 @@
 	// on older weights, after which the first and the last of the queue load
 	// whatever the others do.
 	urgentFrom, urgentTo = 0.5, 0.7
-	// befores is how many replicas of the lane are looked at, the nearest first: of
+	// maxPredecessors is how many replicas of the lane are looked at, the nearest first: of
 	// several that are lost at once, the one behind them is waited for.
-	befores = 3
+	maxPredecessors = 3
 )
 
 // Queue is the order in which the replicas of a service load new weights.
@@ -35,8 +35,8 @@
 	// own is the place of the own replica.
 	own         int
 	lanes, size int
-	// Before holds the replicas that the own one waits for, the nearest first.
-	Before []router.Descriptor
+	// Predecessors holds the replicas that the own one waits for, the nearest first.
+	Predecessors []router.Descriptor
 }
 
 // NewQueue derives the order from the list. The availability zones take turns, so
@@ -64,12 +64,12 @@
 	if q.own < 0 {
 		return Queue{}, false
 	}
-	for i := 1; i <= befores; i++ {
+	for i := 1; i <= maxPredecessors; i++ {
 		before := ((q.own-i*q.lanes)%q.size + q.size) % q.size
 		if before == q.own {
 			break
 		}
-		q.Before = append(q.Before, order[before])
+		q.Predecessors = append(q.Predecessors, order[before])
 	}
 	return q, true
 }
@@ -91,8 +91,8 @@
 	Limit time.Duration
 }
 
-// Turn judges whether the own replica may load. state returns the last word of
-// another replica, nil if there is none that holds.
+// Turn decides whether the own replica may load. state returns the last
+// reported state of another replica, nil if none is recent.
 func (q Queue) Turn(wanted Wanted, state func(router.Descriptor) *router.State, age Age) Turn {
 	place := q.place(wanted.Version)
 	share := urgentFrom + (urgentTo-urgentFrom)*float64(q.own)/float64(max(1, q.size))
@@ -102,8 +102,8 @@
 	case age.Wanted > time.Duration(place)*placeLimit:
 		return Load
 	}
-	for i := range min(place, len(q.Before)) {
-		before := state(q.Before[i])
+	for i := range min(place, len(q.Predecessors)) {
+		before := state(q.Predecessors[i])
 		if before == nil || before.Phase == router.Unreachable {
 			continue
 		}
@@ -117,7 +117,7 @@
 		}
 		return Wait
 	}
-	if place <= len(q.Before) {
+	if place <= len(q.Predecessors) {
 		return Load
 	}
 	return Wait
