Heads of 16 KB are read

Cause: found by reading. The HTTP library's buffer of 4 KB bounds the head of a request, and a longer one got 431, while operators allow callers 16 KB (max-header-bytes).

Change: a buffer of 20 KB, which connections do not keep between requests; 8 KB for heads of answers.

Result: TestLargeHeadsAreRead is red before (431) and green after.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,9 @@
 	readLimit = 10 * time.Second
 	// maxBody bounds a body whatever the configuration says.
 	maxBody = 16 << 20
+	// headLimit bounds the head of a request. Operators may allow callers 16 KB, to
+	// which the library adds nothing.
+	headLimit = 20 << 10
 	// inboundLimit is how far ahead a caller may send.
 	inboundLimit = maxBody + 64<<10
 	// finishMargin is left of the grace time for ending.
@@ -79,8 +82,11 @@
 		return nil, fmt.Errorf("ready address: %w", err)
 	}
 	g.server = &fasthttp.Server{
-		Handler:               g.handle,
-		MaxRequestBodySize:    maxBody,
+		Handler:            g.handle,
+		MaxRequestBodySize: maxBody,
+		ReadBufferSize:     headLimit,
+		// Buffers of that size are not kept for connections between requests.
+		ReduceMemoryUsage:     true,
 		ReadTimeout:           readLimit,
 		IdleTimeout:           settings.IdleLimit,
 		CloseOnShutdown:       true,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,6 +125,20 @@
 	assert.Equal(t, string(body), "id: 1\n\n")
 }
 
+// TestLargeHeadsAreRead sends 16 KB of fields, as operators may allow.
+func TestLargeHeadsAreRead(t *testing.T) {
+	b := newBed(t)
+	defer b.gateway.Drain()
+	close(b.hold)
+	request, err := http.NewRequest(http.MethodGet, "http://"+b.front+"/whole", nil)
+	assert.NilError(t, err)
+	request.Header.Set("X-Prompt", strings.Repeat("x", 16<<10))
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
 // TestFailuresAreTrue has a replica reject a request and lose another.
 func TestFailuresAreTrue(t *testing.T) {
 	b := newBed(t)
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -24,8 +24,9 @@
 )
 
 const (
-	// readBuffer holds the head of an answer or some events; heads are below 1 KB.
-	readBuffer = 4 << 10
+	// readBuffer holds the head of an answer, which is below 1 KB on both sites, or
+	// some events.
+	readBuffer = 8 << 10
 	// headSize holds the head of a request and a small body without growing.
 	headSize = 2 << 10
 	// inlineBody is the largest body that is written before the answer is read.
