Shared prompts are kept in the cache store

Change: the configuration's cache store becomes part of the catalog; replicas of its region save prompts there of which a third is shared, and replicas fetch from it what no replica has. Entries follow its events and use it only while it answers.

--- a/internal/cache/follower/follow.go
+++ b/internal/cache/follower/follow.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// gather is the time between two calls, in which events gather.
-	gather = 60 * time.Millisecond
 	// retryPause is the time after a failed call.
 	retryPause = 500 * time.Millisecond
 	// callLimit bounds a call: the wait for events, a second, and some more.
@@ -37,6 +35,9 @@
 	Events []Event
 }
 
+// Poll waits for events behind a number.
+type Poll func(ctx context.Context, since int64) (Batch, error)
+
 // Sink takes what was learnt.
 type Sink struct {
 	Event func(Event)
@@ -44,12 +45,15 @@
 	Clear func()
 	// Changed is called behind each batch with events.
 	Changed func()
+	// Answers is called when the cache begins or ceases to answer; it may be nil.
+	Answers func(bool)
 }
 
 // Follower runs until it is closed.
 type Follower struct {
-	poll   func(ctx context.Context, since int64) (Batch, error)
+	poll   Poll
 	sink   Sink
+	gather time.Duration
 	logger *log.Logger
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -58,13 +62,14 @@
 
 	// epoch and since are where the next call goes on; epoch is 0 before the first.
 	epoch, since int64
-	failing      bool
+	// answers is the outcome of the last call. failing is set if it was an error.
+	answers, failing bool
 }
 
-// New starts a follower. poll waits for events behind a number.
-func New(poll func(ctx context.Context, since int64) (Batch, error), sink Sink, clock timekeeper.Clock, logger *log.Logger) *Follower {
+// New starts a follower. Between two calls events gather for a time.
+func New(poll Poll, sink Sink, gather time.Duration, clock timekeeper.Clock, logger *log.Logger) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{poll: poll, sink: sink, logger: logger, cancel: cancel, done: make(chan struct{})}
+	f := &Follower{poll: poll, sink: sink, gather: gather, logger: logger, cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(f.done)
 		for ctx.Err() == nil {
@@ -87,15 +92,15 @@
 		if !f.failing && ctx.Err() == nil {
 			f.logger.Warn("cache: events lost.", "err", err)
 		}
-		f.failing = true
+		f.setAnswers(false)
 		return retryPause
 	}
-	f.failing = false
+	f.setAnswers(true)
 	if batch.Epoch != f.epoch && f.epoch != 0 {
 		// The cache began anew; the call went on from a number of the one before.
 		f.sink.Clear()
 		f.epoch, f.since = batch.Epoch, 0
-		return gather
+		return f.gather
 	}
 	f.epoch, f.since = batch.Epoch, batch.Next
 	for _, event := range batch.Events {
@@ -104,7 +109,16 @@
 	if len(batch.Events) > 0 {
 		f.sink.Changed()
 	}
-	return gather
+	return f.gather
+}
+
+// setAnswers takes the outcome of a call.
+func (f *Follower) setAnswers(answers bool) {
+	f.failing = !answers
+	if f.answers != answers && f.sink.Answers != nil {
+		f.sink.Answers(answers)
+	}
+	f.answers = answers
 }
 
 // Close ends the following.
--- a/internal/cache/follower/follow_test.go
+++ b/internal/cache/follower/follow_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -75,7 +77,7 @@
 				clear(held)
 			},
 			Changed: func() {},
-		}, timekeeper.System{}, log.New(io.Discard))
+		}, 60*time.Millisecond, timekeeper.System{}, log.New(io.Discard))
 		defer f.Close()
 		<-time.After(3 * time.Second)
 		expect(map[string]bool{"b": true})
@@ -86,3 +88,38 @@
 		expect(map[string]bool{"c": true})
 	})
 }
+
+// TestGroupFollowsWhatIsNamed names two caches, then one of them and a third. A cache
+// that ceases to answer is told of once.
+func TestGroupFollowsWhatIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caches := map[string]*cache{"a": {epoch: 1}, "b": {epoch: 1}, "c": {epoch: 1}}
+		var mu sync.Mutex
+		var changes []string
+		g := follower.NewGroup(func(address string) (follower.Poll, follower.Sink) {
+			return caches[address].poll, follower.Sink{
+				Event: func(follower.Event) {}, Clear: func() {}, Changed: func() {},
+				Answers: func(answers bool) {
+					mu.Lock()
+					defer mu.Unlock()
+					changes = append(changes, fmt.Sprintf("%s %v", address, answers))
+				},
+			}
+		}, time.Second, timekeeper.System{}, log.New(io.Discard))
+		expect := func(want ...string) {
+			<-time.After(5 * time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			slices.Sort(changes)
+			assert.DeepEqual(t, changes, want)
+			changes = nil
+		}
+		g.Set([]string{"a", "b"})
+		expect("a true", "b true")
+		caches["a"].set(true, 1, nil)
+		expect("a false")
+		g.Set([]string{"b", "c"})
+		expect("c true")
+		g.Set(nil)
+	})
+}
--- /dev/null
+++ b/internal/routing/router/cachestore.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// storedEntries bounds one generation of the memory of what a cache store keeps; an
+	// entry takes some 20 bytes.
+	storedEntries = 20_000
+	// savedShare is the part of a prompt that must be shared for it to be saved, as a
+	// divisor: replicas save the caller's own part too, which nobody fetches.
+	savedShare = 3
+)
+
+// storedParts remembers which prompt parts are in the cache stores that answer. Parts
+// that are not used for two generations are forgotten. It is safe for concurrent use.
+type storedParts struct {
+	// mu guards stores.
+	mu     sync.Mutex
+	stores map[string]*generations
+}
+
+// generations are the parts of one cache store.
+type generations struct {
+	current, previous map[uint64]struct{}
+}
+
+func newStoredParts() *storedParts { return &storedParts{stores: make(map[string]*generations)} }
+
+func (p *storedParts) set(address string, answers bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answers {
+		p.stores[address] = &generations{current: make(map[uint64]struct{})}
+	} else {
+		delete(p.stores, address)
+	}
+}
+
+// answers reports whether a store can be used.
+func (p *storedParts) answers(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stores[address] != nil
+}
+
+func (p *storedParts) change(address string, key uint64, stored bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.stores[address]
+	switch {
+	case g == nil:
+	case stored:
+		g.add(key)
+	default:
+		delete(g.current, key)
+		delete(g.previous, key)
+	}
+}
+
+// has reports whether a store has a part.
+func (p *storedParts) has(address string, key uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.stores[address]
+	if g == nil {
+		return false
+	}
+	if _, found := g.current[key]; found {
+		return true
+	}
+	_, found := g.previous[key]
+	if found {
+		g.add(key)
+	}
+	return found
+}
+
+func (g *generations) add(key uint64) {
+	if len(g.current) >= storedEntries {
+		g.previous, g.current = g.current, make(map[uint64]struct{})
+	}
+	g.current[key] = struct{}{}
+}
+
+// cacheStore returns the store with the fastest way to a replica, nil if none answers.
+func (s *survey) cacheStore(replica *Replica) *CacheStore {
+	var best *CacheStore
+	for _, store := range s.request.Catalog.cacheStores {
+		if s.router.stored.answers(store.Address) && (best == nil || store.factor(replica) < best.factor(replica)) {
+			best = store
+		}
+	}
+	return best
+}
+
+// useCacheStore makes a choice fetch the shared parts from a cache store, or save them
+// there. It returns how many tokens are fetched and how long that takes, false if none
+// are. Saves between regions would keep the store's link busy for ten times as long as
+// those within its own.
+func (s *survey) useCacheStore(c *choice, p *parts, held int) (int, time.Duration, bool) {
+	store := s.cacheStore(c.replica)
+	if store == nil {
+		return 0, 0, false
+	}
+	last := len(p.keys) - 1
+	total, factor := p.tokens[last], store.factor(c.replica)
+	if s.router.stored.has(store.Address, p.keys[last]) {
+		c.fetchFrom = store.Address
+		return total, s.fetchTime(store.LinkBitsPerSecond, factor, total-held), true
+	}
+	if savedShare*total >= s.request.Prompt.Tokens && factor <= zoneFetch {
+		c.saveTo = store.Address
+	}
+	return 0, 0, false
+}
+
+// factor is how many times as long a transfer to a replica takes as within the store's
+// availability zone.
+func (c *CacheStore) factor(to *Replica) int {
+	return transferFactor(c.Zone, c.Region, to.descriptor.Load())
+}
--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -65,11 +65,23 @@
 	LinkBitsPerSecond float64
 }
 
-// Service is a group of backend servers.
+// CacheStore keeps parts of prompts that replicas have read, for other replicas to
+// fetch.
+type CacheStore struct {
+	// Address is the store's IP address and port.
+	Address      string
+	Zone, Region string
+	// LinkBitsPerSecond is the speed of the store's transfers.
+	LinkBitsPerSecond float64
+}
+
+// Service is a group of backend servers, or a cache store.
 type Service struct {
 	Name string
-	// Engine is nil for plain services.
+	// Engine is nil for services without model replicas.
 	Engine *Engine
+	// CacheStore is nil for services that take requests.
+	CacheStore *CacheStore
 }
 
 // Workspace owns keys.
@@ -97,6 +109,8 @@
 	byHost map[string][]*Route
 	// services holds all services by name.
 	services map[string]*Service
+	// cacheStores are the cache stores among the services.
+	cacheStores []*CacheStore
 	// byKey maps bearer keys to their owners. It is nil if no key is needed.
 	byKey map[string]*Workspace
 }
@@ -113,6 +127,9 @@
 	}
 	for _, service := range services {
 		c.services[service.Name] = service
+		if service.CacheStore != nil {
+			c.cacheStores = append(c.cacheStores, service.CacheStore)
+		}
 	}
 	return c
 }
@@ -144,6 +161,9 @@
 // Service returns a service by name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// CacheStores returns the cache stores, which must not be changed.
+func (c *Catalog) CacheStores() []*CacheStore { return c.cacheStores }
+
 // pick returns the service that a request goes to.
 func (r *Route) pick() string {
 	total := 0.0
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -58,8 +58,9 @@
 	// missing is how many tokens the replica is expected to read, and again how
 	// many of these another replica has read or is about to.
 	missing, again int
-	// fetchFrom has parts that the replica lacks, or is nil.
-	fetchFrom *Replica
+	// fetchFrom is the address of a replica or cache store that has parts which the
+	// replica lacks, and saveTo that of a cache store that lacks them; "" for none.
+	fetchFrom, saveTo string
 	// wait is the expected time to the first event, or to a plain answer.
 	wait time.Duration
 	// reading is the part of it in which the replica reads prompts, queue that in
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -79,8 +79,11 @@
 	Weights int
 	// CacheScope keeps cached parts of workspaces and versions apart.
 	CacheScope string
-	// FetchFrom is the address of a replica to fetch cached parts from, or "".
+	// FetchFrom is the address of a replica or cache store to fetch cached parts from, or "".
 	FetchFrom string
+	// SaveTo is the address of a cache store that the replica sends the parts to once
+	// they are read, or "".
+	SaveTo string
 	// Priority is the rank of the request, 0 first.
 	Priority int
 	// After is the event to go on behind, -1 from the start.
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -42,6 +42,7 @@
 	logger    *log.Logger
 	recorder  *recorder.Recorder
 	holders   *holders
+	stored    *storedParts
 
 	// mu guards services.
 	mu       sync.Mutex
@@ -58,6 +59,7 @@
 		logger:    logger,
 		recorder:  metrics,
 		holders:   newHolders(),
+		stored:    newStoredParts(),
 		services:  make(map[string]*service),
 	}
 }
@@ -89,6 +91,16 @@
 	return result
 }
 
+// LearnCacheStore takes that a cache store has stored or dropped a part, by the name
+// that PartKey gives.
+func (r *Router) LearnCacheStore(address string, key uint64, stored bool) {
+	r.stored.change(address, key, stored)
+}
+
+// SetCacheStore takes whether a cache store answers. A store that begins to is taken
+// as empty.
+func (r *Router) SetCacheStore(address string, answers bool) { r.stored.set(address, answers) }
+
 // LearnCache takes what was added to and dropped from the cache of the replica at
 // an address, by the names that PartKey gives.
 func (r *Router) LearnCache(address string, added, dropped []uint64) {
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -194,9 +194,8 @@
 		Priority:   request.priority(),
 		After:      u.last,
 		Near:       descriptor.Region == r.options.Region,
-	}
-	if c.fetchFrom != nil {
-		attempt.FetchFrom = c.fetchFrom.Address()
+		FetchFrom:  c.fetchFrom,
+		SaveTo:     c.saveTo,
 	}
 	r.recorder.Count("attempts")
 	u.counted, u.waiting = true, true
@@ -208,7 +207,7 @@
 		}
 	}
 	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "service", u.service.name, "pace", u.service.Pace(), "reason", c.reason,
-		"wait", c.wait, "loss", c.loss, "weights", c.weights, "missing", c.missing, "again", c.again, "scope", c.scope, "part", request.Prompt.lastShared(), "fetchFrom", attempt.FetchFrom, "configuration", request.Catalog.Version, "after", u.last)
+		"wait", c.wait, "loss", c.loss, "weights", c.weights, "missing", c.missing, "again", c.again, "scope", c.scope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", u.last)
 	ctx, cancel := context.WithCancel(u.ctx)
 	u.cancelAttempt = cancel
 	if limit, limited := u.patience(); limited {
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -66,6 +66,9 @@
 	}
 	for _, key := range u.choice.parts.keys {
 		u.router.holders.add(key, u.choice.replica)
+		if u.choice.saveTo != "" {
+			u.router.stored.change(u.choice.saveTo, key, true)
+		}
 	}
 }
 
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -1,6 +1,9 @@
 package router
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// firstTime is what a first event takes without a prompt: the head, a step and
@@ -91,31 +94,44 @@
 		c.reason = "spill"
 		c.again = total - max(held, fetched)
 	}
+	if max(held, fetched) < total {
+		if stored, took, found := s.useCacheStore(c, p, held); found {
+			c.reason, c.again, c.missing = "cacheStore", 0, prompt.Tokens-stored
+			return r.tokensTime(s.service, c.missing) + took
+		}
+	}
 	c.missing = max(0, prompt.Tokens-max(held, fetched))
 	wait := r.tokensTime(s.service, c.missing)
 	if holder != nil {
-		c.fetchFrom = holder
-		wait += s.fetchTime(holder, c.replica, max(0, fetched-held))
+		c.fetchFrom = holder.Address()
+		wait += s.fetchTime(math.Inf(1), fetchFactor(holder, c.replica), max(0, fetched-held))
 	}
 	return wait
 }
 
-// fetchTime is the time of a transfer of cached tokens.
-func (s *survey) fetchTime(from, to *Replica, tokens int) time.Duration {
+// fetchTime is the time of a transfer of cached tokens from a source whose own link
+// has the given speed, in bits a second.
+func (s *survey) fetchTime(speed float64, factor, tokens int) time.Duration {
 	engine := s.engine
 	if engine == nil || engine.LinkBitsPerSecond <= 0 {
 		return fetchSetup
 	}
-	seconds := float64(tokens) * engine.TokenBytes * 8 / engine.LinkBitsPerSecond
-	return fetchSetup + time.Duration(seconds*float64(fetchFactor(from, to))*float64(time.Second))
+	seconds := float64(tokens) * engine.TokenBytes * 8 / min(speed, engine.LinkBitsPerSecond)
+	return fetchSetup + time.Duration(seconds*float64(factor)*float64(time.Second))
 }
 
 func fetchFactor(a, b *Replica) int {
 	from, to := a.descriptor.Load(), b.descriptor.Load()
+	return transferFactor(from.Zone, from.Region, to)
+}
+
+// transferFactor is how many times as long a transfer to a replica takes as within
+// its availability zone.
+func transferFactor(zone, region string, to *Descriptor) int {
 	switch {
-	case from.Zone == to.Zone:
+	case zone == to.Zone:
 		return 1
-	case from.Region == to.Region:
+	case region == to.Region:
 		return zoneFetch
 	}
 	return regionFetch
