--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -1,36 +1,37 @@
 package entry
 
 import (
-	"maps"
-	"slices"
-	"sync/atomic"
+	"context"
 	"time"
 
-	"github.com/cyclamenward/cyclamenward/chooser"
 	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/router"
+	"github.com/cyclamenward/cyclamenward/internal/weights/numberer"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 	"github.com/cyclamenward/cyclamenward/spreader"
 )
 
-// versionPeriod is how long a look at all replicas' weights versions holds.
-const versionPeriod = 100 * time.Millisecond
-
-// servedVersions is the result of a look at all replicas.
-type servedVersions struct {
-	versions []string
-	at       time.Time
-}
+const (
+	// modelAttempts is the number of replicas that may run a model request before it
+	// has an answer, or since its answer last grew.
+	modelAttempts = 8
+	// maxRejections is the number of replicas that may reject a request.
+	maxRejections = 8
+	// leavingPeriod is how often the entry looks for hosts that are leaving.
+	leavingPeriod = time.Second
+)
 
-// service is one service of a catalog. It is never changed, but for served.
+// service is one service of a catalog. It is never changed.
 type service struct {
 	revised  *spreader.Revised[*decoder.Document]
 	document *decoder.Document
-	pool     *chooser.Pool
-	chooser  *chooser.Chooser
 	// workspaces maps hashes of keys to workspaces.
 	workspaces map[string]*decoder.Workspace
-	// served is the last look at the replicas' weights versions, nil before.
-	served atomic.Pointer[servedVersions]
+	// versions numbers the model's weights versions, over all revisions.
+	versions *numberer.Numberer
+	// answers is the route of model requests, once that of calls that may run once, and
+	// repeatable that of calls which may run again.
+	answers, once, repeatable *router.Route
 }
 
 // catalog is the configuration in the form in which requests use it. It is
@@ -41,6 +42,8 @@
 	byName map[string]*service
 	// byKey holds the services that a key opens.
 	byKey map[string][]*service
+	// routing is what the router needs of it.
+	routing *router.Catalog
 }
 
 // current returns the catalog of the newest configuration.
@@ -57,83 +60,100 @@
 		return old
 	}
 	next := e.build(snapshot, old)
+	e.pool.Set(e.replicas(next))
 	e.catalog.Store(next)
 	return next
 }
 
 func (e *Entry) build(snapshot *spreader.Snapshot[*decoder.Document], old *catalog) *catalog {
 	next := &catalog{digest: snapshot.Digest(), byName: map[string]*service{}, byKey: map[string][]*service{}}
+	var known []*router.Service
 	for _, name := range snapshot.Services() {
 		revised := snapshot.Get(name)
 		s := old.byName[name]
 		if s == nil || s.revised != revised {
-			s = e.buildService(revised, s)
+			s = newService(revised, s)
 			e.logger.Info("entry: configuration in force.", "service", name, "revision", revised.Revision)
 		}
 		next.byName[name] = s
 		for hash := range s.workspaces {
 			next.byKey[hash] = append(next.byKey[hash], s)
 		}
+		known = append(known, &router.Service{Name: name, Engine: s.engine()})
 	}
+	next.routing = router.NewCatalog(next.digest, router.Limits{Body: maxRequestBody}, nil, known, nil)
 	return next
 }
 
-func (e *Entry) buildService(revised *spreader.Revised[*decoder.Document], old *service) *service {
+// newService returns a revision of a service. old is the one before, or nil.
+func newService(revised *spreader.Revised[*decoder.Document], old *service) *service {
 	document := revised.Value
-	s := &service{revised: revised, document: document, workspaces: map[string]*decoder.Workspace{}}
+	s := &service{revised: revised, document: document, workspaces: map[string]*decoder.Workspace{}, versions: numberer.New()}
+	if old != nil {
+		s.versions = old.versions
+	}
 	for i := range document.Workspaces {
 		for _, hash := range document.Workspaces[i].KeyHashes {
 			s.workspaces[hash] = &document.Workspaces[i]
 		}
 	}
-	replicas := make([]chooser.Replica, len(document.BackendServers))
-	for i, server := range document.BackendServers {
-		replicas[i] = chooser.Replica{Name: server.Name, Address: server.Sidecar, AvailabilityZone: server.AvailabilityZone, Region: server.Region}
-	}
-	var earlier *chooser.Pool
-	if old != nil {
-		earlier = old.pool
-	}
-	s.pool = chooser.NewPool(replicas, earlier)
-	identity := e.common.Identity()
-	costs := chooser.Settings{
-		AvailabilityZone:       identity.AvailabilityZone,
-		Region:                 identity.Region,
-		PrefillTokensPerSecond: 1,
-		ZoneDelay:              zoneDelay,
-		RegionDelay:            regionDelay,
-		LinkBytesPerSecond:     linkBytesPerSecond,
-		LinkPenalty:            linkPenalty,
-	}
+	shares := []router.Share{{Service: document.Service, Weight: 1}}
+	calls := len(document.BackendServers)
+	s.repeatable = &router.Route{Name: document.Service, Kind: router.Repeatable, MaxAttempts: max(1, calls), MaxRejections: maxRejections, Shares: shares}
+	s.once = &router.Route{Name: document.Service, Kind: router.Once, MaxAttempts: 1, MaxRejections: maxRejections, Shares: shares}
 	if document.Model != nil {
-		costs.PrefillTokensPerSecond = float64(document.Model.PrefillTokensPerSecond)
-		costs.PrefillWeight = document.Model.ReuseWeight
+		s.versions.Name(document.Model.WeightsVersion)
+		s.answers = &router.Route{
+			Name: document.Service, Kind: router.Stream, MaxAttempts: modelAttempts, MaxRejections: maxRejections, Shares: shares,
+			Resumable: true, SameWeights: true, Renewed: true,
+		}
 	}
-	s.chooser = chooser.New(costs, e.memory)
 	return s
 }
 
-// learn takes the news of a reply.
-func (e *Entry) learn(s *service, index int, news *link.News) {
-	if news == nil {
-		return
+// engine describes the service's model replicas, nil if it has none.
+func (s *service) engine() *router.Engine {
+	if s.document.Model == nil {
+		return nil
+	}
+	return &router.Engine{
+		NoTransfers:         true,
+		ReadTokensPerSecond: float64(s.document.Model.PrefillTokensPerSecond),
+		ReuseWeight:         s.document.Model.ReuseWeight,
 	}
-	s.pool.Status(index).SetReport(&chooser.Report{
-		SidecarIncarnation: news.SidecarIncarnation,
-		EngineIncarnation:  news.EngineIncarnation,
-		WeightsVersion:     news.WeightsVersion,
-		Leaving:            news.Leaving,
-		BacklogTokens:      news.BacklogTokens,
-		At:                 e.clock.Now(),
-	})
 }
 
-// incarnationOf returns the last known incarnation of a sidecar, or "".
-func (s *service) incarnationOf(index int) string {
-	if report := s.pool.Status(index).Report(); report != nil {
-		return report.SidecarIncarnation
+// replicaID is the id by which the router knows a backend server.
+func replicaID(service, backendServer string) string { return service + "/" + backendServer }
+
+// replicas lists the backend servers of all services.
+func (e *Entry) replicas(c *catalog) []router.Descriptor {
+	var list []router.Descriptor
+	for name, s := range c.byName {
+		for _, server := range s.document.BackendServers {
+			list = append(list, router.Descriptor{
+				ID: replicaID(name, server.Name), Service: name, Address: server.Sidecar, Zone: server.AvailabilityZone, Region: server.Region,
+				Slots: plainSlots, Draining: e.common.IsLeaving(server.Sidecar),
+			})
+		}
+	}
+	return list
+}
+
+// leavingLoop passes over replicas on hosts that the platform says are leaving.
+// Their own sidecars refuse new work as soon as they know, so this only saves the
+// refusals.
+func (e *Entry) leavingLoop(ctx context.Context) {
+	for {
+		select {
+		case <-e.clock.After(leavingPeriod):
+		case <-ctx.Done():
+			return
+		}
+		e.catalogMu.Lock()
+		e.pool.Set(e.replicas(e.catalog.Load()))
+		e.catalogMu.Unlock()
 	}
-	return ""
 }
 
 // workspaceNamed returns a workspace of the service, or nil.
@@ -146,39 +166,33 @@
 	return nil
 }
 
-// versions returns the weights versions that a new request may ask for, the best
-// first. It looks at all replicas at most once per versionPeriod, not at every
-// request.
-func (s *service) versions(now time.Time) []string {
-	if known := s.served.Load(); known != nil && now.Sub(known.at) < versionPeriod {
-		return known.versions
+// observe takes a sidecar's status.
+func (e *Entry) observe(s *service, address string, status *link.Status) {
+	if status == nil {
+		return
 	}
-	versions := s.rankVersions()
-	s.served.Store(&servedVersions{versions: versions, at: now})
-	return versions
-}
-
-// rankVersions puts the version in the document first once at least half of the
-// replicas that have reported serve it, and orders the others by how common they
-// are.
-func (s *service) rankVersions() []string {
-	wanted := s.document.Model.WeightsVersion
-	counts := map[string]int{wanted: 0}
-	reported := 0
-	for i := range s.pool.Len() {
-		if report := s.pool.Status(i).Report(); report != nil && report.WeightsVersion != "" {
-			counts[report.WeightsVersion]++
-			reported++
+	e.incarnations.Store(address, status.SidecarIncarnation)
+	state := router.State{Queued: status.Queued}
+	state.Waiting[0] = status.BacklogTokens
+	if model := s.document.Model; model != nil {
+		state.Weights = map[string]int{model.Name: s.versions.Number(status.WeightsVersion)}
+		if status.WeightsVersion == "" {
+			state.Phase = router.Loading
 		}
 	}
-	if 2*counts[wanted] >= reported {
-		counts[wanted] += reported
+	if status.Leaving {
+		state.Phase = router.Loading
 	}
-	versions := slices.Sorted(maps.Keys(counts))
-	slices.SortStableFunc(versions, func(a, b string) int { return counts[b] - counts[a] })
-	return versions
+	e.pool.Learn(address, state)
+	// The sidecar's backlog holds this entry's own requests.
+	e.pool.Waiting(address)
 }
 
-// avoidAfterLoss is how long a replica is passed over after its sidecar was not
-// reached.
-const avoidAfterLoss = 2 * time.Second
+// incarnationOf returns the last known incarnation of the sidecar at an address, or "".
+func (e *Entry) incarnationOf(address string) string {
+	incarnation, found := e.incarnations.Load(address)
+	if !found {
+		return ""
+	}
+	return incarnation.(string)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,22 +3,23 @@
 // An entry authenticates the caller, decides where a request goes, and relays
 // the answer. It keeps nothing that it could not do without: a restarted entry
 // asks its peers for the configuration and serves. What replicas have cached and
-// how busy they are it learns from their replies.
+// how busy they are it learns from their replies. Package router decides; this package
+// brings its attempts to sidecars.
 package entry
 
 import (
 	"context"
 	"crypto/tls"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cyclamenward/cyclamenward/chooser"
 	"github.com/cyclamenward/cyclamenward/internal/daemon"
+	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/listener"
 	"github.com/cyclamenward/cyclamenward/peer/link"
@@ -34,20 +35,21 @@
 	headerLimit = 10 * time.Second
 	// callerIdle is how long an idle caller's connection is kept.
 	callerIdle = 90 * time.Second
-	// memoryBlocks bounds what is remembered about replicas' caches.
-	memoryBlocks = 100_000
-	// retryShare and retryCeiling keep retries to a tenth of all requests.
-	retryShare   = 0.1
-	retryCeiling = 20
-	// regionDelay is a round trip between regions.
-	regionDelay = 40 * time.Millisecond
-	// zoneDelay is a round trip between availability zones.
-	zoneDelay = 4 * time.Millisecond
-	// linkBytesPerSecond is the share of the link between regions that one
-	// request may assume.
-	linkBytesPerSecond = 1 << 20
-	// linkPenalty weighs time on the paid link against time in a queue.
-	linkPenalty = 20
+	// retryShare, retryExtra and retryWindow keep the retries of each service to a tenth
+	// of its requests, and twenty more, in ten seconds.
+	retryShare  = 0.1
+	retryExtra  = 20
+	retryWindow = 10 * time.Second
+	// usualReadSpeed is the speed at which replicas read prompts if their document does
+	// not say, in tokens a second.
+	usualReadSpeed = 8000
+	// runningCost is what each running request is taken to add to the wait for a first
+	// token.
+	runningCost = time.Millisecond
+	// plainWork and plainSlots are the usual time of a plain call and the number of calls
+	// that a plain server runs at once, until its wait is known better.
+	plainWork  = 15 * time.Millisecond
+	plainSlots = 6
 )
 
 // Settings are the fixed values of an entry.
@@ -80,10 +82,13 @@
 	links    *link.Server
 	listener *listener.Listener
 	server   *fasthttp.Server
-	memory   *chooser.Memory
-	retries  *limiter.Budget
+	pool     *router.Pool
+	router   *router.Router
+	recorder *recorder.Recorder
 	inFlight *limiter.InFlight
-	metrics  metrics
+	// incarnations holds the last known incarnation of the sidecar at each address.
+	incarnations sync.Map
+	metrics      metrics
 	// served and pushed are closed when the goroutines have ended.
 	served, pushed chan struct{}
 	cancel         context.CancelFunc
@@ -104,13 +109,14 @@
 		register: d.Register,
 		clock:    d.Clock,
 		logger:   d.Logger,
-		memory:   chooser.NewMemory(memoryBlocks),
-		retries:  limiter.NewBudget(retryShare, retryCeiling),
+		pool:     router.NewPool(d.Clock),
+		recorder: recorder.New(),
 		inFlight: limiter.NewInFlight(),
 		served:   make(chan struct{}),
 		pushed:   make(chan struct{}),
 	}
 	e.catalog.Store(&catalog{})
+	e.router = e.newRouter()
 	links, err := link.NewServer(d.Common.Identity().LinkAddress, d.TLS, e.handleLink)
 	if err != nil {
 		return nil, fmt.Errorf("start link: %w", err)
@@ -146,6 +152,17 @@
 	return e, nil
 }
 
+// newRouter returns a router for the replicas of the entry's pool.
+func (e *Entry) newRouter() *router.Router {
+	identity := e.common.Identity()
+	return router.New(router.Options{
+		Zone: identity.AvailabilityZone, Region: identity.Region, ReadTokensPerSecond: usualReadSpeed, RunningCost: runningCost, PlainWork: plainWork,
+		RetryShare: retryShare, RetryExtra: retryExtra, RetryWindow: retryWindow,
+		// Old weights serve until their replicas have loaded the new ones.
+		Superseded: func(string, int) (time.Time, bool) { return time.Time{}, false },
+	}, e.pool, e.transport(), e.clock, e.logger, e.recorder)
+}
+
 // CallerAddr returns the address on which callers are served.
 func (e *Entry) CallerAddr() net.Addr { return e.listener.Addr() }
 
@@ -190,8 +207,6 @@
 	stream.Cancel()
 }
 
-func random() uint64 { return rand.Uint64() }
-
 // quiet drops the HTTP library's own messages, which name callers' addresses.
 type quiet struct{}
 
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -8,6 +8,8 @@
 
 	"github.com/cyclamenward/cyclamenward/admitter"
 	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/router"
+	"github.com/cyclamenward/cyclamenward/listener"
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 )
@@ -145,8 +147,15 @@
 	return nil, ""
 }
 
-// timeLeft returns the time until the deadline.
-func (e *Entry) timeLeft(until time.Time) time.Duration { return until.Sub(e.clock.Now()) }
+// newRequest returns what the router has to know of any request but its route and
+// message.
+func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, c *caller, workspace *decoder.Workspace, limit time.Duration) *router.Request {
+	now := e.clock.Now()
+	return &router.Request{
+		ID: c.requestID, Catalog: c.catalog.routing, Workspace: &router.Workspace{Name: workspace.Name, Dedicated: true},
+		Arrived: now, Until: now.Add(limit), After: -1, Gone: listener.Gone(ctx.Conn()),
+	}
+}
 
 // count adds one to the outcome's counter.
 func (m *metrics) count(outcome admitter.Outcome) {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/admitter"
+	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 	"github.com/valyala/fasthttp"
 )
@@ -81,6 +82,41 @@
 	return newProblem(status, string(frame.Code), frame.Detail, frame.Outcome).retryAfter(frame.RetryAfter)
 }
 
+// problemOf returns the problem with which a request ended, nil for an answer.
+func problemOf(result *router.Result) *problem {
+	if result.Failure == nil {
+		if result.Stream == nil {
+			if p, ok := result.Reply.Fields.(*problem); ok {
+				return p
+			}
+		}
+		return nil
+	}
+	return fromFailure(result.Failure)
+}
+
+// fromFailure makes the problem that tells a caller why no replica has answered.
+func fromFailure(f *router.Failure) *problem {
+	outcome := admitter.Unknown
+	if f.NotRun {
+		outcome = admitter.NotRun
+	}
+	switch f.Reason {
+	case router.ReasonDeadline:
+		return newProblem(fasthttp.StatusGatewayTimeout, codeDeadline, "the deadline has passed", outcome)
+	case router.ReasonBroken:
+		if !f.NotRun {
+			return newProblem(fasthttp.StatusBadGateway, codeInterrupted, "the backend server was lost", outcome).retryAfter(time.Second)
+		}
+	}
+	return newProblem(fasthttp.StatusServiceUnavailable, codeNoBackend, "no backend server can take the request", outcome).retryAfter(max(time.Second, f.RetryAfter))
+}
+
+// interrupted makes the problem of an answer that is not whole.
+func interrupted(err error) *problem {
+	return newProblem(fasthttp.StatusBadGateway, codeInterrupted, err.Error(), admitter.Unknown).retryAfter(time.Second)
+}
+
 // write answers with the problem.
 func (p *problem) write(ctx *fasthttp.RequestCtx) {
 	ctx.Response.ResetBody()
--- a/internal/entry/push.go
+++ b/internal/entry/push.go
@@ -46,8 +46,8 @@
 	entries := append(e.common.EntryPeers(), e.common.Identity().LinkAddress)
 	slots := make(chan struct{}, pushParallel)
 	var group sync.WaitGroup
-	for i := range s.pool.Len() {
-		address := s.pool.Replica(i).Address
+	for _, server := range s.document.BackendServers {
+		address := server.Sidecar
 		if !chosen(e.common.Identity().LinkAddress, entries, address) {
 			continue
 		}
@@ -84,26 +84,3 @@
 	at := slices.Index(slices.Compact(entries), self)
 	return at >= 0 && at < pushers
 }
-
-// leavingPeriod is how often the entry looks for hosts that are leaving.
-const leavingPeriod = time.Second
-
-// leavingLoop passes over replicas on hosts that the platform says are leaving.
-// Their own sidecars refuse new work as soon as they know, so this only saves the
-// refusals.
-func (e *Entry) leavingLoop(ctx context.Context) {
-	for {
-		select {
-		case <-e.clock.After(leavingPeriod):
-		case <-ctx.Done():
-			return
-		}
-		for _, s := range e.current().byName {
-			for i := range s.pool.Len() {
-				if e.common.IsLeaving(s.pool.Replica(i).Address) {
-					s.pool.Status(i).Avoid(e.clock.Now().Add(2 * leavingPeriod))
-				}
-			}
-		}
-	}
-}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -4,16 +4,25 @@
 	"bufio"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 
 	"github.com/cyclamenward/cyclamenward/admitter"
+	"github.com/cyclamenward/cyclamenward/chainer"
+	"github.com/cyclamenward/cyclamenward/internal/routing/router"
+	"github.com/cyclamenward/cyclamenward/peer/link"
 	"github.com/cyclamenward/cyclamenward/sequencer"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/valyala/fasthttp"
 )
 
+// partGrowth is how many parts of a long prompt follow before the next is longer by a
+// block, so that a part is at most a sixteenth of what is before it.
+const partGrowth = 16
+
 // chunk is one message of an answer stream, in the usual form of the field.
 type chunk struct {
 	ID      string   `json:"id"`
@@ -31,42 +40,77 @@
 	FinishReason *string  `json:"finish_reason"`
 }
 
+// answer is the answer to one model request.
+type answer struct {
+	request *router.Request
+	payload *payload
+	chat    bool
+	relay   *router.Relay
+}
+
+// newAnswer prepares the request for the router.
+func (e *Entry) newAnswer(ctx *fasthttp.RequestCtx, c *caller, checked *modelRequest) (*answer, *problem) {
+	s, infer := checked.service, &checked.infer
+	request := e.newRequest(ctx, c, checked.workspace, checked.limit)
+	request.Route = s.answers
+	request.Prompt = promptOf(checked.workspace.Name, infer)
+	r := &answer{request: request, chat: checked.chat, payload: &payload{service: s, workspace: checked.workspace, infer: infer, sequence: sequencer.New()}}
+	request.Message = r.payload
+	return r, r.resumeAt(string(ctx.Request.Header.Peek(headerLastEventID)))
+}
+
+// promptOf describes the work of a request. Its parts are the blocks of the prompt; how
+// many of them other requests have too is not known.
+func promptOf(workspace string, infer *link.Inference) *router.Prompt {
+	scope := chainer.Scope{Workspace: workspace, Model: infer.Model, Adapter: infer.Adapter}
+	chain := chainer.Chain(nil, scope, infer.Prompt)
+	prompt := &router.Prompt{Model: infer.Model, Tokens: chainer.Tokens(len(infer.Prompt)), Output: infer.MaxTokens, Guessed: true}
+	known := 0
+	for blocks := 1; blocks <= len(chain); blocks += max(1, blocks/partGrowth) {
+		prompt.Parts = append(prompt.Parts, router.Part{ID: chain[blocks-1].String(), Tokens: (blocks - known) * chainer.BlockTokens})
+		known = blocks
+	}
+	// The rest is the request's own.
+	prompt.Parts = append(prompt.Parts, router.Part{Tokens: max(0, prompt.Tokens-known*chainer.BlockTokens)})
+	return prompt
+}
+
 // answerStream sends the answer as server-sent events. It is whole only if it
 // ends with [DONE]; otherwise its last event is an error.
-func (e *Entry) answerStream(ctx *fasthttp.RequestCtx, r *run, leave func()) {
+func (e *Entry) answerStream(ctx *fasthttp.RequestCtx, r *answer, leave func()) {
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("Cache-Control", "no-cache")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer leave()
-		defer r.close()
+		defer r.relay.Close()
 		if err := e.writeEvents(w, r); err != nil {
 			e.metrics.callerGone.Add(1)
-			e.logger.Info("entry: caller is gone.", "request", r.requestID, "err", err)
+			e.logger.Info("entry: caller is gone.", "request", r.request.ID, "err", err)
 		}
 	})
 }
 
-func (e *Entry) writeEvents(w *bufio.Writer, r *run) error {
+func (e *Entry) writeEvents(w *bufio.Writer, r *answer) error {
 	for {
-		text, done, p := r.pull()
+		event, err := r.relay.Next()
 		switch {
-		case p != nil:
-			return e.writeInterruption(w, r, p)
-		case done:
+		case errors.Is(err, io.EOF):
 			return e.writeEnd(w, r)
+		case err != nil:
+			return e.writeInterruption(w, r, interrupted(err))
 		}
-		if err := writeEvent(w, r.eventID(r.sequence.Next()-1), r.chunk(text, nil)); err != nil {
+		if err := writeEvent(w, r.eventID(event.ID), r.chunk(string(event.Raw), nil)); err != nil {
 			return err
 		}
 	}
 }
 
 // writeInterruption ends a stream that is not whole.
-func (e *Entry) writeInterruption(w *bufio.Writer, r *run, p *problem) error {
+func (e *Entry) writeInterruption(w *bufio.Writer, r *answer, p *problem) error {
 	e.metrics.interrupted.Add(1)
 	e.metrics.count(admitter.Unknown)
-	p.RequestID = r.requestID
-	if r.sequence.Next() > r.first {
+	p.RequestID = r.request.ID
+	if r.payload.sequence.Next() > r.payload.first {
 		// A part was delivered, so the request as a whole did run.
 		p.Outcome = admitter.Unknown
 	}
@@ -80,7 +124,7 @@
 	return w.Flush()
 }
 
-func (e *Entry) writeEnd(w *bufio.Writer, r *run) error {
+func (e *Entry) writeEnd(w *bufio.Writer, r *answer) error {
 	e.metrics.count(admitter.Answered)
 	reason := "stop"
 	if err := writeEvent(w, "", r.chunk("", &reason)); err != nil {
@@ -109,10 +153,10 @@
 	return nil
 }
 
-func (r *run) chunk(text string, finish *string) chunk {
-	c := chunk{ID: r.requestID, Object: "text_completion", Model: r.request.infer.Model}
+func (r *answer) chunk(text string, finish *string) chunk {
+	c := chunk{ID: r.request.ID, Object: "text_completion", Model: r.payload.infer.Model}
 	o := option{FinishReason: finish}
-	if r.request.chat {
+	if r.chat {
 		c.Object = "chat.completion.chunk"
 		o.Delta = &message{Role: "assistant", Content: text}
 	} else {
@@ -123,24 +167,24 @@
 }
 
 // answerWhole collects the answer and sends it at once.
-func (e *Entry) answerWhole(ctx *fasthttp.RequestCtx, r *run) *problem {
-	defer r.close()
+func (e *Entry) answerWhole(ctx *fasthttp.RequestCtx, r *answer) *problem {
+	defer r.relay.Close()
 	var text strings.Builder
 	for {
-		piece, done, p := r.pull()
-		if p != nil {
-			return p
-		}
-		if done {
+		event, err := r.relay.Next()
+		if errors.Is(err, io.EOF) {
 			break
 		}
-		text.WriteString(piece)
+		if err != nil {
+			return interrupted(err)
+		}
+		text.Write(event.Raw)
 	}
 	e.metrics.count(admitter.Answered)
 	reason := "stop"
-	c := chunk{ID: r.requestID, Object: "text_completion", Model: r.request.infer.Model}
+	c := chunk{ID: r.request.ID, Object: "text_completion", Model: r.payload.infer.Model}
 	o := option{FinishReason: &reason}
-	if r.request.chat {
+	if r.chat {
 		c.Object = "chat.completion"
 		o.Message = &message{Role: "assistant", Content: text.String()}
 	} else {
@@ -166,46 +210,39 @@
 }
 
 // eventID names a token so that any entry can go on behind it.
-func (r *run) eventID(index int) string {
+func (r *answer) eventID(index int64) string {
+	m := r.payload
 	point := resumePoint{
-		Service:            r.request.service.document.Service,
-		BackendServer:      r.request.service.pool.Replica(r.index).Name,
-		SidecarIncarnation: r.request.service.incarnationOf(r.index),
-		Attempt:            r.attempt,
-		WeightsVersion:     r.sequence.WeightsVersion(),
+		Service:            m.service.document.Service,
+		BackendServer:      strings.TrimPrefix(m.replica, replicaID(m.service.document.Service, "")),
+		SidecarIncarnation: m.incarnation,
+		Attempt:            m.attempt,
+		WeightsVersion:     m.sequence.WeightsVersion(),
 	}
 	body, err := cbor.Marshal(point)
 	if err != nil {
 		return ""
 	}
-	return base64.RawURLEncoding.EncodeToString(body) + "." + strconv.Itoa(index)
+	return base64.RawURLEncoding.EncodeToString(body) + "." + strconv.FormatInt(index, 10)
 }
 
-// resumeAt makes the run go on behind the event that the caller saw last. The
+// resumeAt makes the answer go on behind the event that the caller saw last. The
 // attempt is read further if it is still held, and else the answer is resumed
 // elsewhere on the same weights version.
-func (r *run) resumeAt(lastEventID string) *problem {
+func (r *answer) resumeAt(lastEventID string) *problem {
 	if lastEventID == "" {
 		return nil
 	}
+	m := r.payload
 	point, index, ok := parseEventID(lastEventID)
-	if !ok || point.Service != r.request.service.document.Service {
+	if !ok || point.Service != m.service.document.Service {
 		return notRun(fasthttp.StatusBadRequest, codeBadRequest, "the last event id does not belong to this service")
 	}
-	r.first = index + 1
-	r.sequence = sequencer.Resume(r.first, point.WeightsVersion)
-	r.request.infer.WeightsVersion = point.WeightsVersion
-	r.chain = r.scopedChain()
-	r.index = r.request.service.pool.Find(point.BackendServer)
-	if r.index < 0 {
-		return nil
-	}
-	r.attempt = point.Attempt
-	if err := r.attach(r.request.service.pool.Replica(r.index).Address, point.SidecarIncarnation); err != nil {
-		r.entry.logger.Info("entry: attempt is no longer held.", "request", r.requestID, "attempt", point.Attempt, "err", err)
-		return nil
-	}
-	r.entry.metrics.reattached.Add(1)
+	m.first, m.held = index+1, &point
+	m.sequence = sequencer.Resume(m.first, point.WeightsVersion)
+	r.request.After = int64(index)
+	r.request.Weights = m.service.versions.Number(point.WeightsVersion)
+	r.request.Prefer = replicaID(point.Service, point.BackendServer)
 	return nil
 }
 
--- a/internal/metrics/recorder/record.go
+++ b/internal/metrics/recorder/record.go
@@ -54,6 +54,17 @@
 	_ = h.RecordValue(min(max(1, took.Microseconds()), longest.Microseconds()))
 }
 
+// Counters returns all counters.
+func (r *Recorder) Counters() map[string]int64 {
+	counters := make(map[string]int64)
+	r.counters.Do(func(kv expvar.KeyValue) {
+		if counter, ok := kv.Value.(*expvar.Int); ok {
+			counters[kv.Key] = counter.Value()
+		}
+	})
+	return counters
+}
+
 // Text returns all that was recorded: a name and a number a line, times in
 // milliseconds.
 func (r *Recorder) Text() []byte {
--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -43,6 +43,13 @@
 	Public bool
 	// Resumable streams may go on at another backend server.
 	Resumable bool
+	// SameWeights streams go on only on the weights that they began on.
+	SameWeights bool
+	// Renewed streams may be repeated like new requests each time they have grown.
+	Renewed bool
+	// MaxRejections is the number of replicas that may reject one request, 0 for the
+	// usual.
+	MaxRejections int
 	// Shares are the services that the requests go to.
 	Shares []Share
 }
@@ -63,6 +70,13 @@
 	TokenBytes float64
 	// LinkBitsPerSecond is the speed of a replica's transfers.
 	LinkBitsPerSecond float64
+	// NoTransfers is set if replicas cannot fetch cached parts from each other.
+	NoTransfers bool
+	// ReadTokensPerSecond goes before the router's option if it is set.
+	ReadTokensPerSecond float64
+	// ReuseWeight is how many seconds of waiting a second of reading again weighs, for
+	// routes without a target.
+	ReuseWeight float64
 }
 
 // CacheStore keeps parts of prompts that replicas have read, for other replicas to
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -30,6 +31,11 @@
 	// preparingLoss is what a long request loses at a replica that is about to load
 	// weights: it would hold the load up. It stands behind a late answer elsewhere.
 	preparingLoss = 0.8
+	// strayLoss is what a plain server loses that is not the one for the request's
+	// affinity, beside the wait there.
+	strayLoss = 0.5
+	// preferGain makes a replica that the request prefers win over all others.
+	preferGain = 100
 	// tieLoss keeps daemons that know the same from choosing the same.
 	tieLoss = 0.004
 )
@@ -92,14 +98,19 @@
 	candidates []candidate
 	// scopes holds what is known of the prompt for each version of the weights.
 	scopes []*parts
+	// bound is the version that the answer must be made on, 0 for any.
+	bound int
+	// home is the plain server for the request's affinity, or nil.
+	home *Replica
 }
 
 // surveys saves the memory of ended surveys.
 var surveys = sync.Pool{New: func() any { return new(survey) }}
 
-// choose returns the replica with the least expected loss. The second result is
-// false if no replica may take the request.
-func (r *Router) choose(request *Request, service *service, excluded []*Replica) (choice, bool) {
+// choose returns the replica with the least expected loss for a request whose answer is
+// bound to a version of the weights, 0 for any. The second result is false if no
+// replica may take the request.
+func (r *Router) choose(request *Request, service *service, excluded []*Replica, bound int) (choice, bool) {
 	s := surveys.Get().(*survey)
 	defer func() {
 		clear(s.candidates)
@@ -107,12 +118,15 @@
 		*s = survey{candidates: s.candidates[:0], scopes: s.scopes[:0]}
 		surveys.Put(s)
 	}()
-	s.router, s.request, s.service, s.now = r, request, service, r.clock.Now()
+	s.router, s.request, s.service, s.bound, s.now = r, request, service, bound, r.clock.Now()
 	if known := request.Catalog.Service(service.name); known != nil {
 		s.engine = known.Engine
 	}
 	for _, replica := range r.pool.Service(service.name) {
-		s.look(replica, contains(excluded, replica))
+		s.look(replica, slices.Contains(excluded, replica))
+	}
+	if request.Affinity != 0 {
+		s.findHome()
 	}
 	best, found := choice{}, false
 	for i := range s.candidates {
@@ -138,17 +152,21 @@
 	c.usable = !avoided && !excluded && (c.state == nil || c.state.Phase <= Preparing)
 	if s.request.Prompt != nil {
 		c.weights = replica.Weights(s.request.Prompt.Model, s.now)
+		c.usable = c.usable && (s.bound == 0 || c.weights == 0 || c.weights == s.bound)
 	}
 	s.candidates = append(s.candidates, c)
 }
 
-func contains(list []*Replica, replica *Replica) bool {
-	for _, other := range list {
-		if other == replica {
-			return true
+// findHome chooses the plain server for the request's affinity by rendezvous hashing
+// over those that may get it.
+func (s *survey) findHome() {
+	most := uint64(0)
+	for i := range s.candidates {
+		replica := s.candidates[i].replica
+		if hash := mix(replica.hash ^ s.request.Affinity); s.candidates[i].usable && (s.home == nil || hash > most) {
+			s.home, most = replica, hash
 		}
 	}
-	return false
 }
 
 // evaluate returns what one replica is expected to lose, or false if it may not be
@@ -159,6 +177,12 @@
 	wait, distance := r.distance(from.descriptor)
 	c.wait = wait
 	c.loss = distance + from.failureRate*failureLoss + rand.Float64()*tieLoss
+	if from.descriptor.ID == request.Prefer {
+		c.loss -= preferGain
+	}
+	if s.home != nil && s.home != from.replica {
+		c.loss += strayLoss
+	}
 	if from.state != nil && from.state.Phase == Preparing && !request.short() {
 		c.loss += preparingLoss
 	}
@@ -174,12 +198,20 @@
 		}
 		c.wait += s.readTime(&c) + s.modelWait(&c, from)
 		c.loss += loss + s.memoryLoss(from)
-		c.loss += readAgainLoss * float64(c.again) / float64(max(1, request.Prompt.Tokens))
+		c.loss += s.againLoss(c.again)
 	}
 	c.loss += request.waitLoss(s.now.Sub(request.Arrived) + c.wait)
 	return c, true
 }
 
+// againLoss is what is lost by reading tokens again that another replica has read.
+func (s *survey) againLoss(tokens int) float64 {
+	if s.engine != nil && s.engine.ReuseWeight > 0 && s.request.Route.Target <= 0 {
+		return s.engine.ReuseWeight * s.tokensTime(tokens).Seconds()
+	}
+	return readAgainLoss * float64(tokens) / float64(max(1, s.request.Prompt.Tokens))
+}
+
 // short reports whether the request ends soon behind its first event.
 func (r *Request) short() bool { return r.Prompt == nil || r.Prompt.Output <= shortOutput }
 
@@ -225,7 +257,7 @@
 	}
 	running := max(from.replica.running.Load(), int64(from.state.Running))
 	prompt := s.request.Prompt
-	if from.state.MemoryUsed+prompt.Tokens+prompt.Output > s.engine.MemoryTokens || running >= int64(s.engine.Slots) {
+	if s.engine.MemoryTokens > 0 && from.state.MemoryUsed+prompt.Tokens+prompt.Output > s.engine.MemoryTokens || s.engine.Slots > 0 && running >= int64(s.engine.Slots) {
 		return fullLoss
 	}
 	return 0
--- a/internal/routing/router/pace.go
+++ b/internal/routing/router/pace.go
@@ -54,6 +54,10 @@
 }
 
 // tokensTime is the time in which a replica of the service reads prompt tokens.
-func (r *Router) tokensTime(s *service, tokens int) time.Duration {
-	return time.Duration(float64(tokens) / r.options.ReadTokensPerSecond * s.Pace() * float64(time.Second))
+func (s *survey) tokensTime(tokens int) time.Duration {
+	speed := s.router.options.ReadTokensPerSecond
+	if s.engine != nil && s.engine.ReadTokensPerSecond > 0 {
+		speed = s.engine.ReadTokensPerSecond
+	}
+	return time.Duration(float64(tokens) / speed * s.service.Pace() * float64(time.Second))
 }
--- a/internal/routing/router/parts.go
+++ b/internal/routing/router/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -33,7 +34,8 @@
 	tokens  []int
 	known   [][]*Replica
 	reading []*Replica
-	// homes holds the home of the last shared part in each region.
+	// homes holds the home of the prompt in each region: that of its last shared part, or
+	// of the first if the parts are guessed.
 	homes []home
 }
 
@@ -65,6 +67,10 @@
 		return
 	}
 	key := p.keys[len(p.keys)-1]
+	if s.request.Prompt.Guessed {
+		// The last parts may be the request's own, the first has the most company.
+		key = p.keys[0]
+	}
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		if c.weights == p.weights {
@@ -111,7 +117,27 @@
 // held returns how many tokens of the shared parts a replica has.
 func (p *parts) held(replica *Replica) int {
 	for i := len(p.known) - 1; i >= 0; i-- {
-		if contains(p.known[i], replica) {
+		if slices.Contains(p.known[i], replica) {
+			return p.tokens[i]
+		}
+	}
+	return 0
+}
+
+// read returns how many tokens of the shared parts a replica is reading.
+func (p *parts) read(replica *Replica) int {
+	for i := len(p.reading) - 1; i >= 0; i-- {
+		if p.reading[i] == replica {
+			return p.tokens[i]
+		}
+	}
+	return 0
+}
+
+// anywhere returns how many tokens of the shared parts any replica has or is reading.
+func (p *parts) anywhere() int {
+	for i := len(p.keys) - 1; i >= 0; i-- {
+		if len(p.known[i]) > 0 || p.reading[i] != nil {
 			return p.tokens[i]
 		}
 	}
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -136,15 +136,19 @@
 func (r *Replica) State() *State { return r.state.Load() }
 
 // Weights returns the version of a model, 0 if it is not known. A recent
-// report of the replica's sidecar takes precedence over the list and answers, of
-// which the newest version counts.
+// report of the replica's sidecar takes precedence over the list, answers and older
+// reports, of which the newest version counts.
 func (r *Replica) Weights(model string, now time.Time) int {
 	if state := r.Fresh(now); state != nil && state.Weights[model] > 0 {
 		return state.Weights[model]
 	}
+	reported := 0
+	if state := r.state.Load(); state != nil {
+		reported = state.Weights[model]
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.descriptor.Load().Weights[model], r.weights[model])
+	return max(r.descriptor.Load().Weights[model], r.weights[model], reported)
 }
 
 // learnWeights takes the version that an answer names.
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -40,6 +40,9 @@
 	Tokens int
 	// Output is the most tokens that may be generated.
 	Output int
+	// Guessed is set if the parts are pieces of one text: how much of it is shared is
+	// known only once another request has begun with them.
+	Guessed bool
 }
 
 // Request is a caller's request. An interface fills it in.
@@ -60,6 +63,12 @@
 	Prompt *Prompt
 	// After is the last event that the caller has, -1 for none.
 	After int64
+	// Weights is the version that the answer must be made on, 0 for any.
+	Weights int
+	// Prefer is the id of a replica that is tried first, "" for none.
+	Prefer string
+	// Affinity leads requests with the same value to the same plain server; 0 for any.
+	Affinity uint64
 	// Message is what the transport passes on; the router does not look into it.
 	Message any
 	// Gone is closed when the caller has left.
@@ -103,6 +112,9 @@
 	// WrongReplica is set if another replica has the address, or the weights
 	// were of another version.
 	WrongReplica bool
+	// RetryAfter is when a replica that did not run the request may take it, 0 if it is
+	// not known.
+	RetryAfter time.Duration
 	// ReplicaID is the replica that answered, "" if it is not named.
 	ReplicaID string
 	// Weights is the version that the answer was made on, 0 if not named.
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// maxRejections bounds the replicas that may reject one request.
+	// maxRejections bounds the replicas that may reject one request, if its route does
+	// not.
 	maxRejections = 2
 	// returnSoon is when a caller should come back after a passing trouble, such
 	// as a replica that has just gone.
@@ -29,9 +30,13 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	// ran counts the attempts that may have run, rejected those that have not.
-	ran, rejected int
-	excluded      []*Replica
+	// ran counts the attempts that may have run, rejected those that have not. Up to
+	// allowed attempts may run; renewed is the last event that has raised it.
+	ran, rejected, allowed int
+	renewed                int64
+	// bound is the version of the weights that the answer must be made on, 0 for any.
+	bound    int
+	excluded []*Replica
 	// choice, reply and cancelAttempt belong to the current attempt; sent is when
 	// it left.
 	choice        choice
@@ -53,7 +58,7 @@
 }
 
 func newRun(router *Router, request *Request) *run {
-	u := &run{router: router, request: request, service: router.service(request.Route.pick()), last: request.After}
+	u := &run{router: router, request: request, service: router.service(request.Route.pick()), last: request.After, renewed: request.After, bound: request.Weights, allowed: request.Route.MaxAttempts}
 	u.ctx, u.cancel = context.WithDeadline(context.Background(), request.Until)
 	u.service.budget.Earn()
 	if request.Gone != nil {
@@ -138,7 +143,7 @@
 		if failure := u.expired(); failure != nil {
 			return failure
 		}
-		c, found := u.router.choose(u.request, u.service, u.excluded)
+		c, found := u.router.choose(u.request, u.service, u.excluded, u.bound)
 		if !found {
 			return u.noReplica()
 		}
@@ -228,7 +233,7 @@
 // replaceable reports whether another replica could take the request over from one
 // that may be running it.
 func (u *run) replaceable() bool {
-	return u.request.Route.repeatable() && u.ran+1 < u.request.Route.MaxAttempts
+	return u.request.Route.repeatable() && u.ran+1 < u.allowed
 }
 
 // patience returns how long the head of a plain server's answer is waited for, if
@@ -266,10 +271,14 @@
 		return failure
 	}
 	route := u.request.Route
-	if u.ran > 0 && (!route.repeatable() || u.ran >= route.MaxAttempts) {
+	if u.ran > 0 && (!route.repeatable() || u.ran >= u.allowed) {
 		return u.failure
 	}
-	if u.rejected > maxRejections || !u.service.budget.Spend() {
+	limit := maxRejections
+	if route.MaxRejections > 0 {
+		limit = route.MaxRejections
+	}
+	if u.rejected > limit || !u.service.budget.Spend() {
 		return u.failure
 	}
 	return nil
@@ -329,6 +338,6 @@
 		u.router.logger.Info("route: another replica has the address.", "replica", replica.ID(), "met", met)
 		u.router.pool.MarkEnded(replica)
 	}
-	u.failure = &Failure{Reason: ReasonRejected, NotRun: u.ran == 0, RetryAfter: returnSoon}
+	u.failure = &Failure{Reason: ReasonRejected, NotRun: u.ran == 0, RetryAfter: max(returnSoon, u.reply.RetryAfter)}
 	return false
 }
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -19,6 +19,9 @@
 		return nil, false
 	}
 	u.ran++
+	if u.request.Route.SameWeights {
+		u.bound = u.reply.Weights
+	}
 	return &Result{Reply: u.reply, Stream: &Relay{run: u, first: first, ended: err != nil, pending: err == nil}}, true
 }
 
@@ -50,7 +53,7 @@
 // silenceEnd is when the current attempt is given up without another event.
 func (u *run) silenceEnd() time.Time {
 	route := u.request.Route
-	if u.waiting || !route.repeatable() || u.ran >= route.MaxAttempts {
+	if u.waiting || !route.repeatable() || u.ran >= u.allowed {
 		return u.request.Until
 	}
 	if end := u.router.clock.Now().Add(silenceLimit); end.Before(u.request.Until) {
@@ -127,15 +130,29 @@
 		replica.failed(u.router.clock.Now())
 	}
 	u.closeAttempt()
-	if !route.repeatable() || u.last < 0 || u.ran >= route.MaxAttempts || u.expired() != nil || !u.service.budget.Spend() {
+	if !route.repeatable() || u.last < 0 || u.expired() != nil {
 		return cause
 	}
-	u.failure = &Failure{Reason: ReasonBroken}
-	if failure := u.open(); failure != nil {
+	renewed := u.renew()
+	if u.ran >= u.allowed || (!renewed && !u.service.budget.Spend()) {
 		return cause
 	}
-	u.learn(u.reply)
-	if u.reply.NotRun || u.reply.Events == nil || u.reply.Status >= 300 {
+	u.failure = &Failure{Reason: ReasonBroken}
+	for {
+		if failure := u.open(); failure != nil {
+			return cause
+		}
+		u.learn(u.reply)
+		if !u.reply.NotRun {
+			break
+		}
+		u.reject()
+		u.closeAttempt()
+		if failure := u.mayTryAgain(); failure != nil {
+			return cause
+		}
+	}
+	if u.reply.Events == nil || u.reply.Status >= 300 {
 		return cause
 	}
 	u.ran++
@@ -143,3 +160,15 @@
 	u.router.logger.Info("route: stream resumed.", "request", u.request.ID, "replica", u.choice.replica.ID(), "after", u.last)
 	return nil
 }
+
+// renew allows as many attempts as for a new request if the stream has grown since the
+// last renewal and the route allows it: going on behind it cannot multiply the load.
+func (u *run) renew() bool {
+	if !u.request.Route.Renewed || u.last <= u.renewed {
+		return false
+	}
+	u.renewed, u.rejected = u.last, 0
+	u.allowed = u.ran + u.request.Route.MaxAttempts
+	u.excluded = u.excluded[len(u.excluded)-1:]
+	return true
+}
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -17,6 +17,9 @@
 	// zoneFetch and regionFetch are how many times as long a transfer takes
 	// between availability zones and between regions.
 	zoneFetch, regionFetch = 2, 10
+	// guessedShare is how much of a prompt that this daemon has not seen is expected to be
+	// at its home, since other daemons may have.
+	guessedShare = 0.5
 	// coldTime is what a replica that has just started takes longer.
 	coldTime = 60 * time.Millisecond
 )
@@ -61,23 +64,30 @@
 	if state != nil {
 		running = max(running, int64(state.Running))
 	}
-	c.reading = s.router.tokensTime(s.service, int(waiting)+c.missing)
-	c.queue = s.router.tokensTime(s.service, int(waiting))
+	c.reading = s.tokensTime(int(waiting) + c.missing)
+	c.queue = s.tokensTime(int(waiting))
 	return firstTime + c.queue + time.Duration(running)*s.router.options.RunningCost
 }
 
 // readTime is the expected time for reading the prompt or fetching parts of it. It
 // fixes what the replica is expected to read and where it fetches from.
 func (s *survey) readTime(c *choice) time.Duration {
-	r, prompt := s.router, s.request.Prompt
+	prompt := s.request.Prompt
 	p := s.parts(c.weights)
 	c.scope, c.missing = p.scope, prompt.Tokens
 	if len(p.keys) == 0 || c.weights == 0 {
-		return r.tokensTime(s.service, c.missing)
+		return s.tokensTime(c.missing)
 	}
 	c.parts = p
 	held := p.held(c.replica)
-	holder, fetched := s.nearest(p, c.replica, held)
+	if prompt.Guessed {
+		held = max(held, p.read(c.replica))
+	}
+	var holder *Replica
+	fetched := held
+	if s.engine == nil || !s.engine.NoTransfers {
+		holder, fetched = s.nearest(p, c.replica, held)
+	}
 	last := len(p.keys) - 1
 	total := p.tokens[last]
 	switch {
@@ -92,16 +102,22 @@
 		c.reason = "home"
 	default:
 		c.reason = "spill"
-		c.again = total - max(held, fetched)
+		c.again = total - fetched
+	}
+	if prompt.Guessed {
+		c.again = max(0, p.anywhere()-fetched)
+		if p.anywhere() == 0 && !p.isHome(c.replica) {
+			c.again = int(guessedShare * float64(total))
+		}
 	}
-	if max(held, fetched) < total {
+	if fetched < total {
 		if stored, took, found := s.useCacheStore(c, p, held); found {
 			c.reason, c.again, c.missing = "cacheStore", 0, prompt.Tokens-stored
-			return r.tokensTime(s.service, c.missing) + took
+			return s.tokensTime(c.missing) + took
 		}
 	}
-	c.missing = max(0, prompt.Tokens-max(held, fetched))
-	wait := r.tokensTime(s.service, c.missing)
+	c.missing = max(0, prompt.Tokens-fetched)
+	wait := s.tokensTime(c.missing)
 	if holder != nil {
 		c.fetchFrom = holder.Address()
 		wait += s.fetchTime(math.Inf(1), fetchFactor(holder, c.replica), max(0, fetched-held))
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -111,7 +111,7 @@
 		AttemptID: j.request.AttemptID,
 		Answer:    answer,
 		Outcome:   admitter.Answered,
-		News:      s.news(),
+		Status:    s.status(),
 	}
 }
 
@@ -216,7 +216,7 @@
 		Code:       code,
 		Detail:     detail,
 		RetryAfter: retryAfter,
-		News:       s.news(),
+		Status:     s.status(),
 	})
 }
 
--- a/internal/sidecar/infer.go
+++ b/internal/sidecar/infer.go
@@ -3,21 +3,16 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/admitter"
 	"github.com/cyclamenward/cyclamenward/chainer"
-	"github.com/cyclamenward/cyclamenward/chooser"
 	"github.com/cyclamenward/cyclamenward/decoder"
 	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/peer/engine"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 )
 
-// redirectMargin is how much more than expected elsewhere a request may cost here.
-const redirectMargin = 100 * time.Millisecond
-
 // firstTokenSlack is added to the expected time before an engine counts as silent.
 const firstTokenSlack = 5 * time.Second
 
@@ -35,8 +30,6 @@
 	total, depth int
 	// missing is the number of prompt tokens that are not known to be cached.
 	missing int
-	// known is false if the picture of the cache has a gap.
-	known bool
 }
 
 // infer admits and runs a model request and relays its answer.
@@ -73,20 +66,12 @@
 	case request.Infer.WeightsVersion != state.WeightsVersion:
 		s.refuse(request, stream, link.CodeWeights, "engine serves "+state.WeightsVersion, 0)
 		return nil
-	case request.ExpectedBlocks > 0 && request.EngineIncarnation != state.Incarnation:
-		s.refuse(request, stream, link.CodeIncarnation, "engine was restarted", 0)
-		return nil
 	case waiting+running >= document.Model.QueueLimit:
 		s.refuse(request, stream, link.CodeFull, "queue is full", busyRetry)
 		return nil
 	}
 	work := s.plan(request, document, state.Incarnation)
 	backlog := s.queue.Cost() + s.prefills.tokens()
-	cost := chooser.Cost(float64(backlog), float64(work.missing), float64(document.Model.PrefillTokensPerSecond), document.Model.ReuseWeight)
-	if work.known && request.Patience > 0 && cost > request.Patience+redirectMargin {
-		s.refuseKnowing(request, stream, work, cost)
-		return nil
-	}
 	wait := expectedWait(backlog+work.missing, document.Model)
 	if wait > request.Remaining {
 		s.refuse(request, stream, link.CodeDeadline, "expected wait "+wait.Round(time.Millisecond).String(), wait)
@@ -106,7 +91,7 @@
 		model:       document.Model,
 		incarnation: incarnation,
 	}
-	work.depth, work.known = s.picture.Depth(incarnation, work.chain)
+	work.depth, _ = s.picture.Depth(incarnation, work.chain)
 	work.total = chainer.Tokens(len(infer.Prompt))
 	work.missing = max(1, work.total-s.prefills.depth(work.chain, work.depth)*chainer.BlockTokens)
 	return work
@@ -117,16 +102,6 @@
 	return time.Duration(float64(tokens) / float64(model.PrefillTokensPerSecond) * float64(time.Second))
 }
 
-// refuseKnowing sends a request on that costs more here than its entry expects
-// elsewhere. The news tells what is cached here, so that the entry learns.
-func (s *Sidecar) refuseKnowing(request *link.Request, stream *link.Stream, work *inference, cost time.Duration) {
-	s.metrics.sentOn.Add(1)
-	detail := fmt.Sprintf("cost here %s, patience %s", cost.Round(time.Millisecond), request.Patience.Round(time.Millisecond))
-	frame := s.refusal(request, link.CodeElsewhere, detail, 0)
-	frame.News.CachedBlocks = len(work.chain) - min(len(work.chain), work.missing/chainer.BlockTokens)
-	s.sendRefusal(request, stream, frame)
-}
-
 // generate runs an admitted request to its end.
 func (s *Sidecar) generate(ctx context.Context, work *inference) {
 	request := work.job.request
@@ -206,15 +181,12 @@
 }
 
 func (s *Sidecar) admitted(request *link.Request, event *engine.Event) *link.Frame {
-	news := s.news()
-	news.CachedBlocks = event.CachedBlocks
 	return &link.Frame{
 		Kind:           link.Admitted,
 		RequestID:      request.RequestID,
 		AttemptID:      request.AttemptID,
-		CachedBlocks:   event.CachedBlocks,
 		WeightsVersion: event.WeightsVersion,
-		News:           news,
+		Status:         s.status(),
 	}
 }
 
@@ -228,7 +200,7 @@
 		AttemptID: j.request.AttemptID,
 		Index:     j.total(),
 		Outcome:   admitter.Answered,
-		News:      s.news(),
+		Status:    s.status(),
 	})
 }
 
@@ -245,6 +217,6 @@
 		Code:       code,
 		Detail:     err.Error(),
 		RetryAfter: busyRetry,
-		News:       s.news(),
+		Status:     s.status(),
 	})
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -11,7 +11,6 @@
 // does not grow with workspaces or prefixes.
 type metrics struct {
 	admitted, refused, answered, failed, replayed atomic.Int64
-	sentOn                                        atomic.Int64
 	cachedBlocks, promptBlocks, rereads, loads    atomic.Int64
 }
 
@@ -21,7 +20,6 @@
 		values := map[string]any{
 			"admitted":     s.metrics.admitted.Load(),
 			"refused":      s.metrics.refused.Load(),
-			"sentOn":       s.metrics.sentOn.Load(),
 			"answered":     s.metrics.answered.Load(),
 			"failed":       s.metrics.failed.Load(),
 			"replayed":     s.metrics.replayed.Load(),
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -206,10 +206,10 @@
 	}
 }
 
-// news is what the sidecar says about itself with every reply.
-func (s *Sidecar) news() *link.News {
+// status is what the sidecar says about itself with every reply.
+func (s *Sidecar) status() *link.Status {
 	waiting, running := s.queue.Len()
-	news := &link.News{
+	status := &link.Status{
 		Sidecar:            s.settings.BackendServer,
 		SidecarIncarnation: s.table.Incarnation(),
 		Leaving:            s.table.Leaving(),
@@ -217,15 +217,15 @@
 		BacklogTokens:      s.queue.Cost() + s.prefills.tokens(),
 	}
 	if document := s.document(); document != nil {
-		news.Revision = document.Revision
+		status.Revision = document.Revision
 	}
 	if state := s.state.Load(); state != nil {
-		news.EngineIncarnation = state.Incarnation
+		status.EngineIncarnation = state.Incarnation
 		if !state.Loading {
-			news.WeightsVersion = state.WeightsVersion
+			status.WeightsVersion = state.WeightsVersion
 		}
 	}
-	return news
+	return status
 }
 
 // refusal makes the frame that says that an attempt did not run and never will.
@@ -239,7 +239,7 @@
 		Code:       code,
 		Detail:     detail,
 		RetryAfter: retryAfter,
-		News:       s.news(),
+		Status:     s.status(),
 	}
 }
 
--- a/peer/link/message.go
+++ b/peer/link/message.go
@@ -42,19 +42,11 @@
 	Revision uint64 `cbor:"revision,omitempty"`
 	// SidecarIncarnation is the receiver that the sender believes to talk to.
 	SidecarIncarnation string `cbor:"sidecarIncarnation,omitempty"`
-	// EngineIncarnation is the engine whose cache the decision relied on; empty
-	// if the decision relied on no cached block.
-	EngineIncarnation string `cbor:"engineIncarnation,omitempty"`
 	// Sender is the link address of the sender.
 	Sender string `cbor:"sender,omitempty"`
 	// Remaining is the time left until the request's deadline.
 	Remaining time.Duration `cbor:"remaining,omitempty"`
 	Priority  int           `cbor:"priority,omitempty"`
-	// ExpectedBlocks is the number of cached blocks that the sender expects.
-	ExpectedBlocks int `cbor:"expectedBlocks,omitempty"`
-	// Patience is the cost up to which the receiver should take the request, in
-	// the measure of package chooser; 0 means whatever the cost.
-	Patience time.Duration `cbor:"patience,omitempty"`
 	// From is the index of the first token wanted; above 0 when resuming.
 	From  int        `cbor:"from,omitempty"`
 	Infer *Inference `cbor:"infer,omitempty"`
@@ -118,10 +110,8 @@
 	RequestID string    `cbor:"requestID,omitempty"`
 	AttemptID string    `cbor:"attemptID,omitempty"`
 	// Index is the token's index, or in an End frame the number of tokens.
-	Index int    `cbor:"index,omitempty"`
-	Text  string `cbor:"text,omitempty"`
-	// CachedBlocks is what the engine really had cached, in an Admitted frame.
-	CachedBlocks   int              `cbor:"cachedBlocks,omitempty"`
+	Index          int              `cbor:"index,omitempty"`
+	Text           string           `cbor:"text,omitempty"`
 	WeightsVersion string           `cbor:"weightsVersion,omitempty"`
 	Answer         *PlainAnswer     `cbor:"answer,omitempty"`
 	Outcome        admitter.Outcome `cbor:"outcome,omitempty"`
@@ -131,7 +121,7 @@
 	Detail string `cbor:"detail,omitempty"`
 	// RetryAfter is when a new try may succeed; 0 if not known.
 	RetryAfter time.Duration `cbor:"retryAfter,omitempty"`
-	News       *News         `cbor:"news,omitempty"`
+	Status     *Status       `cbor:"status,omitempty"`
 	Sync       *SyncState    `cbor:"sync,omitempty"`
 }
 
@@ -154,7 +144,6 @@
 	CodeLeaving     Code = "leaving"
 	CodeFull        Code = "queueFull"
 	CodeDeadline    Code = "deadlineTooShort"
-	CodeElsewhere   Code = "betterElsewhere"
 	CodeWeights     Code = "weightsNotServed"
 	CodeRepeated    Code = "attemptRepeated"
 	CodeTombstone   Code = "attemptGivenUp"
@@ -168,8 +157,8 @@
 	CodeBadRequest  Code = "badRequest"
 )
 
-// News is what a sidecar says about itself with every reply.
-type News struct {
+// Status is what a sidecar reports of itself and its backend server with every reply.
+type Status struct {
 	Sidecar            string `cbor:"sidecar"`
 	SidecarIncarnation string `cbor:"sidecarIncarnation"`
 	EngineIncarnation  string `cbor:"engineIncarnation,omitempty"`
@@ -181,8 +170,6 @@
 	Queued int `cbor:"queued,omitempty"`
 	// BacklogTokens is the prefill work in front of a new request.
 	BacklogTokens int `cbor:"backlogTokens,omitempty"`
-	// CachedBlocks is the number of blocks of this request's prompt cached now.
-	CachedBlocks int `cbor:"cachedBlocks,omitempty"`
 }
 
 // SyncState is the configuration knowledge of one daemon, or a part of it.
