Decisions do not grow with the number of replicas

Change: groups above 64 replicas are sampled: holders, homes on rings, the affinity's home, and replicas drawn at random. Names of prompt parts are kept for further decisions on a request. Ruled out: sampling small groups as well, where all entries agree on homes by looking at all.

--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -88,7 +88,7 @@
 	usable bool
 }
 
-// survey is a look at all replicas of a service for one decision.
+// survey is a look at the replicas of a service for one decision.
 type survey struct {
 	router     *Router
 	request    *Request
@@ -100,6 +100,10 @@
 	scopes []*parts
 	// bound is the version that the answer must be made on, 0 for any.
 	bound int
+	// excluded replicas may not get the request.
+	excluded []*Replica
+	// group is set if it is too large to be looked at whole.
+	group *group
 	// home is the plain server for the request's affinity, or nil.
 	home *Replica
 }
@@ -122,11 +126,11 @@
 	if known := request.Catalog.Service(service.name); known != nil {
 		s.engine = known.Engine
 	}
-	for _, replica := range r.pool.Service(service.name) {
-		s.look(replica, slices.Contains(excluded, replica))
-	}
-	if request.Affinity != 0 {
-		s.findHome()
+	s.excluded = excluded
+	if g := r.pool.group(service.name); len(g.list) <= surveyAll {
+		s.lookAtAll(g)
+	} else {
+		s.sample(g)
 	}
 	best, found := choice{}, false
 	for i := range s.candidates {
@@ -141,32 +145,21 @@
 	return best, found
 }
 
-// look adds a replica unless it has left.
-func (s *survey) look(replica *Replica, excluded bool) {
+// look adds a replica as a candidate. It returns false for one that has left.
+func (s *survey) look(replica *Replica) bool {
 	descriptor := replica.descriptor.Load()
 	if descriptor.Draining || !s.router.pool.present(replica) {
-		return
+		return false
 	}
 	avoided, failureRate := replica.avoided(s.now)
 	c := candidate{replica: replica, descriptor: descriptor, state: replica.Fresh(s.now), failureRate: failureRate}
-	c.usable = !avoided && !excluded && (c.state == nil || c.state.Phase <= Preparing)
+	c.usable = !avoided && !slices.Contains(s.excluded, replica) && (c.state == nil || c.state.Phase <= Preparing)
 	if s.request.Prompt != nil {
 		c.weights = replica.Weights(s.request.Prompt.Model, s.now)
 		c.usable = c.usable && (s.bound == 0 || c.weights == 0 || c.weights == s.bound)
 	}
 	s.candidates = append(s.candidates, c)
-}
-
-// findHome chooses the plain server for the request's affinity by rendezvous hashing
-// over those that may get it.
-func (s *survey) findHome() {
-	most := uint64(0)
-	for i := range s.candidates {
-		replica := s.candidates[i].replica
-		if hash := mix(replica.hash ^ s.request.Affinity); s.candidates[i].usable && (s.home == nil || hash > most) {
-			s.home, most = replica, hash
-		}
-	}
+	return true
 }
 
 // evaluate returns what one replica is expected to lose, or false if it may not be
--- a/internal/routing/router/load_test.go
+++ b/internal/routing/router/load_test.go
@@ -187,11 +187,16 @@
 	assert.Assert(t, !p.Returned("other", 2500*time.Millisecond))
 }
 
-// BenchmarkChoose is one decision among 48 replicas.
+// BenchmarkChoose is one decision among a number of replicas.
 func BenchmarkChoose(b *testing.B) {
-	bed := newBed(48, nil)
-	request := modelRequest(route(Stream, 1, false), Part{"a", 500}, Part{"b", 5000}, Part{"own", 1000})
-	for b.Loop() {
-		bed.router.choose(request, bed.router.service("s"), nil, 0)
+	for _, replicas := range []int{48, 12_000} {
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+			bed := newBed(replicas, nil)
+			request := modelRequest(route(Stream, 1, false), Part{"a", 500}, Part{"b", 5000}, Part{"own", 1000})
+			b.ReportAllocs()
+			for b.Loop() {
+				bed.router.choose(request, bed.router.service("s"), nil, 0)
+			}
+		})
 	}
 }
--- a/internal/routing/router/parts.go
+++ b/internal/routing/router/parts.go
@@ -53,15 +53,46 @@
 			return p
 		}
 	}
-	p := s.router.lookUp(cacheScope(weights, s.request), s.request.Prompt.sharedParts())
-	p.weights = weights
-	s.findHomes(p)
+	p := s.request.parts(weights)
+	p.lookUp(s.router.holders)
 	s.scopes = append(s.scopes, p)
+	s.findHomes(p)
+	if s.group != nil {
+		s.addHolders(p)
+	}
+	return p
+}
+
+// parts returns the names of the shared parts on a version of the weights. They are kept
+// for further decisions about the request.
+func (r *Request) parts(weights int) *parts {
+	for _, p := range r.scopes {
+		if p.weights == weights {
+			return p
+		}
+	}
+	shared := r.Prompt.sharedParts()
+	n := len(shared)
+	p := &parts{weights: weights, scope: cacheScope(weights, r), keys: make([]uint64, n), tokens: make([]int, n), known: make([][]*Replica, n), reading: make([]*Replica, n)}
+	sum := 0
+	for i, part := range shared {
+		sum += part.Tokens
+		p.keys[i], p.tokens[i] = PartKey(p.scope, part.ID), sum
+	}
+	r.scopes = append(r.scopes, p)
 	return p
 }
 
+// lookUp finds out who has the parts.
+func (p *parts) lookUp(h *holders) {
+	p.homes = p.homes[:0]
+	for i, key := range p.keys {
+		p.known[i], p.reading[i] = h.get(key)
+	}
+}
+
 // findHomes chooses the homes by rendezvous hashing over the replicas that serve
-// the version.
+// the version; in large groups on rings.
 func (s *survey) findHomes(p *parts) {
 	if len(p.keys) == 0 {
 		return
@@ -71,6 +102,10 @@
 		// The last parts may be the request's own, the first has the most company.
 		key = p.keys[0]
 	}
+	if s.group != nil {
+		s.findRingHomes(p, key)
+		return
+	}
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		if c.weights == p.weights {
@@ -101,19 +136,6 @@
 	return false
 }
 
-// lookUp returns what is known of a prompt's shared parts.
-func (r *Router) lookUp(scope string, shared []Part) *parts {
-	n := len(shared)
-	p := &parts{scope: scope, keys: make([]uint64, n), tokens: make([]int, n), known: make([][]*Replica, n), reading: make([]*Replica, n)}
-	sum := 0
-	for i, part := range shared {
-		sum += part.Tokens
-		p.keys[i], p.tokens[i] = PartKey(scope, part.ID), sum
-		p.known[i], p.reading[i] = r.holders.get(p.keys[i])
-	}
-	return p
-}
-
 // held returns how many tokens of the shared parts a replica has.
 func (p *parts) held(replica *Replica) int {
 	for i := len(p.known) - 1; i >= 0; i-- {
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -204,7 +204,7 @@
 type view struct {
 	byID      map[string]*Replica
 	byAddress map[string]*Replica
-	byService map[string][]*Replica
+	byService map[string]*group
 }
 
 // NewPool returns an empty pool.
@@ -219,7 +219,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.view.Load()
-	next := &view{byID: make(map[string]*Replica, len(list)), byAddress: make(map[string]*Replica, len(list)), byService: make(map[string][]*Replica)}
+	next := &view{byID: make(map[string]*Replica, len(list)), byAddress: make(map[string]*Replica, len(list)), byService: make(map[string]*group)}
 	for _, descriptor := range list {
 		replica := old.byID[descriptor.ID]
 		if replica == nil || replica.descriptor.Load().Started != descriptor.Started || replica.Address() != descriptor.Address {
@@ -227,11 +227,24 @@
 		}
 		replica.descriptor.Store(&descriptor)
 		next.add(replica)
-		next.byService[descriptor.Service] = append(next.byService[descriptor.Service], replica)
+		next.group(descriptor.Service).list = append(next.group(descriptor.Service).list, replica)
+	}
+	for _, g := range next.byService {
+		g.sort()
 	}
 	p.view.Store(next)
 }
 
+// group returns the group of a service, a new one if there is none.
+func (v *view) group(service string) *group {
+	g := v.byService[service]
+	if g == nil {
+		g = new(group)
+		v.byService[service] = g
+	}
+	return g
+}
+
 // add puts a replica into the view. Of several at one address the one that started
 // last is there; the entries of the others have not lapsed yet.
 func (v *view) add(replica *Replica) {
@@ -268,8 +281,13 @@
 	return !replica.ended.Load() && p.view.Load().byAddress[replica.Address()] == replica
 }
 
-// Service returns the replicas of a service in the order of the list.
-func (p *Pool) Service(name string) []*Replica { return p.view.Load().byService[name] }
+// group returns the replicas of a service.
+func (p *Pool) group(service string) *group {
+	if g := p.view.Load().byService[service]; g != nil {
+		return g
+	}
+	return new(group)
+}
 
 // Replica returns a replica by id, or nil.
 func (p *Pool) Replica(id string) *Replica { return p.view.Load().byID[id] }
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -73,6 +73,10 @@
 	Message any
 	// Gone is closed when the caller has left.
 	Gone <-chan struct{}
+
+	// scopes holds the names of the prompt's parts for each version of the weights that
+	// was looked at.
+	scopes []*parts
 }
 
 // Attempt is what a transport sends to one replica.
