--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -238,17 +238,6 @@
 	}
 }
 
-// Forget closes the kept connections to a server that was lost.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	list := c.idle[address]
-	delete(c.idle, address)
-	c.mu.Unlock()
-	for _, old := range list {
-		_ = old.Close()
-	}
-}
-
 // write sends the request. A body that may not fit the connection's window is
 // written beside the reading of the answer, since a server may answer before it
 // has read the body.
--- a/peer/store/client.go
+++ b/peer/store/client.go
@@ -8,10 +8,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/keeper"
+	"github.com/cyclamenward/cyclamenward/peer/exchanger"
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 )
@@ -21,8 +21,6 @@
 	callLimit = 500 * time.Millisecond
 	// watchSlack is added to the wait of a watch before it counts as silent.
 	watchSlack = time.Second
-	// maxConnections bounds the pool of connections.
-	maxConnections = 16
 	// requestIDHeader carries an id that the service echoes.
 	requestIDHeader = "X-Request-Id"
 )
@@ -58,20 +56,11 @@
 }
 
 // client holds the connections to one service.
-type client struct {
-	http *fasthttp.HostClient
-}
+type client struct{ http *exchanger.Client }
 
 // New returns a Store that talks to the service at the given address.
 func New(address string) keeper.Store {
-	c := &client{http: &fasthttp.HostClient{
-		Addr:                      address,
-		MaxConns:                  maxConnections,
-		MaxIdemponentCallAttempts: 1,
-		Dial: func(addr string) (net.Conn, error) {
-			return fasthttp.DialTimeout(addr, callLimit)
-		},
-	}}
+	c := &client{http: exchanger.New(address, callLimit, 0)}
 	return keeper.Store{Get: c.get, List: c.list, Swap: c.swap, Watch: c.watch, Grant: c.grant, Renew: c.renew}
 }
 
@@ -162,36 +151,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode query: %w", err)
 	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
 	id := uuid.NewString()
-	request.SetRequestURI("http://" + c.http.Addr + path)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.Header.Set(requestIDHeader, id)
-	request.Header.SetContentType("application/json")
-	request.SetBody(body)
-	if err := c.http.DoDeadline(request, response, deadline); err != nil {
-		return nil, transportError(err)
-	}
-	if string(response.Header.Peek(requestIDHeader)) != id {
+	answer, err := c.http.Do(deadline, exchanger.Request{Method: fasthttp.MethodPost, Path: path, Fields: []exchanger.Field{{Name: requestIDHeader, Value: id}}, JSON: body})
+	switch {
+	case errors.Is(err, exchanger.ErrNotSent):
+		return nil, fmt.Errorf("%w: %w", keeper.ErrUnavailable, err)
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", keeper.ErrUnknown, err)
+	case answer.Field(requestIDHeader) != id:
 		return nil, fmt.Errorf("reply to another call: %w", keeper.ErrUnknown)
 	}
-	return decode(response)
-}
-
-// transportError maps a failed exchange. Only a failed dial proves that nothing
-// was sent.
-func transportError(err error) error {
-	var op *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) || (errors.As(err, &op) && op.Op == "dial") {
-		return fmt.Errorf("%w: %w", keeper.ErrUnavailable, err)
-	}
-	return fmt.Errorf("%w: %w", keeper.ErrUnknown, err)
+	return decode(answer)
 }
 
-func decode(response *fasthttp.Response) (*Reply, error) {
-	switch response.StatusCode() {
+func decode(answer *exchanger.Answer) (*Reply, error) {
+	switch answer.Status {
 	case fasthttp.StatusOK:
 	case fasthttp.StatusNotFound:
 		return nil, keeper.ErrNotFound
@@ -202,10 +176,10 @@
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
 		return nil, keeper.ErrUnavailable
 	default:
-		return nil, fmt.Errorf("status %d: %w", response.StatusCode(), keeper.ErrUnknown)
+		return nil, fmt.Errorf("status %d: %w", answer.Status, keeper.ErrUnknown)
 	}
 	var reply Reply
-	if err := json.Unmarshal(response.Body(), &reply); err != nil {
+	if err := json.Unmarshal(answer.Body, &reply); err != nil {
 		return nil, fmt.Errorf("decode reply: %w: %w", keeper.ErrUnknown, err)
 	}
 	return &reply, nil
