Usual terms in the older packages

Change: cache index for picture, heartbeats for signs of life, partitioned for parted, report, notify and observe for tell and learn; no behaviour changes.

--- a/claimer/commit.go
+++ b/claimer/commit.go
@@ -71,7 +71,7 @@
 }
 
 // settleDoubts returns releases for claims that a write left behind although
-// their proposals were told that nothing was granted. Any successful write after
+// their proposals were answered that nothing was granted. Any successful write after
 // it settles the remaining doubts, because it makes the lost write conflict.
 func (w *worker) settleDoubts(ctx context.Context) ([]Claim, error) {
 	if len(w.doubtful) == 0 {
--- a/internal/cache/follower/follow.go
+++ b/internal/cache/follower/follow.go
@@ -38,7 +38,7 @@
 // Poll waits for events behind a number.
 type Poll func(ctx context.Context, since int64) (Batch, error)
 
-// Sink takes what was learnt.
+// Sink receives what changes.
 type Sink struct {
 	Event func(Event)
 	// Clear means that the cache is empty.
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -14,7 +14,7 @@
 	return append(commonSettings(),
 		setting{name: "caller-address", usage: "IP address and TCP port for callers", required: true, check: checkAddress},
 		setting{name: "operator-token-hash", usage: "SHA-256 of the operators' token in hexadecimal; without it the operator API refuses all", check: checkHash},
-		setting{name: "settle", usage: "time to go on serving after SIGTERM while the balancer learns of it", value: "3s", check: checkDuration},
+		setting{name: "settle", usage: "time to go on serving after SIGTERM while the balancer notices", value: "3s", check: checkDuration},
 	)
 }
 
--- a/internal/command/service.go
+++ b/internal/command/service.go
@@ -135,7 +135,7 @@
 	case operator.NotWritten:
 		return cli.Exit("not written: the store was not reached; apply again", exitNotWritten)
 	default:
-		return cli.Exit(fmt.Sprintf("unknown: apply again with --operation-id %s to learn the result", applied.OperationID), exitUnknown)
+		return cli.Exit(fmt.Sprintf("unknown: apply again with --operation-id %s to get the result", applied.OperationID), exitUnknown)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,7 +3,7 @@
 // An entry authenticates the caller, decides where a request goes, and relays
 // the answer. It keeps nothing that it could not do without: a restarted entry
 // asks its peers for the configuration and serves. What replicas have cached and
-// how busy they are it learns from their replies. Package router decides; this package
+// how busy they are it observes in their replies. Package router decides; this package
 // brings its attempts to sidecars.
 package entry
 
@@ -58,7 +58,7 @@
 	CallerAddress string
 	// OperatorTokenHash is the SHA-256 of the operators' token; empty refuses all.
 	OperatorTokenHash string
-	// Settle is how long a draining entry goes on serving after it has told the
+	// Settle is how long a draining entry goes on serving after it has notified the
 	// balancer that it is not ready.
 	Settle time.Duration
 }
--- a/internal/entry/push.go
+++ b/internal/entry/push.go
@@ -13,7 +13,7 @@
 const (
 	// pushers is the number of entries that tell one sidecar of a change.
 	pushers = 2
-	// pushParallel is the number of sidecars told at once.
+	// pushParallel is the number of sidecars notified at once.
 	pushParallel = 32
 	// pushTries is how often a sidecar that is not reached is tried.
 	pushTries = 3
@@ -24,12 +24,12 @@
 // pushLoop tells the sidecars of a changed service that this entry is chosen
 // for. Sidecars do not ask at rest, so that their number costs nothing.
 func (e *Entry) pushLoop(ctx context.Context) {
-	told := map[string]uint64{}
+	sent := map[string]uint64{}
 	for {
 		changed := e.common.Book().Changed()
 		for name, s := range e.current().byName {
-			if told[name] != s.revised.Revision {
-				told[name] = s.revised.Revision
+			if sent[name] != s.revised.Revision {
+				sent[name] = s.revised.Revision
 				e.push(ctx, s)
 			}
 		}
--- a/internal/fleet/announcer/cachelog.go
+++ b/internal/fleet/announcer/cachelog.go
@@ -3,7 +3,7 @@
 import "sync"
 
 // maxChanges bounds the changes that are kept for sessions; one that is behind by
-// more is told everything.
+// more is sent everything.
 const maxChanges = 4096
 
 // CacheNews is what changed in a replica's cache. Keys name prompt parts.
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -85,7 +85,7 @@
 	conn    net.Conn
 	encoder *cbor.Encoder
 	writer  *bufio.Writer
-	// cursor is the place in the cache log up to which the other end was told.
+	// cursor is the place in the cache log up to which the other end was sent it.
 	// Only the sender uses it.
 	cursor uint64
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,7 @@
 	// IdleLimit is how long a caller's connection is kept between requests.
 	IdleLimit time.Duration
 	// Settle is how long a stopping gateway goes on serving while the balancer
-	// learns of it.
+	// notices.
 	Settle time.Duration
 	// Grace is the time from SIGTERM to the end of the process.
 	Grace time.Duration
@@ -183,7 +183,7 @@
 	return nil
 }
 
-// Drain ends the gateway: the balancer is told first, then running requests end.
+// Drain ends the gateway: the balancer is notified first, then running requests end.
 func (g *Gateway) Drain() {
 	end := g.clock.Now().Add(g.settings.Grace - finishMargin)
 	g.stopping.Store(true)
--- a/internal/logging/drainer/drain.go
+++ b/internal/logging/drainer/drain.go
@@ -14,7 +14,7 @@
 const (
 	// queueLines bounds the lines that wait; a line has some 300 bytes.
 	queueLines = 4096
-	// reportPeriod is how often dropped lines are told of.
+	// reportPeriod is how often dropped lines are reported.
 	reportPeriod = time.Second
 )
 
@@ -33,7 +33,7 @@
 	go func() {
 		defer close(d.done)
 		buffered := bufio.NewWriterSize(out, 16<<10)
-		// Nothing can be told of a failing standard output but on it.
+		// A failing standard output can be reported only on itself.
 		defer func() { _ = buffered.Flush() }()
 		report := clock.After(reportPeriod)
 		for {
@@ -69,7 +69,7 @@
 	return len(line), nil
 }
 
-// Dropped returns the lines that were dropped and not told of yet.
+// Dropped returns the lines that were dropped and not reported yet.
 func (d *Drainer) Dropped() int64 { return d.dropped.Load() }
 
 // Close writes what is queued and ends the drainer.
--- a/internal/measurer/engine.go
+++ b/internal/measurer/engine.go
@@ -57,16 +57,16 @@
 	queue       []*request
 	current     *request
 	// backlog is the sidecar's estimate of the prefill work in front of a new
-	// request, from its picture of the cache.
+	// request, from its cache index.
 	backlog int
 	// pending counts queued requests that will have computed a block.
 	pending map[chainer.Hash]int
-	// blind is the share of times at which the sidecar's picture is unknown.
+	// blind is the share of times at which the sidecar's cache index is unknown.
 	blind float64
 }
 
 // estimate is the sidecar's estimate of the tokens that a request will compute.
-// known is false if its picture of the cache has a gap.
+// known is false if its cache index has a gap.
 func (e *engine) estimate(r *request, chance float64) (tokens int, known bool) {
 	depth := 0
 	known = chance >= e.blind
--- a/internal/measurer/run.go
+++ b/internal/measurer/run.go
@@ -15,7 +15,7 @@
 	Name string
 	// CrashEvery crashes a random engine that often.
 	CrashEvery time.Duration
-	// Blind is the share of decisions at which a sidecar's picture is unknown
+	// Blind is the share of decisions at which a sidecar's cache index is unknown
 	// for a gap in the cache events.
 	Blind float64
 	// LoadLag delays the platform's load reports.
--- a/internal/measurer/tally.go
+++ b/internal/measurer/tally.go
@@ -23,7 +23,7 @@
 	boundSeen                map[chainer.Hash]bool
 }
 
-// longest is the largest time to the first token that is told apart.
+// longest is the largest time to the first token that is distinguished.
 const longest = 5 * time.Minute
 
 func newTally() tally {
--- a/internal/prober/probes.go
+++ b/internal/prober/probes.go
@@ -96,29 +96,29 @@
 	return p
 }
 
-func pictureMemoryProbe() Probe {
+func indexMemoryProbe() Probe {
 	p := Probe{Name: "cached blocks known to a sidecar", Varied: "blocks", Unit: "bytes"}
 	for _, blocks := range []int{2_000, 8_000, 24_000} {
-		p.Points = append(p.Points, Point{float64(blocks), heapOf(func() any { return filledPicture(blocks) })})
+		p.Points = append(p.Points, Point{float64(blocks), heapOf(func() any { return filledIndex(blocks) })})
 	}
 	return p
 }
 
-func filledPicture(blocks int) *tracker.Picture {
-	picture := tracker.New(1 << 20)
-	picture.Restarted("engine")
+func filledIndex(blocks int) *tracker.Index {
+	cacheIndex := tracker.New(1 << 20)
+	cacheIndex.Restarted("engine")
 	list := make([]chainer.Hash, blocks)
 	for i := range list {
 		list[i] = chainer.Hash{byte(i), byte(i >> 8), byte(i >> 16)}
 	}
-	picture.Replace("engine", 0, list)
-	return picture
+	cacheIndex.Replace("engine", 0, list)
+	return cacheIndex
 }
 
 func eventProbe() Probe {
 	p := Probe{Name: "cache events at a sidecar", Varied: "events", Unit: "µs of processor"}
 	for _, events := range []int{30, 100, 300} {
-		picture := filledPicture(24_000)
+		cacheIndex := filledIndex(24_000)
 		sequence := uint64(0)
 		batch := make([]tracker.Event, events)
 		p.Points = append(p.Points, Point{float64(events), costOf(func() {
@@ -126,7 +126,7 @@
 				sequence++
 				batch[i] = tracker.Event{Sequence: sequence, Removed: sequence%2 == 0, Block: chainer.Hash{byte(sequence / 2), byte(sequence >> 9), 1}}
 			}
-			picture.Apply("engine", batch)
+			cacheIndex.Apply("engine", batch)
 		})})
 	}
 	return p
--- a/internal/prober/report.go
+++ b/internal/prober/report.go
@@ -30,10 +30,10 @@
 
 // results holds the probes by what the roles are worked out from.
 type results struct {
-	decision, chain, pool, memory, picture, events Probe
-	documentSize, documentCost, documentHeld       Probe
-	exchangeBytes, exchangeCost, held, change      Probe
-	claims                                         Probe
+	decision, chain, pool, memory, cacheIndex, events Probe
+	documentSize, documentCost, documentHeld          Probe
+	exchangeBytes, exchangeCost, held, change         Probe
+	claims                                            Probe
 }
 
 // Run measures everything and writes the tables.
@@ -53,12 +53,12 @@
 	}
 	r := results{
 		decision: decisionProbe(), chain: chainProbe(), pool: poolMemoryProbe(), memory: memoryProbe(),
-		picture: pictureMemoryProbe(), events: eventProbe(),
+		cacheIndex: indexMemoryProbe(), events: eventProbe(),
 		documentSize: documents[0], documentCost: documents[1], documentHeld: documents[2],
 		exchangeBytes: exchanges[0], exchangeCost: exchanges[1], held: held, change: change, claims: claimProbe(),
 	}
 	_, _ = fmt.Fprintln(w, "## Slopes\n\n| what | varied | unit | points | line |\n| --- | --- | --- | --- | --- |")
-	for _, p := range []Probe{r.decision, r.chain, r.pool, r.memory, r.picture, r.events, r.documentSize, r.documentCost, r.documentHeld, r.exchangeBytes, r.exchangeCost, r.held, r.change, r.claims} {
+	for _, p := range []Probe{r.decision, r.chain, r.pool, r.memory, r.cacheIndex, r.events, r.documentSize, r.documentCost, r.documentHeld, r.exchangeBytes, r.exchangeCost, r.held, r.change, r.claims} {
 		p.Print(w)
 	}
 	r.entry(w, TwoYears)
@@ -120,8 +120,8 @@
 
 // sidecarSpread returns the same for a sidecar.
 func (r results) sidecarSpread(s Size) (bytesPerSecond, core float64) {
-	told := s.changesPerSecond() / s.services() * pushers
-	handshakes := told + 1.0/leafPeriod
+	notified := s.changesPerSecond() / s.services() * pushers
+	handshakes := notified + 1.0/leafPeriod
 	change := r.change.At(r.documentKilobytes(s))
 	bytesPerSecond = handshakes*r.exchangeBytes.At(1) + s.changesPerSecond()*change
 	core = handshakes*r.exchangeCost.At(1)/2e6 + s.changesPerSecond()*r.documentCost.At(float64(s.Workspaces)/s.services())/1e6
@@ -147,11 +147,11 @@
 	core += r.events.At(events) / 1e6
 	blocks := s.CachedBlocks / float64(s.Replicas)
 	held := r.documentHeld.At(float64(s.Workspaces)/s.services()) * s.services()
-	memory := r.picture.At(blocks) + held
+	memory := r.cacheIndex.At(blocks) + held
 	_, _ = fmt.Fprintf(w, "\n## Sidecar with %.0f cached blocks and %.0f cache events/s\n\n| what | worked out | budget | verdict |\n| --- | --- | --- | --- |\n", blocks, events)
 	_, _ = fmt.Fprintf(w, "| processor: spreading, cache events | %.2f%% of a core | %.1f%% | %s |\n", 100*core, 100*BudgetCore, verdict(core, BudgetCore))
-	_, _ = fmt.Fprintf(w, "| memory: picture %.1f MB, documents %.1f MB | %.1f MB | %d MB | %s |\n", r.picture.At(blocks)/1e6, held/1e6, memory/1e6, BudgetBytes>>20, verdict(memory, BudgetBytes))
-	_, _ = fmt.Fprintf(w, "| control traffic: being told, own exchanges, changes | %.1f KB/s | %d KB/s | %s |\n", traffic/1024, BudgetRate>>10, verdict(traffic, BudgetRate))
+	_, _ = fmt.Fprintf(w, "| memory: cache index %.1f MB, documents %.1f MB | %.1f MB | %d MB | %s |\n", r.cacheIndex.At(blocks)/1e6, held/1e6, memory/1e6, BudgetBytes>>20, verdict(memory, BudgetBytes))
+	_, _ = fmt.Fprintf(w, "| control traffic: notifications, own exchanges, changes | %.1f KB/s | %d KB/s | %s |\n", traffic/1024, BudgetRate>>10, verdict(traffic, BudgetRate))
 }
 
 // Limits of the platform's key-value service.
--- a/internal/routing/router/pace.go
+++ b/internal/routing/router/pace.go
@@ -20,7 +20,7 @@
 	paceReading = 30 * time.Millisecond
 )
 
-// service is what a router has learnt of one service.
+// service is what a router has observed of one service.
 type service struct {
 	name   string
 	budget *limiter.Window
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -108,8 +108,8 @@
 	// waiting is what this daemon's requests at the replica, before their first
 	// event, have it read, by priority.
 	waiting [Priorities]atomic.Int64
-	// told is what the replica's sidecar was last told of waiting.
-	told [Priorities]atomic.Int64
+	// reported is what this daemon last reported of waiting to the replica's sidecar.
+	reported [Priorities]atomic.Int64
 	// running counts this daemon's requests at the replica.
 	running atomic.Int64
 
@@ -296,8 +296,8 @@
 func (p *Pool) At(address string) *Replica { return p.view.Load().byAddress[address] }
 
 // Waiting returns the prompt tokens that this daemon has sent to the replica at an
-// address and that are not read yet, by priority, and notes that its sidecar is
-// told so.
+// address and that are not read yet, by priority, and notes that this is
+// reported to its sidecar.
 func (p *Pool) Waiting(address string) (waiting [Priorities]int) {
 	replica := p.At(address)
 	if replica == nil {
@@ -305,7 +305,7 @@
 	}
 	for i := range waiting {
 		tokens := replica.waiting[i].Load()
-		replica.told[i].Store(tokens)
+		replica.reported[i].Store(tokens)
 		waiting[i] = int(tokens)
 	}
 	return waiting
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -15,7 +15,7 @@
 	// Zone and Region are where the daemon is.
 	Zone, Region string
 	// ReadTokensPerSecond is the speed at which a replica reads prompts while others
-	// generate, before it is learnt.
+	// generate, before it is measured.
 	ReadTokensPerSecond float64
 	// RunningCost is what each running request adds to the wait for a first event.
 	RunningCost time.Duration
@@ -64,7 +64,7 @@
 	}
 }
 
-// service returns what was learnt of a service.
+// service returns what was observed of a service.
 func (r *Router) service(name string) *service {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/routing/router/run.go
+++ b/internal/routing/router/run.go
@@ -288,7 +288,7 @@
 // then failure is set.
 func (u *run) take() (*Result, bool) {
 	r, reply, replica := u.router, u.reply, u.choice.replica
-	u.learn(reply)
+	u.observe(reply)
 	if reply.NotRun {
 		return nil, u.reject()
 	}
@@ -314,8 +314,8 @@
 	return &Result{Reply: reply, Body: body}, true
 }
 
-// learn takes what the answer tells of its replica.
-func (u *run) learn(reply *Reply) {
+// observe stores what the answer reports of its replica.
+func (u *run) observe(reply *Reply) {
 	replica := u.choice.replica
 	if u.request.Prompt != nil {
 		replica.learnWeights(u.request.Prompt.Model, reply.Weights)
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -142,7 +142,7 @@
 		if failure := u.open(); failure != nil {
 			return cause
 		}
-		u.learn(u.reply)
+		u.observe(u.reply)
 		if !u.reply.NotRun {
 			break
 		}
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -59,10 +59,10 @@
 	waiting, running := int64(0), replica.running.Load()
 	// Replicas read the prompts of more urgent requests first.
 	for i := range s.request.priority() + 1 {
-		own, told := replica.waiting[i].Load(), replica.told[i].Load()
+		own, reported := replica.waiting[i].Load(), replica.reported[i].Load()
 		waiting += own
 		if state != nil {
-			waiting += max(0, int64(state.Waiting[i])-told) + othersFactor*max(0, own-told)
+			waiting += max(0, int64(state.Waiting[i])-reported) + othersFactor*max(0, own-reported)
 		}
 	}
 	if state != nil {
--- a/internal/sidecar/infer.go
+++ b/internal/sidecar/infer.go
@@ -91,7 +91,7 @@
 		model:       document.Model,
 		incarnation: incarnation,
 	}
-	work.depth, _ = s.picture.Depth(incarnation, work.chain)
+	work.depth, _ = s.cacheIndex.Depth(incarnation, work.chain)
 	work.total = chainer.Tokens(len(infer.Prompt))
 	work.missing = max(1, work.total-s.prefills.depth(work.chain, work.depth)*chainer.BlockTokens)
 	return work
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -31,7 +31,7 @@
 			"queueRunning": running,
 			"attemptsHeld": s.table.Len(),
 			"jobsHeld":     s.jobs.len(),
-			"blocksKnown":  s.picture.Len(),
+			"blocksKnown":  s.cacheIndex.Len(),
 			"linkTraffic":  s.common.Client().Traffic(),
 			"leaving":      s.table.Leaving(),
 			"exchanges":    s.common.Gossip().Exchanges(),
--- a/internal/sidecar/prefill.go
+++ b/internal/sidecar/prefill.go
@@ -12,7 +12,7 @@
 
 const (
 	// recentKeep is how long a computed block is taken for cached before the
-	// engine's events must have told of it.
+	// engine's events must have reported it.
 	recentKeep = 2 * time.Second
 	// maxRecent bounds the blocks that are taken for cached.
 	maxRecent = 1 << 14
@@ -69,7 +69,7 @@
 // enter waits while another request computes a block of the chain that is not
 // cached, and then registers the blocks that this request computes. It returns
 // the number of tokens that are left to compute, and a function that ends the
-// registration, is told whether the blocks were computed, and may be called more
+// registration, receives whether the blocks were computed, and may be called more
 // than once.
 func (p *prefills) enter(ctx context.Context, chain []chainer.Hash, total, depth int) (int, func(computed bool), error) {
 	for {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,7 +44,7 @@
 	keepAnswer = 15 * time.Second
 	// attachWindow is how long an attempt goes on with nobody attached.
 	attachWindow = 10 * time.Second
-	// maxBlocks bounds the picture of the engine's cache.
+	// maxBlocks bounds the index of the engine's cache.
 	maxBlocks = 1 << 20
 	// sweepPeriod is how often ended jobs are looked through.
 	sweepPeriod = time.Second
@@ -71,22 +71,22 @@
 
 // Sidecar is one daemon.
 type Sidecar struct {
-	settings Settings
-	common   *daemon.Common
-	store    keeper.Store
-	clock    timekeeper.Clock
-	logger   *log.Logger
-	server   *link.Server
-	table    *admitter.Table
-	jobs     *jobs
-	queue    *limiter.Queue
-	engine   *engine.Client
-	picture  *tracker.Picture
-	prefills *prefills
-	plain    *plainservice.Client
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
-	metrics  metrics
+	settings   Settings
+	common     *daemon.Common
+	store      keeper.Store
+	clock      timekeeper.Clock
+	logger     *log.Logger
+	server     *link.Server
+	table      *admitter.Table
+	jobs       *jobs
+	queue      *limiter.Queue
+	engine     *engine.Client
+	cacheIndex *tracker.Index
+	prefills   *prefills
+	plain      *plainservice.Client
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+	metrics    metrics
 
 	// state is the engine's last report, nil while it is not reached.
 	state atomic.Pointer[engine.State]
@@ -103,20 +103,20 @@
 func New(settings Settings, d Dependencies) (*Sidecar, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Sidecar{
-		settings: settings,
-		common:   d.Common,
-		store:    d.Store,
-		clock:    d.Clock,
-		logger:   d.Logger,
-		table:    admitter.New(d.Clock, d.Common.Identity().Incarnation, admitter.Limits{Records: maxAttempts, Keep: keepAttempts}),
-		jobs:     newJobs(d.Clock),
-		queue:    limiter.NewQueue(0, maxAttempts),
-		engine:   engine.New(settings.BackendAddress),
-		picture:  tracker.New(maxBlocks),
-		prefills: newPrefills(d.Clock),
-		plain:    plainservice.New(settings.BackendAddress),
-		cancel:   cancel,
-		refresh:  make(chan struct{}, 1),
+		settings:   settings,
+		common:     d.Common,
+		store:      d.Store,
+		clock:      d.Clock,
+		logger:     d.Logger,
+		table:      admitter.New(d.Clock, d.Common.Identity().Incarnation, admitter.Limits{Records: maxAttempts, Keep: keepAttempts}),
+		jobs:       newJobs(d.Clock),
+		queue:      limiter.NewQueue(0, maxAttempts),
+		engine:     engine.New(settings.BackendAddress),
+		cacheIndex: tracker.New(maxBlocks),
+		prefills:   newPrefills(d.Clock),
+		plain:      plainservice.New(settings.BackendAddress),
+		cancel:     cancel,
+		refresh:    make(chan struct{}, 1),
 	}
 	server, err := link.NewServer(d.Common.Identity().LinkAddress, d.TLS, s.handle)
 	if err != nil {
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -14,7 +14,7 @@
 // enginePeriod is the time between two readings of the engine's state.
 const enginePeriod = 100 * time.Millisecond
 
-// engineLoop keeps the engine's state and the picture of its cache.
+// engineLoop keeps the engine's state and the index of its cache.
 func (s *Sidecar) engineLoop(ctx context.Context) {
 	for {
 		changed := s.common.Book().Changed()
@@ -51,28 +51,28 @@
 	if old := s.state.Swap(state); old == nil || old.Incarnation != state.Incarnation || old.WeightsVersion != state.WeightsVersion {
 		s.logger.Info("sidecar: engine state.", "incarnation", state.Incarnation, "weightsVersion", state.WeightsVersion, "loading", state.Loading)
 	}
-	if s.picture.Incarnation() != state.Incarnation {
+	if s.cacheIndex.Incarnation() != state.Incarnation {
 		s.prefills.reset()
 	}
-	s.picture.Restarted(state.Incarnation)
+	s.cacheIndex.Restarted(state.Incarnation)
 	if err := s.readEvents(); err != nil {
 		s.logger.Debug("sidecar: cache events not read.", "err", err)
 	}
 }
 
-// readEvents brings the picture up to date. After a gap it lists the cache.
+// readEvents brings the index up to date. After a gap it lists the cache.
 func (s *Sidecar) readEvents() error {
-	incarnation, sequence, stale := s.picture.Position()
+	incarnation, sequence, stale := s.cacheIndex.Position()
 	read, err := s.engine.Events(incarnation, sequence, stale)
 	if err != nil {
 		return err
 	}
 	if read.Whole {
 		s.metrics.rereads.Add(1)
-		s.picture.Replace(read.Incarnation, read.Sequence, blocks(read.Blocks))
+		s.cacheIndex.Replace(read.Incarnation, read.Sequence, blocks(read.Blocks))
 		return nil
 	}
-	s.picture.Apply(read.Incarnation, events(read.Events))
+	s.cacheIndex.Apply(read.Incarnation, events(read.Events))
 	return nil
 }
 
--- a/internal/weights/observer/observe.go
+++ b/internal/weights/observer/observe.go
@@ -1,5 +1,5 @@
 // Package observer tracks which versions of weights the operators want and when this
-// daemon learnt of each.
+// daemon observed each.
 package observer
 
 import (
@@ -37,7 +37,7 @@
 // known is what was named of one model.
 type known struct {
 	named Named
-	// history holds every version with the time at which this daemon learnt of
+	// history holds every version with the time at which this daemon observed
 	// it, in ascending order of both.
 	history []naming
 }
@@ -69,7 +69,7 @@
 	}
 }
 
-// Superseded returns when this daemon learnt of the first version of a model that
+// Superseded returns when this daemon observed the first version of a model that
 // is newer than the given one. The second result is false if there is none.
 func (o *Observer) Superseded(model string, version int) (time.Time, bool) {
 	o.mu.Lock()
--- a/internal/weights/orderer/order.go
+++ b/internal/weights/orderer/order.go
@@ -123,7 +123,7 @@
 
 	// mu guards status and entered.
 	mu sync.Mutex
-	// status is what others are told, entered when its phase began.
+	// status is what is reported to others, entered when its phase began.
 	status  router.State
 	entered time.Time
 
@@ -131,7 +131,7 @@
 	phase  router.Phase
 	missed int
 	report Report
-	// preparedAt is when preparing began, closedAt when entries were told to stop
+	// preparedAt is when preparing began, closedAt when entries were notified to stop
 	// sending, orderedAt when the last order left; zero before.
 	preparedAt, closedAt, orderedAt time.Time
 	ordered                         Order
--- a/peer/link/stream.go
+++ b/peer/link/stream.go
@@ -121,7 +121,7 @@
 	return err
 }
 
-// stayAlive gives signs of life until ctx ends.
+// stayAlive sends heartbeats until ctx ends.
 func (s *Stream) stayAlive(ctx context.Context) {
 	var timer *time.Timer
 	var beat func()
--- a/registrar/register.go
+++ b/registrar/register.go
@@ -3,7 +3,7 @@
 //
 // Each service has one entry in the store. Applying a document is one
 // compare-and-swap on it, so of two operators who race one is accepted and the
-// other learns of the conflict. Revisions count up by one and are never reused.
+// other one is informed of the conflict. Revisions count up by one and are never reused.
 // Every application carries an operation id, by which a lost reply is resolved:
 // until the register has been read back, the result is unknown and never refused.
 package registrar
--- a/spreader/book.go
+++ b/spreader/book.go
@@ -3,7 +3,7 @@
 // Each daemon has a Book: an immutable snapshot of the newest revision of every
 // service, replaced whole. A book moves forward only. Revisions reach it on four
 // ways: a few daemons watch the store and the others hear of it by exchanges
-// with random peers; a daemon that learns something new tells peers at once;
+// with random peers; a daemon that receives something new notifies peers at once;
 // every message between daemons carries the revision it was decided on; and a
 // daemon that starts asks its peers before the store, so it needs no store.
 package spreader
--- a/spreader/gossip.go
+++ b/spreader/gossip.go
@@ -28,7 +28,7 @@
 type Options struct {
 	// Period is the time between two exchanges started by a daemon at rest.
 	Period time.Duration
-	// Neighbours is the number of peers that a daemon keeps to. They are told at
+	// Neighbours is the number of peers that a daemon keeps to. They are notified at
 	// once when something new arrives, and links to them stay open.
 	Neighbours int
 	// Epoch is the time after which other neighbours are chosen.
@@ -54,7 +54,7 @@
 	RetryPause:    time.Second,
 }
 
-// LeafOptions are for daemons that are told of changes by others, and exchange
+// LeafOptions are for daemons that are notified of changes by others, and exchange
 // on their own only to make up for what was lost.
 var LeafOptions = Options{
 	Period:        2 * time.Minute,
@@ -93,7 +93,7 @@
 	peers   Peers
 	source  Source
 	options Options
-	// report is told about documents that cannot be taken.
+	// report receives documents that cannot be taken.
 	report func(err error)
 	cancel context.CancelFunc
 	done   sync.WaitGroup
--- a/spreader/neighbours.go
+++ b/spreader/neighbours.go
@@ -8,7 +8,7 @@
 
 // exchangeLoop keeps this daemon and its neighbours equal. After a failure it
 // turns to all neighbours at once, since it may be the one that nobody tells. It
-// also tries one peer again that was not reached, so that regions that were parted
+// also tries one peer again that was not reached, so that regions that were partitioned
 // find each other as soon as they can.
 func (g *Gossip[T]) exchangeLoop(ctx context.Context) {
 	for {
@@ -29,11 +29,11 @@
 
 // pushLoop tells the neighbours at once about what is new.
 func (g *Gossip[T]) pushLoop(ctx context.Context) {
-	told := g.book.Snapshot().Digest()
+	sent := g.book.Snapshot().Digest()
 	for {
 		changed := g.book.Changed()
-		if now := g.book.Snapshot().Digest(); now != told {
-			told = now
+		if now := g.book.Snapshot().Digest(); now != sent {
+			sent = now
 			g.push(ctx)
 			continue
 		}
--- a/tracker/picture.go
+++ b/tracker/index.go
@@ -1,8 +1,8 @@
-// Package tracker keeps a picture of what one engine has cached.
+// Package tracker keeps an index of what one engine has cached.
 //
-// A picture belongs to one incarnation of the engine and is dropped whole when
+// An index belongs to one incarnation of the engine and is dropped whole when
 // the incarnation changes. Cache events carry sequence numbers; when one is
-// missing, the picture says "unknown" about every block until the engine's cache
+// missing, the index says "unknown" about every block until the engine's cache
 // has been listed again. It never says "cached" on the strength of an event
 // that may have been revoked.
 package tracker
@@ -21,8 +21,8 @@
 	Block    chainer.Hash
 }
 
-// Picture is what is known about one engine's cache. It is safe for concurrent use.
-type Picture struct {
+// Index is what is known about one engine's cache. It is safe for concurrent use.
+type Index struct {
 	// limit bounds the number of blocks held.
 	limit int
 
@@ -37,35 +37,35 @@
 	blocks map[chainer.Hash]struct{}
 }
 
-// New returns a picture that knows nothing. limit bounds the blocks held.
-func New(limit int) *Picture {
-	return &Picture{limit: limit, blocks: make(map[chainer.Hash]struct{})}
+// New returns an index that knows nothing. limit bounds the blocks held.
+func New(limit int) *Index {
+	return &Index{limit: limit, blocks: make(map[chainer.Hash]struct{})}
 }
 
 // Position returns the incarnation and the last event applied, and whether the
 // cache must be listed again.
-func (p *Picture) Position() (incarnation string, sequence uint64, stale bool) {
+func (p *Index) Position() (incarnation string, sequence uint64, stale bool) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	return p.incarnation, p.sequence, !p.known
 }
 
-// Incarnation returns the engine that the picture belongs to.
-func (p *Picture) Incarnation() string {
+// Incarnation returns the engine that the index belongs to.
+func (p *Index) Incarnation() string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	return p.incarnation
 }
 
 // Len returns the number of blocks held.
-func (p *Picture) Len() int {
+func (p *Index) Len() int {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	return len(p.blocks)
 }
 
 // Restarted drops everything if the incarnation differs from the one held.
-func (p *Picture) Restarted(incarnation string) {
+func (p *Index) Restarted(incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if incarnation == p.incarnation {
@@ -78,8 +78,8 @@
 }
 
 // Apply takes a batch of events. Repeated events are passed over; a missing one
-// makes the picture unknown.
-func (p *Picture) Apply(incarnation string, events []Event) {
+// makes the index unknown.
+func (p *Index) Apply(incarnation string, events []Event) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if incarnation != p.incarnation || !p.known {
@@ -99,7 +99,7 @@
 }
 
 // set applies one event. The caller holds mu.
-func (p *Picture) set(event Event) {
+func (p *Index) set(event Event) {
 	if event.Removed {
 		delete(p.blocks, event.Block)
 		return
@@ -110,7 +110,7 @@
 }
 
 // Replace takes a whole list of the cache as of the given event.
-func (p *Picture) Replace(incarnation string, sequence uint64, blocks []chainer.Hash) {
+func (p *Index) Replace(incarnation string, sequence uint64, blocks []chainer.Hash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if incarnation != p.incarnation || sequence < p.sequence {
@@ -125,8 +125,8 @@
 }
 
 // Depth returns how many leading blocks of the chain are cached by the given
-// incarnation. known is false if that cannot be told; depth is then 0.
-func (p *Picture) Depth(incarnation string, chain []chainer.Hash) (depth int, known bool) {
+// incarnation. known is false if that is not certain; depth is then 0.
+func (p *Index) Depth(incarnation string, chain []chainer.Hash) (depth int, known bool) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	if incarnation != p.incarnation || !p.known {
--- a/tracker/picture_test.go
+++ b/tracker/index_test.go
@@ -42,16 +42,16 @@
 	return blocks
 }
 
-// TestPictureNeverClaimsWhatWasNotCached loses, repeats and reorders events,
-// restarts the engine and lists its cache at random, and checks that the picture
+// TestIndexNeverClaimsWhatWasNotCached loses, repeats and reorders events,
+// restarts the engine and lists its cache at random, and checks that the index
 // either says that it does not know or equals the cache as of its last event.
-func TestPictureNeverClaimsWhatWasNotCached(t *testing.T) {
+func TestIndexNeverClaimsWhatWasNotCached(t *testing.T) {
 	blocks := []chainer.Hash{{1}, {2}, {3}, {4}}
 	rapid.Check(t, func(t *rapid.T) {
 		engine := newEngine("one")
 		dead := engine
-		picture := tracker.New(100)
-		picture.Restarted("one")
+		index := tracker.New(100)
+		index.Restarted("one")
 		t.Repeat(map[string]func(*rapid.T){
 			"change": func(t *rapid.T) {
 				engine.change(rapid.SampledFrom(blocks).Draw(t, "block"), rapid.Bool().Draw(t, "removed"))
@@ -66,28 +66,28 @@
 				if len(batch) > 1 && rapid.Bool().Draw(t, "reordered") {
 					batch[0], batch[len(batch)-1] = batch[len(batch)-1], batch[0]
 				}
-				picture.Apply(engine.incarnation, batch)
+				index.Apply(engine.incarnation, batch)
 			},
-			"eventsOfTheDead": func(_ *rapid.T) { picture.Apply(dead.incarnation, dead.events) },
+			"eventsOfTheDead": func(_ *rapid.T) { index.Apply(dead.incarnation, dead.events) },
 			"list": func(_ *rapid.T) {
-				picture.Replace(engine.incarnation, uint64(len(engine.events)), engine.list())
+				index.Replace(engine.incarnation, uint64(len(engine.events)), engine.list())
 			},
 			"listOfTheDead": func(_ *rapid.T) {
-				picture.Replace(dead.incarnation, uint64(len(dead.events)), dead.list())
+				index.Replace(dead.incarnation, uint64(len(dead.events)), dead.list())
 			},
 			"restart": func(_ *rapid.T) {
 				dead = engine
 				engine = newEngine(engine.incarnation + "+")
-				picture.Restarted(engine.incarnation)
+				index.Restarted(engine.incarnation)
 			},
 			"": func(t *rapid.T) {
 				if dead != engine {
-					_, known := picture.Depth(dead.incarnation, blocks)
+					_, known := index.Depth(dead.incarnation, blocks)
 					assert.Assert(t, !known)
 				}
-				incarnation, sequence, _ := picture.Position()
+				incarnation, sequence, _ := index.Position()
 				assert.Equal(t, incarnation, engine.incarnation)
-				depth, known := picture.Depth(engine.incarnation, blocks)
+				depth, known := index.Depth(engine.incarnation, blocks)
 				if !known {
 					assert.Equal(t, depth, 0)
 					return
