The capacity slopes are those of the routing core

Cause: the capacity probe measured chooser, which entries do not use any more. Change: it measures router: a request through the core, its pool, and what it remembers.

--- a/internal/prober/probes.go
+++ b/internal/prober/probes.go
@@ -8,16 +8,19 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/chainer"
-	"github.com/cyclamenward/cyclamenward/chooser"
 	"github.com/cyclamenward/cyclamenward/claimer"
 	"github.com/cyclamenward/cyclamenward/decoder"
 	"github.com/cyclamenward/cyclamenward/internal/daemon"
 	"github.com/cyclamenward/cyclamenward/internal/keys"
+	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/standin/keyvalue"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 	"github.com/cyclamenward/cyclamenward/spreader"
@@ -25,23 +28,35 @@
 	"github.com/cyclamenward/cyclamenward/tracker"
 )
 
-func newPool(replicas int) *chooser.Pool {
-	list := make([]chooser.Replica, replicas)
+// newPool returns the replicas that an entry knows, each with a status.
+func newPool(replicas int) *router.Pool {
+	clock := timekeeper.System{}
+	pool := router.NewPool(clock)
+	list := make([]router.Descriptor, replicas)
 	for i := range list {
-		list[i] = chooser.Replica{Name: fmt.Sprintf("replica-%05d", i), Address: fmt.Sprintf("10.0.%d.%d:7443", i/250, i%250), AvailabilityZone: fmt.Sprintf("zone-%d", i%19), Region: fmt.Sprintf("region-%d", i%7)}
+		list[i] = router.Descriptor{ID: fmt.Sprintf("service/replica-%05d", i), Service: "service", Address: fmt.Sprintf("10.0.%d.%d:7443", i/250, i%250), Zone: fmt.Sprintf("zone-%d", i%19), Region: fmt.Sprintf("region-%d", i%7), Slots: 6}
 	}
-	return chooser.NewPool(list, nil)
-}
-
-// reported gives every replica of a pool a report, as after long running.
-func reported(pool *chooser.Pool) *chooser.Pool {
-	for i := range pool.Len() {
-		pool.Status(i).SetReport(&chooser.Report{SidecarIncarnation: fmt.Sprint("sidecar-", i), EngineIncarnation: fmt.Sprint("engine-", i), WeightsVersion: "v1", At: time.Now()})
+	pool.Set(list)
+	for _, d := range list {
+		pool.Learn(d.Address, router.State{Weights: map[string]int{"model": 1}})
 	}
 	return pool
 }
 
-var costs = chooser.Settings{AvailabilityZone: "zone-0", Region: "region-0", PrefillTokensPerSecond: 8000, PrefillWeight: 6, LinkPenalty: 20, LinkBytesPerSecond: 1 << 20}
+// newRouter returns a router whose attempts are answered at once.
+func newRouter(pool *router.Pool) *router.Router {
+	options := router.Options{
+		Zone: "zone-0", Region: "region-0", ReadTokensPerSecond: 8000, RunningCost: time.Millisecond, RetryShare: 0.1, RetryExtra: 20, RetryWindow: 10 * time.Second,
+		Superseded: func(string, int) (time.Time, bool) { return time.Time{}, false },
+	}
+	send := func(context.Context, *router.Attempt) (*router.Reply, error) {
+		return &router.Reply{
+			Status: 200, Weights: 1, Running: -1, Queued: -1, Close: func() {}, SetDeadline: func(time.Time) {},
+			Events: func() (router.Event, error) { return router.Event{}, io.EOF },
+		}, nil
+	}
+	return router.New(options, pool, router.Transport{Send: send}, timekeeper.System{}, log.New(io.Discard), recorder.New())
+}
 
 func chainOf(kilobytes int) ([]byte, []chainer.Hash) {
 	prompt := bytes.Repeat([]byte("p"), kilobytes<<10)
@@ -49,15 +64,23 @@
 }
 
 func decisionProbe() Probe {
-	p := Probe{Name: "one decision, 128 blocks", Varied: "replicas", Unit: "µs of processor"}
-	_, chain := chainOf(512)
+	p := Probe{Name: "one request through the routing core, 8 blocks, log line included", Varied: "replicas", Unit: "µs of processor"}
+	_, chain := chainOf(32)
+	prompt := &router.Prompt{Model: "model", Tokens: len(chain) * chainer.BlockTokens, Output: 100, Guessed: true}
+	for _, block := range chain {
+		prompt.Parts = append(prompt.Parts, router.Part{ID: block.String(), Tokens: chainer.BlockTokens})
+	}
+	prompt.Parts = append(prompt.Parts, router.Part{})
+	catalog := router.NewCatalog(1, router.Limits{}, nil, []*router.Service{{Name: "service", Engine: &router.Engine{NoTransfers: true, ReuseWeight: 6}}}, nil)
+	route := &router.Route{Name: "service", Kind: router.Stream, MaxAttempts: 8, Resumable: true, Shares: []router.Share{{Service: "service", Weight: 1}}}
 	for _, replicas := range []int{12, 120, 1200, 12_000} {
-		pool, c := reported(newPool(replicas)), chooser.New(costs, chooser.NewMemory(100_000))
-		request := &chooser.Request{Chain: chain, PromptTokens: 128 * chainer.BlockTokens, WeightsVersion: "v1"}
-		now := time.Now()
+		r := newRouter(newPool(replicas))
 		p.Points = append(p.Points, Point{float64(replicas), costOf(func() {
-			request.Random++
-			c.Choose(pool, request, now)
+			now := time.Now()
+			result := r.Begin(&router.Request{ID: "request", Catalog: catalog, Route: route, Workspace: &router.Workspace{Name: "w", Dedicated: true}, Arrived: now, Until: now.Add(time.Minute), Prompt: prompt, After: -1})
+			if result.Stream != nil {
+				result.Stream.Close()
+			}
 		})})
 	}
 	return p
@@ -77,20 +100,27 @@
 func poolMemoryProbe() Probe {
 	p := Probe{Name: "replicas known to an entry", Varied: "replicas", Unit: "bytes"}
 	for _, replicas := range []int{1200, 4000, 12_000} {
-		p.Points = append(p.Points, Point{float64(replicas), heapOf(func() any { return reported(newPool(replicas)) })})
+		p.Points = append(p.Points, Point{float64(replicas), heapOf(func() any { return newPool(replicas) })})
 	}
 	return p
 }
 
+// rememberedParts is the most parts of prompts that a router remembers.
+const rememberedParts = 40_000
+
 func memoryProbe() Probe {
-	p := Probe{Name: "blocks remembered by an entry", Varied: "blocks", Unit: "bytes"}
-	for _, blocks := range []int{10_000, 30_000, 100_000} {
-		p.Points = append(p.Points, Point{float64(blocks), heapOf(func() any {
-			m, pool := chooser.NewMemory(blocks), newPool(1)
-			for i := range blocks * 2 {
-				m.Learn(pool.Status(0), "engine", []chainer.Hash{{byte(i), byte(i >> 8), byte(i >> 16), 15: byte(i * 7)}}, 1)
+	p := Probe{Name: "parts of prompts remembered by an entry, with two holders each", Varied: "parts", Unit: "bytes"}
+	for _, parts := range []int{4000, 12_000, rememberedParts} {
+		pool := newPool(100)
+		p.Points = append(p.Points, Point{float64(parts), heapOf(func() any {
+			r := newRouter(pool)
+			keys := make([]uint64, 1)
+			for i := range parts {
+				keys[0] = uint64(i)
+				r.LearnCache(fmt.Sprintf("10.0.0.%d:7443", i%100), keys, nil)
+				r.LearnCache(fmt.Sprintf("10.0.0.%d:7443", (i+1)%100), keys, nil)
 			}
-			return m
+			return r
 		})})
 	}
 	return p
--- a/internal/prober/report.go
+++ b/internal/prober/report.go
@@ -133,11 +133,11 @@
 	requests := s.RequestsPerSecond / float64(s.Entries)
 	core += requests * (r.decision.At(float64(s.Replicas)) + r.chain.At(32)) / 1e6
 	held := r.documentHeld.At(float64(s.Workspaces)/s.services()) * s.services()
-	memory := r.pool.At(float64(s.Replicas)) + r.memory.At(100_000) + held
+	memory := r.pool.At(float64(s.Replicas)) + r.memory.At(rememberedParts) + held
 	_, _ = fmt.Fprintf(w, "\n## Entry at %d entries, %d replicas\n\n| what | worked out | budget | verdict |\n| --- | --- | --- | --- |\n", s.Entries, s.Replicas)
-	_, _ = fmt.Fprintf(w, "| processor: spreading, %.0f decisions/s, hashing 32 KB each | %.2f%% of a core | %.1f%% | %s |\n", requests, 100*core, 100*BudgetCore, verdict(core, BudgetCore))
-	_, _ = fmt.Fprintf(w, "| memory: replicas %.1f MB, remembered blocks %.1f MB, documents %.1f MB | %.1f MB | %d MB | %s |\n",
-		r.pool.At(float64(s.Replicas))/1e6, r.memory.At(100_000)/1e6, held/1e6, memory/1e6, BudgetBytes>>20, verdict(memory, BudgetBytes))
+	_, _ = fmt.Fprintf(w, "| processor: spreading, %.0f requests routed/s, hashing 32 KB each | %.2f%% of a core | %.1f%% | %s |\n", requests, 100*core, 100*BudgetCore, verdict(core, BudgetCore))
+	_, _ = fmt.Fprintf(w, "| memory: replicas %.1f MB, remembered parts %.1f MB, documents %.1f MB | %.1f MB | %d MB | %s |\n",
+		r.pool.At(float64(s.Replicas))/1e6, r.memory.At(rememberedParts)/1e6, held/1e6, memory/1e6, BudgetBytes>>20, verdict(memory, BudgetBytes))
 	_, _ = fmt.Fprintf(w, "| control traffic: %d links to neighbours each way, changes, telling sidecars | %.1f KB/s | %d KB/s | %s |\n", neighbours, traffic/1024, BudgetRate>>10, verdict(traffic, BudgetRate))
 }
 
