Watches of the store gather changes

Change: 250 ms pass between two watches. Ruled out: fewer watchers, of which one may be cut off from the store while another is killed. Test: TestChangesGather, 200 calls in 10 s before, at most 50 now.

--- a/internal/state/watcher/watch.go
+++ b/internal/state/watcher/watch.go
@@ -23,6 +23,9 @@
 	// daemons stays below the store's rate of calls.
 	retryLeast = 150 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// gather is the time between two watches, in which changes gather: each call is
+	// priced. It is a tenth of the shortest time in which a change must be in force.
+	gather = 250 * time.Millisecond
 )
 
 // Source is the store as a watcher sees it.
@@ -93,10 +96,7 @@
 	known := false
 	for ctx.Err() == nil {
 		if w.table.Filled() && w.paused() {
-			select {
-			case <-ctx.Done():
-			case <-w.clock.After(pausePeriod):
-			}
+			w.rest(ctx, pausePeriod)
 			continue
 		}
 		var err error
@@ -111,17 +111,22 @@
 			known = false
 		case err == nil:
 			known, pause = true, retryLeast
+			w.rest(ctx, gather)
 		default:
-			jitter := time.Duration(rand.Int64N(int64(pause)))
-			select {
-			case <-ctx.Done():
-			case <-w.clock.After(pause/2 + jitter):
-			}
+			w.rest(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
 			pause = min(2*pause, retryMost)
 		}
 	}
 }
 
+// rest waits for a time or until ctx ends.
+func (w *Watcher) rest(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-w.clock.After(d):
+	}
+}
+
 func (w *Watcher) read(ctx context.Context) (uint64, error) {
 	items, revision, err := w.source.Read(ctx)
 	if err != nil {
--- a/internal/state/watcher/watch_test.go
+++ b/internal/state/watcher/watch_test.go
@@ -46,12 +46,14 @@
 			if s.forgotten.CompareAndSwap(true, false) {
 				return nil, 0, watcher.ErrForgotten
 			}
-			if s.revision.Load() > after {
-				return item(), s.revision.Load(), nil
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(time.Second):
+			for range 100 {
+				if s.revision.Load() > after {
+					return item(), s.revision.Load(), nil
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(10 * time.Millisecond):
+				}
 			}
 			return nil, after, nil
 		},
@@ -109,3 +111,22 @@
 		assert.Assert(t, s.watches.Load() > before)
 	})
 }
+
+// TestChangesGather changes the store twenty times a second. The table follows, at no
+// more than five calls a second.
+func TestChangesGather(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{}
+		s.revision.Store(5)
+		table := replicator.New()
+		w := watcher.New(s.source(), table, func() bool { return false }, timekeeper.System{}, log.New(io.Discard))
+		defer w.Close()
+		for range 200 {
+			<-time.After(50 * time.Millisecond)
+			s.revision.Add(1)
+		}
+		assert.Assert(t, s.watches.Load() <= 50, "%d calls in 10 s", s.watches.Load())
+		<-time.After(1500 * time.Millisecond)
+		assert.Equal(t, table.Newest(), uint64(205))
+	})
+}
