--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -178,9 +178,10 @@
 // PeerWatchesStore reports whether a connected daemon watches the store. It then sends
 // changes as soon as it has them.
 func (a *Announcer) PeerWatchesStore() bool {
+	life := 2 * max(farPeriod, a.loadPeriod())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.watchedAt.IsZero() && a.d.Clock.Now().Sub(a.watchedAt) < 2*farPeriod
+	return !a.watchedAt.IsZero() && a.d.Clock.Now().Sub(a.watchedAt) < life
 }
 
 // placeOf returns how many entries the store serves whose rank is below that of the
@@ -212,6 +213,13 @@
 	return max(0, least)
 }
 
+// loadPeriod is the period at which messages to all sessions stay within the rate.
+func (a *Announcer) loadPeriod() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return min(longestPeriod, time.Duration(len(a.sessions))*time.Second/messageRate)
+}
+
 // mayAsk reports whether it is time to ask for changes, and notes it.
 func (a *Announcer) mayAsk(now time.Time) bool {
 	a.mu.Lock()
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -26,8 +26,12 @@
 	// farPeriod that to another region, where bytes are dear.
 	period    = 125 * time.Millisecond
 	farPeriod = 300 * time.Millisecond
-	// silenceLimit is how long an end waits for a message, 8 periods.
-	silenceLimit = time.Second
+	// messageRate is how many messages a daemon sends in a second at most, until periods
+	// are as long as longestPeriod: one costs some 0.1 ms of processor at each end.
+	messageRate   = 400
+	longestPeriod = 500 * time.Millisecond
+	// silenceLimit is how long an end waits for a message, four of the longest periods.
+	silenceLimit = 2 * time.Second
 	// askAgain is when changes that were asked for and did not come are asked for
 	// again.
 	askAgain = 150 * time.Millisecond
@@ -123,11 +127,14 @@
 	return nil
 }
 
+// period is the longest time between two messages. With many sessions it grows, so that
+// messages do not use up the processor.
 func (s *session) period() time.Duration {
+	least := period
 	if s.far.Load() {
-		return farPeriod
+		least = farPeriod
 	}
-	return period
+	return max(least, s.owner.loadPeriod())
 }
 
 // run exchanges messages until the connection fails or ctx ends.
