--- a/internal/fleet/announcer/rate_test.go
+++ b/internal/fleet/announcer/rate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
