One map that forgets; replicas are listed again only when they change

The memory of holders and that of cache stores each had their own two generations; the second began a new one also for entries it had. Change: recent serves both memories. The entry lists replicas again when the catalog or the leaving hosts change. Ruled out: a test with a clock for the entry's loop now; the fleet test of leaving servers covers it.

--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/decoder"
@@ -60,7 +61,7 @@
 		return old
 	}
 	next := e.build(snapshot, old)
-	e.pool.Set(e.replicas(next))
+	e.setReplicas(next, true)
 	e.catalog.Store(next)
 	return next
 }
@@ -151,11 +152,28 @@
 			return
 		}
 		e.catalogMu.Lock()
-		e.pool.Set(e.replicas(e.catalog.Load()))
+		e.setReplicas(e.catalog.Load(), false)
 		e.catalogMu.Unlock()
 	}
 }
 
+// setReplicas passes the replicas of a catalog on to the router, if the catalog is new or
+// other hosts are leaving than before. The caller holds catalogMu.
+func (e *Entry) setReplicas(c *catalog, isNew bool) {
+	list := e.replicas(c)
+	var leaving []string
+	for _, d := range list {
+		if d.Draining {
+			leaving = append(leaving, d.ID)
+		}
+	}
+	slices.Sort(leaving)
+	if isNew || !slices.Equal(leaving, e.leaving) {
+		e.leaving = leaving
+		e.pool.Set(list)
+	}
+}
+
 // workspaceNamed returns a workspace of the service, or nil.
 func (s *service) workspaceNamed(name string) *decoder.Workspace {
 	for i := range s.document.Workspaces {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,8 +97,10 @@
 
 	// catalog is the view of the configuration, replaced whole.
 	catalog atomic.Pointer[catalog]
-	// catalogMu is held while the catalog is replaced.
+	// catalogMu is held while the catalog is replaced. It guards leaving, the ids of the
+	// replicas that the router was last given as leaving.
 	catalogMu sync.Mutex
+	leaving   []string
 }
 
 // New starts an entry.
--- a/internal/routing/router/cachestore.go
+++ b/internal/routing/router/cachestore.go
@@ -19,21 +19,18 @@
 type storedParts struct {
 	// mu guards stores.
 	mu     sync.Mutex
-	stores map[string]*generations
+	stores map[string]*recent[struct{}]
 }
 
-// generations are the parts of one cache store.
-type generations struct {
-	current, previous map[uint64]struct{}
+func newStoredParts() *storedParts {
+	return &storedParts{stores: make(map[string]*recent[struct{}])}
 }
 
-func newStoredParts() *storedParts { return &storedParts{stores: make(map[string]*generations)} }
-
 func (p *storedParts) set(address string, answers bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if answers {
-		p.stores[address] = &generations{current: make(map[uint64]struct{})}
+		p.stores[address] = newRecent[struct{}](storedEntries)
 	} else {
 		delete(p.stores, address)
 	}
@@ -49,14 +46,13 @@
 func (p *storedParts) change(address string, key uint64, stored bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := p.stores[address]
+	parts := p.stores[address]
 	switch {
-	case g == nil:
+	case parts == nil:
 	case stored:
-		g.add(key)
+		parts.put(key, struct{}{})
 	default:
-		delete(g.current, key)
-		delete(g.previous, key)
+		parts.remove(key)
 	}
 }
 
@@ -64,27 +60,14 @@
 func (p *storedParts) has(address string, key uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := p.stores[address]
-	if g == nil {
+	parts := p.stores[address]
+	if parts == nil {
 		return false
 	}
-	if _, found := g.current[key]; found {
-		return true
-	}
-	_, found := g.previous[key]
-	if found {
-		g.add(key)
-	}
+	_, found := parts.get(key)
 	return found
 }
 
-func (g *generations) add(key uint64) {
-	if len(g.current) >= storedEntries {
-		g.previous, g.current = g.current, make(map[uint64]struct{})
-	}
-	g.current[key] = struct{}{}
-}
-
 // cacheStore returns the store with the fastest way to a replica, nil if none answers.
 func (s *survey) cacheStore(replica *Replica) *CacheStore {
 	var best *CacheStore
--- a/internal/routing/router/holders.go
+++ b/internal/routing/router/holders.go
@@ -25,16 +25,15 @@
 // safe for concurrent use.
 type holders struct {
 	// mu guards the fields below. The lists are replaced, never changed.
-	mu       sync.Mutex
-	current  map[uint64][]*Replica
-	previous map[uint64][]*Replica
+	mu    sync.Mutex
+	parts *recent[[]*Replica]
 	// reading holds the replica that got the first request with a part, until it
 	// has read it.
 	reading map[uint64]*Replica
 }
 
 func newHolders() *holders {
-	return &holders{current: make(map[uint64][]*Replica), reading: make(map[uint64]*Replica)}
+	return &holders{parts: newRecent[[]*Replica](holderEntries), reading: make(map[uint64]*Replica)}
 }
 
 // get returns the replicas that have the part, and the one that is reading it or
@@ -42,42 +41,31 @@
 func (h *holders) get(key uint64) (list []*Replica, reading *Replica) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.list(key), h.reading[key]
-}
-
-// list returns the holders of a part. The caller holds mu.
-func (h *holders) list(key uint64) []*Replica {
-	if list, found := h.current[key]; found {
-		return list
-	}
-	list, found := h.previous[key]
-	if found {
-		h.store(key, list)
-	}
-	return list
+	list, _ = h.parts.get(key)
+	return list, h.reading[key]
 }
 
 // add remembers that a replica has the part.
 func (h *holders) add(key uint64, replica *Replica) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := h.list(key)
+	list, _ := h.parts.get(key)
 	if slices.Contains(list, replica) {
 		return
 	}
 	if len(list) >= holdersPerPart {
 		list = list[1:]
 	}
-	h.store(key, append(slices.Clip(list), replica))
+	h.parts.put(key, append(slices.Clip(list), replica))
 }
 
 // remove forgets that a replica has the part.
 func (h *holders) remove(key uint64, replica *Replica) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := h.list(key)
+	list, _ := h.parts.get(key)
 	if i := slices.Index(list, replica); i >= 0 {
-		h.store(key, append(slices.Clip(list[:i]), list[i+1:]...))
+		h.parts.put(key, append(slices.Clip(list[:i]), list[i+1:]...))
 	}
 }
 
@@ -98,11 +86,3 @@
 		delete(h.reading, key)
 	}
 }
-
-// store begins a new generation if the current one is full. The caller holds mu.
-func (h *holders) store(key uint64, list []*Replica) {
-	if _, found := h.current[key]; !found && len(h.current) >= holderEntries {
-		h.previous, h.current = h.current, make(map[uint64][]*Replica)
-	}
-	h.current[key] = list
-}
