--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -91,6 +92,8 @@
 	Broadcaster *Broadcaster
 	Clock       timekeeper.Clock
 	Logger      *log.Logger
+	// Recorder counts the bytes of the values that are exchanged.
+	Recorder *recorder.Recorder
 }
 
 // Announcer holds sessions with other daemons: those that connect to it and those
--- a/internal/fleet/announcer/announcer_test.go
+++ b/internal/fleet/announcer/announcer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -105,7 +106,7 @@
 		},
 		Broadcaster: d.broadcaster,
 		Clock:       timekeeper.System{},
-		Logger:      log.New(io.Discard),
+		Logger:      log.New(io.Discard), Recorder: recorder.New(),
 	})
 	assert.NilError(t, err)
 	t.Cleanup(d.announcer.Close)
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -57,6 +57,8 @@
 	// otherRegionFillDelay is how long a daemon that has started waits for the contents
 	// of the store from its own region.
 	otherRegionFillDelay = time.Second
+	// largeChangeBytes is the size of changes from which on their arrival is logged.
+	largeChangeBytes = 64 << 10
 	// requestRetryInterval is the time after which changes are requested again if they
 	// have not arrived.
 	requestRetryInterval = 150 * time.Millisecond
@@ -283,11 +285,14 @@
 		defer cancel()
 		s.sendMessages(ctx)
 	}()
-	decoder := cbor.NewDecoder(bufio.NewReader(s.conn))
+	reader := &countingReader{conn: s.conn}
+	decoder := cbor.NewDecoder(bufio.NewReader(reader))
 	for {
 		_ = s.conn.SetReadDeadline(time.Now().Add(silenceTimeout))
 		var received message
+		readBefore := reader.bytes
 		if err := decoder.Decode(&received); err != nil {
+			s.announcer.deps.Recorder.Add("changes.brokenOffBytes", reader.bytes-readBefore)
 			return fmt.Errorf("read from %s: %w", s.conn.RemoteAddr(), err)
 		}
 		if err := s.handle(&received); err != nil {
@@ -416,6 +421,7 @@
 		return nil
 	}
 	s.sent.revision = delta.Revision
+	s.announcer.deps.Recorder.Add("changes.sentBytes", delta.ValueBytes())
 	return s.send(message{Delta: &delta})
 }
 
@@ -449,16 +455,45 @@
 	if m.regular() {
 		s.handleRegular(m)
 	}
-	if m.Delta != nil && deps.Table.Apply(*m.Delta) {
-		deps.Logger.Debug("fleet: applied changes from another daemon.", "from", s.conn.RemoteAddr(), "revision", m.Delta.Revision, "items", len(m.Delta.Items))
+	if m.Delta != nil {
+		s.applyChanges(*m.Delta)
 	}
 	if m.WantChanges {
 		delta := deps.Table.Since(m.AfterRevision, m.WantKeys...)
+		deps.Recorder.Add("changes.sentBytes", delta.ValueBytes())
 		return s.send(message{Delta: &delta})
 	}
 	return s.pullChanges(m.Revision)
 }
 
+// applyChanges applies changes of the store that the other end has sent.
+func (s *session) applyChanges(delta replicator.Delta) {
+	deps := &s.announcer.deps
+	updated, valueBytes := deps.Table.Apply(delta), delta.ValueBytes()
+	deps.Recorder.Add("changes.receivedBytes", valueBytes)
+	if !updated {
+		deps.Recorder.Add("changes.repeatedBytes", valueBytes)
+	}
+	if valueBytes >= largeChangeBytes {
+		deps.Logger.Info("fleet: received large changes.", "from", s.conn.RemoteAddr(), "revision", delta.Revision, "items", len(delta.Items), "bytes", valueBytes, "updated", updated)
+	} else if updated {
+		deps.Logger.Debug("fleet: applied changes from another daemon.", "from", s.conn.RemoteAddr(), "revision", delta.Revision, "items", len(delta.Items))
+	}
+}
+
+// countingReader counts the bytes that were read from a connection.
+type countingReader struct {
+	conn  net.Conn
+	bytes int
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	r.bytes += n
+	return n, err
+}
+
 // handleRegular stores what a regular message reports.
 func (s *session) handleRegular(m *message) {
 	deps := &s.announcer.deps
--- a/internal/metrics/recorder/record.go
+++ b/internal/metrics/recorder/record.go
@@ -39,7 +39,10 @@
 }
 
 // Count increments a counter by one.
-func (r *Recorder) Count(name string) { r.counters.Add(name, 1) }
+func (r *Recorder) Count(name string) { r.Add(name, 1) }
+
+// Add adds n to a counter.
+func (r *Recorder) Add(name string, n int) { r.counters.Add(name, int64(n)) }
 
 // Observe records a duration in the named histogram.
 func (r *Recorder) Observe(name string, duration time.Duration) {
--- a/internal/state/replicator/table.go
+++ b/internal/state/replicator/table.go
@@ -44,6 +44,15 @@
 	Items    []Item `cbor:"3,keyasint,omitempty"`
 }
 
+// ValueBytes returns the size of all values in the delta, in bytes.
+func (d Delta) ValueBytes() int {
+	sum := 0
+	for _, item := range d.Items {
+		sum += len(item.Value)
+	}
+	return sum
+}
+
 // Table is a copy of a part of the store. It is safe for concurrent use.
 type Table struct {
 	// mu guards the fields below.
