--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -14,7 +14,6 @@
 	"maps"
 	"net"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -204,8 +203,9 @@
 	// backlogTokens is the BacklogTokens of the last regular message from the other end.
 	backlogTokens atomic.Pointer[Backlog]
 
-	// mu guards the writer and encoder.
-	mu sync.Mutex
+	// writing has an element while a goroutine uses the writer and encoder. It is a channel
+	// since a write may block for long.
+	writing chan struct{}
 
 	// The fields below are used by the receiving goroutine only.
 
@@ -241,7 +241,7 @@
 
 func newSession(announcer *Announcer, conn net.Conn, otherRegion bool) *session {
 	writer := bufio.NewWriter(conn)
-	s := &session{announcer: announcer, conn: conn, writer: writer, encoder: cbor.NewEncoder(writer), wake: make(chan struct{}, 1)}
+	s := &session{announcer: announcer, conn: conn, writer: writer, encoder: cbor.NewEncoder(writer), wake: make(chan struct{}, 1), writing: make(chan struct{}, 1)}
 	s.priority = xxh3.HashString(conn.RemoteAddr().String()) ^ announcer.deps.Rank
 	s.otherRegion.Store(otherRegion)
 	return s
@@ -428,8 +428,8 @@
 // send adds the state of the own copy of the store to a message and writes it.
 func (s *session) send(m message) error {
 	m.Revision, m.WatchesStore = s.announcer.deps.Table.NewestRevision(), s.announcer.deps.WatchesStore()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.writing <- struct{}{}
+	defer func() { <-s.writing }()
 	_ = s.conn.SetWriteDeadline(time.Now().Add(silenceTimeout))
 	if err := s.encoder.Encode(&m); err != nil {
 		return fmt.Errorf("write to %s: %w", s.conn.RemoteAddr(), err)
