Large changes are pulled once, compressed and in parts

Cause: a value of 850 kB was pushed to every daemon, requested from others again each 150 ms while it was under way, and had to be written and read within 2 s or its session ended and it began anew. Over a link of 7.5 MB/s between regions none of the transfers came to an end. This is a class of fault: bulk data without flow control on the connections, and with the deadlines, of small messages.

Now changes of more than 16 kB are not pushed. A daemon that learns of them requests them from one other at a time, from its own region first. Daemons of the build before get the whole value as before: a request says whether parts are accepted.

TestLargeValueIsInForceInTime failed before (32 and 61 of 64 daemons without it after 16 s, 201 MB between regions, 756 MB handed to sessions); now all have it in time, with 6.6 MB sent, of which none or 54 kB twice.

Ruled out: lost changes; all daemons had the new revision announced.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -114,7 +114,13 @@
 	// startedAt is when the announcer started; informed is set once the own copy of the
 	// store names no older version than that of some other daemon.
 	startedAt time.Time
-	informed  atomic.Bool
+	// otherRegionPullDelay is how much longer this daemon waits for a change before it
+	// requests it from another region.
+	otherRegionPullDelay time.Duration
+	informed             atomic.Bool
+	// largeRevision is the revision of the own copy of the store when the last large change
+	// arrived from another daemon.
+	largeRevision atomic.Uint64
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -124,8 +130,9 @@
 	byReplica map[string]*session
 	// peerWatchedAt is when a peer last reported that it watches the store.
 	peerWatchedAt time.Time
-	// changesRequestedAt is when changes were last requested from any peer.
-	changesRequestedAt time.Time
+	// pull and upload describe transfers of large changes.
+	pull   pullState
+	upload uploadState
 	// transfersUntil is when the link of the own replica has finished the transfers that
 	// were requested so far.
 	transfersUntil time.Time
@@ -139,7 +146,7 @@
 
 // New starts an announcer. An empty address means that it accepts no connections.
 func New(address string, deps Dependencies) (*Announcer, error) {
-	a := &Announcer{deps: deps, startedAt: deps.Clock.Now(), cancelByAddress: make(map[string]context.CancelFunc), refusedSince: make(map[string]time.Time), sessions: make(map[*session]bool), byReplica: make(map[string]*session), backlogChanged: NewBroadcaster()}
+	a := &Announcer{deps: deps, startedAt: deps.Clock.Now(), cancelByAddress: make(map[string]context.CancelFunc), otherRegionPullDelay: minOtherRegionPullDelay + rand.N(maxOtherRegionPullDelay-minOtherRegionPullDelay), refusedSince: make(map[string]time.Time), sessions: make(map[*session]bool), byReplica: make(map[string]*session), backlogChanged: NewBroadcaster()}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if address == "" {
 		return a, nil
@@ -180,6 +187,9 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.sessions, s)
+		if a.pull.source == s {
+			a.pull = pullState{}
+		}
 		if address := s.replicaAddress.Load(); address != nil && a.byReplica[*address] == s {
 			delete(a.byReplica, *address)
 		}
@@ -343,18 +353,6 @@
 	return min(maxRateLimitInterval, time.Duration(len(a.sessions))*time.Second/maxMessagesPerSecond)
 }
 
-// mayRequestChanges reports whether changes may be requested again. If so, it counts
-// them as requested now.
-func (a *Announcer) mayRequestChanges(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if now.Sub(a.changesRequestedAt) < requestRetryInterval {
-		return false
-	}
-	a.changesRequestedAt = now
-	return true
-}
-
 // Peer is a daemon to connect to.
 type Peer struct {
 	// Address is its IP address and port.
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -58,6 +58,11 @@
 	otherRegionFillDelay = time.Second
 	// largeChangeBytes is the size of changes from which on their arrival is logged.
 	largeChangeBytes = 64 << 10
+	// Daemons wait for a change between minOtherRegionPullDelay and maxOtherRegionPullDelay
+	// longer before they request it from another region. Those that wait least then pass it
+	// on within theirs.
+	minOtherRegionPullDelay = 100 * time.Millisecond
+	maxOtherRegionPullDelay = 900 * time.Millisecond
 	// requestRetryInterval is the time after which changes are requested again if they
 	// have not arrived.
 	requestRetryInterval = 150 * time.Millisecond
@@ -168,18 +173,28 @@
 	VersionAges []observer.Age `cbor:"15,keyasint,omitempty"`
 	// Subscribed is set if the receiver should push changes of the store.
 	Subscribed bool `cbor:"14,keyasint,omitempty"`
+	// AcceptsParts is set in a request for changes if they may be sent in parts.
+	AcceptsParts bool `cbor:"17,keyasint,omitempty"`
+	// Part is a part of large changes that were requested.
+	Part *part `cbor:"18,keyasint,omitempty"`
+	// Busy refuses a request for large changes.
+	Busy bool `cbor:"19,keyasint,omitempty"`
 }
 
 // regular reports whether the message is one of those that are sent once per interval,
 // which describe the sender, and not one that only requests or brings changes.
-func (m *message) regular() bool { return !m.WantChanges && m.Delta == nil }
+func (m *message) regular() bool {
+	return !m.WantChanges && m.Delta == nil && m.Part == nil && !m.Busy
+}
 
 // session is one connection between two daemons.
 type session struct {
 	announcer *Announcer
-	conn      net.Conn
-	encoder   *cbor.Encoder
-	writer    *bufio.Writer
+	// ctx ends with the session.
+	ctx     context.Context
+	conn    net.Conn
+	encoder *cbor.Encoder
+	writer  *bufio.Writer
 	// priority orders the sessions of an entry by preference for subscriptions.
 	priority uint64
 
@@ -207,8 +222,14 @@
 	// since a write may block for long.
 	writing chan struct{}
 
+	// lastTransfer is the number of the last transfer of large changes that was sent.
+	lastTransfer atomic.Uint64
+
 	// The fields below are used by the receiving goroutine only.
 
+	// incoming is the transfer of large changes that is being received.
+	incoming incomingTransfer
+
 	// status and transfers are the last from the other end, nil before the first.
 	status    *Status
 	transfers *time.Duration
@@ -235,13 +256,14 @@
 	// cacheCursor is the number of the first change in the cache log that was not sent
 	// yet, 0 before the first message.
 	cacheCursor uint64
-	// revision is the newest revision of the changes that were pushed.
-	revision uint64
+	// revision is the newest revision of the changes that were pushed, announcedRevision
+	// that of the last regular message.
+	revision, announcedRevision uint64
 }
 
 func newSession(announcer *Announcer, conn net.Conn, otherRegion bool) *session {
 	writer := bufio.NewWriter(conn)
-	s := &session{announcer: announcer, conn: conn, writer: writer, encoder: cbor.NewEncoder(writer), wake: make(chan struct{}, 1), writing: make(chan struct{}, 1)}
+	s := &session{announcer: announcer, ctx: announcer.ctx, conn: conn, writer: writer, encoder: cbor.NewEncoder(writer), wake: make(chan struct{}, 1), writing: make(chan struct{}, 1)}
 	s.priority = xxh3.HashString(conn.RemoteAddr().String()) ^ announcer.deps.Rank
 	s.otherRegion.Store(otherRegion)
 	return s
@@ -279,6 +301,7 @@
 func (s *session) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.ctx = ctx
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
 	go func() {
@@ -362,7 +385,7 @@
 	if sent.at.IsZero() {
 		m.Rank = deps.Rank
 	}
-	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || m.WatchesStore && deps.Table.NewestRevision() > s.knownRevision()
+	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision()
 	if status := deps.Status(); status != nil {
 		m.LowerRankedWatchers = s.announcer.watchersRankedBelow(s)
 		status.BacklogTokens, status.TransferQueue = newBacklog(s.announcer.backlogByPriority()), s.announcer.transferQueue()
@@ -380,11 +403,21 @@
 		m.Versions, sent.versions, changed = &versions, versions, true
 		m.VersionAges = deps.Observer.Ages()
 	}
+	sent.announcedRevision = deps.Table.NewestRevision()
 	sent.transfers = m.Transfers
 	sent.backlog, sent.watchesStore, sent.subscribed = m.BacklogTokens, m.WatchesStore, m.Subscribed
 	return m, changed || deps.Clock.Now().Sub(sent.at) >= idleInterval
 }
 
+// announcesRevision reports whether the other end should learn at once that the own copy of
+// the store has changed: from a daemon that watches the store, and from one of its region
+// that has received a large change.
+func (s *session) announcesRevision() bool {
+	deps := &s.announcer.deps
+	latest := max(s.knownRevision(), s.sent.announcedRevision)
+	return deps.WatchesStore() && deps.Table.NewestRevision() > latest || !s.otherRegion.Load() && s.announcer.largeRevision.Load() > latest
+}
+
 // knownRevision returns the newest revision up to which the other end has all changes,
 // as far as this daemon knows; 0 if the other end has reported none.
 func (s *session) knownRevision() uint64 {
@@ -410,14 +443,14 @@
 }
 
 // pushChanges sends the changes of the store that the other end does not have. Complete
-// contents are left to be requested.
+// contents and large changes are left to be requested.
 func (s *session) pushChanges() error {
 	known := s.knownRevision()
 	if known == 0 || s.announcer.deps.Table.NewestRevision() <= known || !s.pushes() {
 		return nil
 	}
 	delta := s.announcer.deps.Table.Since(known)
-	if delta.Complete || len(delta.Items) == 0 {
+	if delta.Complete || len(delta.Items) == 0 || delta.ValueBytes() > maxInlineBytes {
 		return nil
 	}
 	s.sent.revision = delta.Revision
@@ -443,7 +476,6 @@
 // handle stores what the other end reports, applies and requests changes of the store,
 // and answers a request for them. It returns an error if it cannot write.
 func (s *session) handle(m *message) error {
-	deps := &s.announcer.deps
 	if m.OtherRegion {
 		s.otherRegion.Store(true)
 	}
@@ -455,27 +487,34 @@
 	if m.regular() {
 		s.handleRegular(m)
 	}
-	if m.Delta != nil {
-		s.applyChanges(*m.Delta)
-	}
-	if m.WantChanges {
-		delta := deps.Table.Since(m.AfterRevision, m.WantKeys...)
-		deps.Recorder.Add("changes.sentBytes", delta.ValueBytes())
-		return s.send(message{Delta: &delta})
+	switch {
+	case m.Delta != nil:
+		s.applyChanges(*m.Delta, m.Delta.ValueBytes())
+		s.announcer.endPull(s, requestRetryInterval)
+	case m.Part != nil:
+		if err := s.receivePart(m.Part); err != nil {
+			return err
+		}
+	case m.Busy:
+		s.announcer.endPull(s, busyRetryInterval)
+		return nil
+	case m.WantChanges:
+		return s.answerRequest(m)
 	}
 	return s.pullChanges(m.Revision)
 }
 
-// applyChanges applies changes of the store that the other end has sent.
-func (s *session) applyChanges(delta replicator.Delta) {
+// applyChanges applies changes of the store that the other end has sent, in the given
+// number of bytes.
+func (s *session) applyChanges(delta replicator.Delta, receivedBytes int) {
 	deps := &s.announcer.deps
 	updated, valueBytes := deps.Table.Apply(delta), delta.ValueBytes()
-	deps.Recorder.Add("changes.receivedBytes", valueBytes)
+	deps.Recorder.Add("changes.receivedBytes", receivedBytes)
 	if !updated {
-		deps.Recorder.Add("changes.repeatedBytes", valueBytes)
+		deps.Recorder.Add("changes.repeatedBytes", receivedBytes)
 	}
 	if valueBytes >= largeChangeBytes {
-		deps.Logger.Info("fleet: received large changes.", "from", s.conn.RemoteAddr(), "revision", delta.Revision, "items", len(delta.Items), "bytes", valueBytes, "updated", updated)
+		deps.Logger.Info("fleet: received large changes.", "from", s.conn.RemoteAddr(), "revision", delta.Revision, "items", len(delta.Items), "bytes", receivedBytes, "updated", updated)
 	} else if updated {
 		deps.Logger.Debug("fleet: applied changes from another daemon.", "from", s.conn.RemoteAddr(), "revision", delta.Revision, "items", len(delta.Items))
 	}
@@ -543,10 +582,10 @@
 	if s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	if now.Sub(s.behindSince) < s.pullDelay(revision > newest) || !s.announcer.mayRequestChanges(now) {
+	if now.Sub(s.behindSince) < s.pullDelay(revision > newest) || !s.announcer.startPull(s, now) {
 		return nil
 	}
-	return s.send(message{WantChanges: true, AfterRevision: newest, WantKeys: olderKeys})
+	return s.send(message{WantChanges: true, AfterRevision: newest, WantKeys: olderKeys, AcceptsParts: true})
 }
 
 // pullDelay returns how long changes may be missing before they are requested from the
@@ -557,6 +596,8 @@
 	switch {
 	case !deps.Table.Filled() && s.otherRegion.Load():
 		return otherRegionFillDelay
+	case deps.Table.Filled() && behind && s.otherRegion.Load():
+		return deps.PullDelay() + s.announcer.otherRegionPullDelay
 	case deps.Table.Filled() && behind:
 		return deps.PullDelay()
 	}
