Large changes use a quarter of a daemon's link

Requests reached replicas 2.5 s after their callers had left (GONE).

Cause: an entry with a link of 1.25 MB/s handed 5.8 MB of configuration to it in a second, for all who asked. Requests that it sent meanwhile waited behind these in the link's queue. The caller left, the entry ended the attempt at once, and the request still arrived seconds later. Ruled out: the entry noticing late that the caller had left; its log has the end of the attempt at the caller's deadline.

Parts of large changes now wait for their turn at a quarter of the link's rate, which the settings name.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -85,6 +85,9 @@
 	// daemon before it requests the changes. A daemon that watches the store mostly
 	// receives them from there within that time.
 	PullDelay func() time.Duration
+	// LinkBytesPerSecond is the rate of this daemon's link, 0 if it is not known. Large
+	// changes use a part of it.
+	LinkBytesPerSecond float64
 	// Rank decides which entries watch the store: those with the lowest ranks. It is
 	// 0 for sidecars.
 	Rank uint64
--- a/internal/fleet/announcer/transfer.go
+++ b/internal/fleet/announcer/transfer.go
@@ -12,7 +12,7 @@
 
 // Changes of more than maxInlineBytes are not pushed. A daemon that learns that another has
 // them requests them from one daemon at a time. They travel compressed and in parts, with
-// other messages in between.
+// other messages in between, at a rate that leaves the sender's link to requests.
 const (
 	// maxInlineBytes is the size of values that one message may hold.
 	maxInlineBytes = 16 << 10
@@ -23,6 +23,9 @@
 	maxDecodedBytes  = 64 << 20
 	// maxUploads is how many transfers a daemon sends at a time.
 	maxUploads = 2
+	// uploadShare is the share of the link that transfers may use. The rest is left to
+	// requests and answers.
+	uploadShare = 0.25
 	// pullTimeout is how long a requested transfer may make no progress before the changes
 	// are requested from another daemon.
 	pullTimeout = 500 * time.Millisecond
@@ -55,6 +58,8 @@
 // uploadState is what a daemon sends to those that have requested changes.
 type uploadState struct {
 	active int
+	// freeAt is when the bytes that were sent so far have used up the upload rate.
+	freeAt time.Time
 	// encoded holds the changes after the revision encodedAfter up to encodedRevision,
 	// which several daemons request one after the other.
 	encoded                       []byte
@@ -110,6 +115,23 @@
 	a.upload.active--
 }
 
+// reserveUpload returns how long to wait before n more bytes may be sent.
+func (a *Announcer) reserveUpload(n int) time.Duration {
+	rate := a.deps.LinkBytesPerSecond * uploadShare
+	if rate <= 0 {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	if a.upload.freeAt.Before(now) {
+		a.upload.freeAt = now
+	}
+	wait := a.upload.freeAt.Sub(now)
+	a.upload.freeAt = a.upload.freeAt.Add(time.Duration(float64(n) / rate * float64(time.Second)))
+	return wait
+}
+
 // encodeChanges returns changes after a revision in compressed form.
 func (a *Announcer) encodeChanges(delta replicator.Delta, after uint64, keys []string) ([]byte, error) {
 	reusable := len(keys) == 0
@@ -195,6 +217,12 @@
 	transfer := s.lastTransfer.Add(1)
 	for sent := 0; sent < len(data); {
 		piece := data[sent:min(sent+partBytes, len(data))]
+		if wait := a.reserveUpload(len(piece)); wait > 0 {
+			select {
+			case <-ctx.Done():
+			case <-a.deps.Clock.After(wait):
+			}
+		}
 		if ctx.Err() != nil {
 			return fmt.Errorf("session ended: %w", ctx.Err())
 		}
