A removed replica leaves at once if only this daemon lacks the store

A request reached a replica 13 s after it had left the list (DRAIN); suspected, the record holds no log of that entry.

Cause: items of replicas expire while the store is down and reappear within two seconds of its return, so a removal found during an outage is applied only 2.2 s after its end. The outage was that of this daemon's own calls. An entry that alone is cut off or turned away, and gets the removal from other daemons, kept the replica until its own calls succeeded again.

The store counts as available now while other daemons watch it; sidecars tell entries whether one of theirs does. The 2.2 s count from when the first of them reached it again, so expired items are still kept after a real outage.

TestRemovalTakesEffectWithoutOwnStore failed before (a, b instead of b). TestExpiredItemsAreKeptAfterPeersReachStoreAgain guards the other side.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -133,6 +133,10 @@
 	byReplica map[string]*session
 	// peerWatchedAt is when a peer last reported that it watches the store.
 	peerWatchedAt time.Time
+	// storeWatchedAt is when a peer last reported that it or a peer of its own watches the
+	// store, and storeWatchedSince since when there has been no gap of reportValidity or
+	// more between these reports.
+	storeWatchedAt, storeWatchedSince time.Time
 	// pull and upload describe transfers of large changes.
 	pull   pullState
 	upload uploadState
@@ -290,13 +294,40 @@
 	a.peerWatchedAt = a.deps.Clock.Now()
 }
 
+// recordStoreWatched records that a peer, or a peer of a peer, watches the store.
+func (a *Announcer) recordStoreWatched() {
+	validity := a.reportValidity()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	if now.Sub(a.storeWatchedAt) >= validity {
+		a.storeWatchedSince = now
+	}
+	a.storeWatchedAt = now
+}
+
+// StoreWatchedSince returns since when other daemons have watched the store without a
+// break, as far as connected daemons have reported. The second result is false if none has
+// recently reported it.
+func (a *Announcer) StoreWatchedSince() (time.Time, bool) {
+	validity := a.reportValidity()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.storeWatchedSince, a.deps.Clock.Now().Sub(a.storeWatchedAt) < validity
+}
+
+// reportValidity returns how long what a peer reports in regular messages is valid.
+func (a *Announcer) reportValidity() time.Duration {
+	return 2 * max(otherRegionInterval, a.rateLimitInterval())
+}
+
 // PeerWatchesStore reports whether a connected daemon has recently reported that it
 // watches the store. Such a daemon reports changes as soon as it has them.
 func (a *Announcer) PeerWatchesStore() bool {
-	validFor := 2 * max(otherRegionInterval, a.rateLimitInterval())
+	validity := a.reportValidity()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.peerWatchedAt.IsZero() && a.deps.Clock.Now().Sub(a.peerWatchedAt) < validFor
+	return !a.peerWatchedAt.IsZero() && a.deps.Clock.Now().Sub(a.peerWatchedAt) < validity
 }
 
 // watchersRankedBelow returns how many of the connected entries that watch the store
--- a/internal/fleet/announcer/announcer_test.go
+++ b/internal/fleet/announcer/announcer_test.go
@@ -184,6 +184,12 @@
 	assert.Assert(t, !found)
 	assert.Assert(t, sidecar.announcer.PeerWatchesStore())
 	assert.Assert(t, !cutOff.announcer.PeerWatchesStore())
+	waitFor(t, func(poll.LogT) poll.Result {
+		if _, watched := cutOff.announcer.StoreWatchedSince(); watched {
+			return poll.Success()
+		}
+		return poll.Continue("the store is not known to be watched")
+	})
 }
 
 // TestSilentPeerIsDisconnected accepts connections and sends nothing: the session ends,
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -147,6 +147,9 @@
 	Delta *replicator.Delta `cbor:"5,keyasint,omitempty"`
 	// WatchesStore is set while the sender watches the store successfully.
 	WatchesStore bool `cbor:"6,keyasint,omitempty"`
+	// PeerWatchesStore is set if a peer of the sender, a sidecar, watches the store
+	// successfully.
+	PeerWatchesStore bool `cbor:"20,keyasint,omitempty"`
 	// CacheChanges holds the changes of the cache of the sender's replica since the
 	// previous message.
 	CacheChanges *CacheChanges `cbor:"7,keyasint,omitempty"`
@@ -387,6 +390,7 @@
 	}
 	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision()
 	if status := deps.Status(); status != nil {
+		m.PeerWatchesStore = s.announcer.PeerWatchesStore()
 		m.LowerRankedWatchers = s.announcer.watchersRankedBelow(s)
 		status.BacklogTokens, status.TransferQueue = newBacklog(s.announcer.backlogByPriority()), s.announcer.transferQueue()
 		shortened := status.withoutConstants(sent.status)
@@ -482,6 +486,9 @@
 	if m.WatchesStore {
 		s.announcer.recordPeerWatching()
 	}
+	if m.WatchesStore || m.PeerWatchesStore {
+		s.announcer.recordStoreWatched()
+	}
 	s.watchesStore.Store(m.WatchesStore)
 	s.revision.Store(m.Revision)
 	if m.regular() {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -24,10 +24,13 @@
 type Dependencies struct {
 	// Decode returns the replica that an item of the list describes.
 	Decode func(replicator.Item) (router.Descriptor, error)
-	// Outage returns the store's current or last outage.
+	// Outage returns the store's current or last outage as this daemon's calls show it.
 	Outage func() watcher.Outage
-	Clock  timekeeper.Clock
-	Logger *log.Logger
+	// StoreWatchedSince returns since when other daemons have watched the store without a
+	// break. The second result is false if none does.
+	StoreWatchedSince func() (time.Time, bool)
+	Clock             timekeeper.Clock
+	Logger            *log.Logger
 }
 
 // Roster holds the replicas of the list. It must be used by one goroutine only.
@@ -117,9 +120,19 @@
 	m.descriptor, m.valid = descriptor, true
 }
 
+// outage returns the store's current or last outage. If only this daemon cannot reach the
+// store, the store is available: items that it removes do not reappear.
+func (r *Roster) outage() watcher.Outage {
+	outage := r.deps.Outage()
+	if since, watching := r.deps.StoreWatchedSince(); outage.Failing && watching {
+		return watcher.Outage{Ended: since}
+	}
+	return outage
+}
+
 // duringOrAfterOutage reports whether expired items may still reappear.
 func (r *Roster) duringOrAfterOutage() bool {
-	outage := r.deps.Outage()
+	outage := r.outage()
 	return outage.Failing || (!outage.Ended.IsZero() && r.deps.Clock.Now().Sub(outage.Ended) < reappearTimeout)
 }
 
@@ -129,7 +142,7 @@
 	if m.missingSince.IsZero() {
 		return 0
 	}
-	outage := r.deps.Outage()
+	outage := r.outage()
 	if outage.Failing {
 		return reappearTimeout
 	}
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -20,6 +20,8 @@
 type fixture struct {
 	roster *roster.Roster
 	outage watcher.Outage
+	// storeWatchedSince is zero if no other daemon watches the store.
+	storeWatchedSince time.Time
 }
 
 func newFixture() *fixture {
@@ -31,9 +33,10 @@
 			}
 			return router.Descriptor{ID: item.Key, Draining: string(item.Value) == "draining"}, nil
 		},
-		Outage: func() watcher.Outage { return f.outage },
-		Clock:  timekeeper.System{},
-		Logger: log.New(io.Discard),
+		Outage:            func() watcher.Outage { return f.outage },
+		StoreWatchedSince: func() (time.Time, bool) { return f.storeWatchedSince, !f.storeWatchedSince.IsZero() },
+		Clock:             timekeeper.System{},
+		Logger:            log.New(io.Discard),
 	})
 	return f
 }
@@ -81,6 +84,37 @@
 	})
 }
 
+// TestRemovalTakesEffectWithoutOwnStore guards against requests to a replica that had left
+// 13 s before: a daemon that alone could not reach the store took the removal, which other
+// daemons had sent it, for one of an outage.
+func TestRemovalTakesEffectWithoutOwnStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.storeWatchedSince = time.Now()
+		<-time.After(time.Minute)
+		f.update(present("a", 1), present("b", 2))
+		f.outage = watcher.Outage{Failing: true}
+		assert.DeepEqual(t, f.update(removed("a", 3), present("b", 2)), []string{"b"})
+	})
+}
+
+// TestExpiredItemsAreKeptAfterPeersReachStoreAgain has other daemons reach the store again
+// after an outage, before this one does: items that expired in it may still reappear.
+func TestExpiredItemsAreKeptAfterPeersReachStoreAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.update(present("a", 1), present("b", 2))
+		f.outage = watcher.Outage{Failing: true}
+		<-time.After(time.Minute)
+		f.storeWatchedSince = time.Now()
+		assert.DeepEqual(t, f.update(removed("a", 3), removed("b", 4)), []string{"a", "b"})
+		<-time.After(2 * time.Second)
+		assert.DeepEqual(t, f.update(removed("a", 3), present("b", 5)), []string{"a", "b"})
+		<-time.After(time.Second)
+		assert.DeepEqual(t, f.update(removed("a", 3), present("b", 5)), []string{"b"})
+	})
+}
+
 // TestReplicasOfItemsMissingAfterOutageAreKept removes an item that is only found missing
 // when the outage has ended.
 func TestReplicasOfItemsMissingAfterOutageAreKept(t *testing.T) {
