Large answers of the store are read as long as they arrive

A configuration of 1.2 MB (base64) takes longer over a link of 1.25 MB/s, so a daemon with such a link dropped it and requested it again, with all of its link.

The read deadline of a connection moves on by the time that the bytes which arrive take at 100 kB/s; an answer that drips in still ends.

--- a/peer/exchanger/exchange.go
+++ b/peer/exchanger/exchange.go
@@ -18,8 +18,13 @@
 // connection proves it.
 var ErrNotSent = faults.NewType("notSent").New("request was not sent")
 
-// maxConnections bounds the connections to one server.
-const maxConnections = 16
+const (
+	// maxConnections bounds the connections to one server.
+	maxConnections = 16
+	// minBytesPerSecond is the rate at which large answers must arrive: a tenth of the
+	// slowest links.
+	minBytesPerSecond = 100_000
+)
 
 // Field is one header field.
 type Field struct{ Name, Value string }
@@ -48,19 +53,57 @@
 // New returns a client for the server at an address. Connections are opened within
 // dialTimeout and used for at most maxConnAge, 0 for no limit.
 func New(address string, dialTimeout, maxConnAge time.Duration) *Client {
+	return newClient(address, maxConnAge, func() (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) })
+}
+
+func newClient(address string, maxConnAge time.Duration, dial func() (net.Conn, error)) *Client {
 	return &Client{http: &fasthttp.HostClient{
 		Addr:                      address,
 		MaxConns:                  maxConnections,
 		MaxConnDuration:           maxConnAge,
 		MaxIdemponentCallAttempts: 1,
 		RetryIf:                   func(*fasthttp.Request) bool { return false },
-		Dial: func(addr string) (net.Conn, error) {
-			return fasthttp.DialTimeout(addr, dialTimeout)
+		Dial: func(string) (net.Conn, error) {
+			conn, err := dial()
+			if err != nil {
+				return nil, err
+			}
+			return &progressConn{Conn: conn}, nil
 		},
 	}}
 }
 
-// Do sends a request once and waits for its answer until the deadline.
+// progressConn is a connection whose read deadline moves by the time that the bytes which
+// arrive take at minBytesPerSecond. It is used by one goroutine at a time.
+type progressConn struct {
+	net.Conn
+	readDeadline time.Time
+}
+
+// SetDeadline implements net.Conn.
+func (c *progressConn) SetDeadline(t time.Time) error {
+	c.readDeadline = t
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *progressConn) SetReadDeadline(t time.Time) error {
+	c.readDeadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn.
+func (c *progressConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 || c.readDeadline.IsZero() {
+		return n, err
+	}
+	c.readDeadline = c.readDeadline.Add(time.Duration(n) * time.Second / minBytesPerSecond)
+	return n, errors.Join(err, c.Conn.SetReadDeadline(c.readDeadline))
+}
+
+// Do sends a request once and waits for its answer until the deadline. An answer that is
+// still arriving then is read on, as long as it comes at minBytesPerSecond or more.
 func (c *Client) Do(deadline time.Time, r Request) (*Answer, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
