A prompt part on which replicas crash is isolated

Cause: the router treated each loss as one of the replica only, and sent the request to the next. Nothing connected the losses with what the requests had in common, and no entry told another. Class of fault: a poison message that is retried without a limit across messages. Ruled out: a fault of the replicas; they end 60 to 105 ms after such a run begins, and answer everything else.

The new package isolator takes the loss of a replica at the start of an answer (head arrived, no sound answer yet) as evidence against all shared parts of that prompt, and a sound answer as evidence for them. A part with four replicas lost, three of them one after the other, and no sound answer since, is isolated for a minute or two, unless another part explains all of its crashes; then one request tries it. Requests with it are refused at once, or not sent again. Entries report evidence to the sidecars to which they subscribe, these to all.

Weighed: counting by request (no two are alike), by caller or route (sound requests share them), failing only retries (halves the losses, no more), a ratio of losses to answers (a planned crash of many replicas would isolate a hot part).

TestBulkCrashIsolatesNoPart and the tests of the package hold the other side.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -91,6 +92,9 @@
 	// Rank decides which entries watch the store: those with the lowest ranks. It is
 	// 0 for sidecars.
 	Rank uint64
+	// Isolator holds the evidence for prompt parts on which replicas crash. Sidecars collect
+	// it from entries and pass it on to all entries.
+	Isolator *isolator.Isolator
 	// Broadcaster wakes the senders of all sessions.
 	Broadcaster *Broadcaster
 	Clock       timekeeper.Clock
--- a/internal/fleet/announcer/scale_test.go
+++ b/internal/fleet/announcer/scale_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -115,7 +116,7 @@
 			Transfers:     func(string) time.Duration { return 0 },
 			WatchesStore:  func() bool { return rank > 0 && rank <= 3 },
 			PullDelay:     func() time.Duration { return 100 * time.Millisecond },
-			Rank:          rank, Broadcaster: NewBroadcaster(), Clock: timekeeper.System{}, Logger: log.New(io.Discard), Recorder: recorder.New(),
+			Rank:          rank, Broadcaster: NewBroadcaster(), Clock: timekeeper.System{}, Logger: log.New(io.Discard), Recorder: recorder.New(), Isolator: isolator.New(timekeeper.System{}),
 		})
 		a.deps.Table.Apply(replicator.Delta{Revision: 1, Complete: true, Items: []replicator.Item{{Key: "c", Value: []byte("1"), Revision: 1}}})
 		return a
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -176,6 +177,10 @@
 	VersionAges []observer.Age `cbor:"15,keyasint,omitempty"`
 	// Subscribed is set if the receiver should push changes of the store.
 	Subscribed bool `cbor:"14,keyasint,omitempty"`
+	// CrashReport is the sender's evidence for prompt parts on which replicas crash. It is
+	// set when that has changed: in messages of sidecars, and of entries to the sidecars to
+	// which they subscribe.
+	CrashReport *isolator.Report `cbor:"21,keyasint,omitempty"`
 	// AcceptsParts is set in a request for changes if they may be sent in parts.
 	AcceptsParts bool `cbor:"17,keyasint,omitempty"`
 	// Part is a part of large changes that were requested.
@@ -256,6 +261,8 @@
 	watchesStore bool
 	subscribed   bool
 	versions     map[string]uint64
+	// evidence is the isolator's version at the last report.
+	evidence uint64
 	// cacheCursor is the number of the first change in the cache log that was not sent
 	// yet, 0 before the first message.
 	cacheCursor uint64
@@ -407,6 +414,10 @@
 		m.Versions, sent.versions, changed = &versions, versions, true
 		m.VersionAges = deps.Observer.Ages()
 	}
+	if evidence := deps.Isolator.Version(); evidence != sent.evidence && (m.Status != nil || m.Subscribed) {
+		report := deps.Isolator.Report()
+		m.CrashReport, sent.evidence, changed = &report, evidence, true
+	}
 	sent.announcedRevision = deps.Table.NewestRevision()
 	sent.transfers = m.Transfers
 	sent.backlog, sent.watchesStore, sent.subscribed = m.BacklogTokens, m.WatchesStore, m.Subscribed
@@ -557,6 +568,9 @@
 		s.peerVersions = *m.Versions
 		deps.Observer.Learn(m.VersionAges)
 	}
+	if m.CrashReport != nil {
+		deps.Isolator.Merge(*m.CrashReport)
+	}
 	if m.Status == nil {
 		return
 	}
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -50,6 +50,12 @@
 	// unreachable; nil if it is not watched.
 	unwatch func()
 	sentAt  time.Time
+	// headAt is when the head of the current attempt's answer arrived. soundRecorded is set
+	// once that answer was recorded as sound.
+	headAt        time.Time
+	soundRecorded bool
+	// isolationKeys are the isolator's keys of the prompt's shared parts.
+	isolationKeys []uint64
 	// firstEventDelay is the time from sentAt to the attempt's first event.
 	firstEventDelay time.Duration
 	// inBacklog is set while the attempt counts in its replica's backlogTokens, until
@@ -70,7 +76,7 @@
 // newDispatch prepares the dispatch of a request. Its context ends at the deadline or
 // when the caller leaves.
 func newDispatch(router *Router, request *Request) *dispatch {
-	d := &dispatch{router: router, request: request, service: router.serviceState(request.Route.pickService()), lastEventID: request.LastEventID, renewedAtEvent: request.LastEventID, pinnedVersion: request.WeightsVersion, allowedAttempts: request.Route.MaxAttempts}
+	d := &dispatch{router: router, request: request, service: router.serviceState(request.Route.pickService()), isolationKeys: request.Prompt.isolationKeys(), lastEventID: request.LastEventID, renewedAtEvent: request.LastEventID, pinnedVersion: request.WeightsVersion, allowedAttempts: request.Route.MaxAttempts}
 	d.ctx, d.cancel = context.WithDeadline(context.Background(), request.Deadline)
 	d.service.budget.Earn()
 	if request.CallerGone != nil {
@@ -159,6 +165,9 @@
 		if failure := d.checkExpired(); failure != nil {
 			return failure
 		}
+		if failure := d.checkIsolated(); failure != nil {
+			return failure
+		}
 		c, found := d.router.choose(d.request, d.service, d.excluded, d.pinnedVersion)
 		if !found {
 			return d.noReplicaFailure()
@@ -249,7 +258,7 @@
 	if err != nil {
 		return err
 	}
-	d.reply = reply
+	d.reply, d.headAt, d.soundRecorded = reply, r.clock.Now(), false
 	return nil
 }
 
@@ -273,6 +282,7 @@
 func (d *dispatch) recordAttemptError(err error) {
 	replica := d.choice.replica
 	notSent := errors.Is(err, ErrNotSent)
+	d.recordCrash(err)
 	d.router.recorder.Count("attempts.lost")
 	d.router.logger.Info("route: attempt failed.", "request", d.request.ID, "replica", replica.ID(), "notSent", notSent, "err", err)
 	d.excluded = append(d.excluded, replica)
@@ -334,6 +344,9 @@
 		return nil, false
 	}
 	d.leaveBacklog()
+	if reply.Status < 300 {
+		d.recordSound()
+	}
 	r.recorder.Observe("answer", r.clock.Now().Sub(d.request.Arrived))
 	return &Result{Reply: reply, Body: body}, true
 }
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -183,6 +183,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonReplicaFailed means that the replica was lost or its answer was unusable.
 	ReasonReplicaFailed Reason = "broken"
+	// ReasonIsolated means that replicas have crashed on a part of the prompt.
+	ReasonIsolated Reason = "isolated"
 	// ReasonCallerGone means that the caller has left.
 	ReasonCallerGone Reason = "gone"
 )
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
@@ -49,6 +50,8 @@
 	holders *partHolders
 	// stored records which prompt parts the cache stores have.
 	stored *storedParts
+	// isolator decides which prompt parts are not sent because replicas crash on them.
+	isolator *isolator.Isolator
 
 	// mu guards services.
 	mu       sync.Mutex
@@ -66,10 +69,15 @@
 		recorder:  metrics,
 		holders:   newPartHolders(),
 		stored:    newStoredParts(),
+		isolator:  isolator.New(clock),
 		services:  make(map[string]*serviceState),
 	}
 }
 
+// Isolator returns the isolator of prompt parts on which replicas crash. Daemons that
+// exchange its reports decide on the evidence of all.
+func (r *Router) Isolator() *isolator.Isolator { return r.isolator }
+
 // serviceState returns the state of the named service and creates it on first use.
 func (r *Router) serviceState(name string) *serviceState {
 	r.mu.Lock()
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -33,8 +33,14 @@
 		d.reply.SetDeadline(d.silenceDeadline())
 		event, err := d.reply.NextEvent()
 		if err != nil {
+			if errors.Is(err, io.EOF) && d.reply.Status < 300 {
+				d.recordSound()
+			}
 			return event, err
 		}
+		if d.router.clock.Now().Sub(d.headAt) >= answerStartTime {
+			d.recordSound()
+		}
 		if d.inBacklog {
 			d.leaveBacklog()
 			d.recordCachedParts()
@@ -132,6 +138,7 @@
 	d.router.recorder.Count("streams.broken")
 	d.router.logger.Info("route: stream interrupted.", "request", d.request.ID, "replica", replica.ID(), "last", d.lastEventID, "err", cause)
 	d.excluded = append(d.excluded, replica)
+	d.recordCrash(cause)
 	if d.ctx.Err() == nil {
 		replica.recordFailure(d.router.clock.Now())
 	}
