Positions of era and revision order what the store has written

A store that comes back from an older copy gives out revisions again. Each daemon would ignore what is written then until the counter passes its old height, orders would carry lower tokens than replicas have seen, and leases could be renewed that belong to somebody else.

The state machine found one more: a copy from before the first configuration removed it from the daemons' tables.

--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -137,8 +137,12 @@
 	// Status is the state of the sender's replica. It is nil if the sender has none,
 	// and in messages that only request or bring changes.
 	Status *Status `cbor:"1,keyasint,omitempty"`
-	// Revision is the newest revision in the sender's copy of the store.
+	// Revision and Era are the newest position in the sender's copy of the store.
 	Revision uint64 `cbor:"2,keyasint"`
+	Era      uint64 `cbor:"22,keyasint,omitempty"`
+	// KnowsEras is set in a session's first message by daemons that know eras. Positions in
+	// messages to others are revisions.
+	KnowsEras bool `cbor:"23,keyasint,omitempty"`
 	// WantChanges requests the changes after AfterRevision, and the values of WantKeys
 	// even if they have not changed since.
 	WantChanges   bool     `cbor:"3,keyasint,omitempty"`
@@ -219,6 +223,8 @@
 	lowerRankedWatchers atomic.Int64
 	subscribed          atomic.Bool
 	revision            atomic.Uint64
+	// knowsEras is set if the other end knows eras of the store.
+	knowsEras atomic.Bool
 	// otherRegion is set if the ends are in different regions.
 	otherRegion atomic.Bool
 	// replicaAddress is the address of the other end's replica, nil until it is known.
@@ -393,7 +399,7 @@
 		OtherRegion: s.otherRegion.Load(), WatchesStore: deps.WatchesStore(), Subscribed: s.announcer.subscribes(s),
 	}
 	if sent.at.IsZero() {
-		m.Rank = deps.Rank
+		m.Rank, m.KnowsEras = deps.Rank, true
 	}
 	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision()
 	if status := deps.Status(); status != nil {
@@ -475,7 +481,15 @@
 
 // send adds the state of the own copy of the store to a message and writes it.
 func (s *session) send(m message) error {
-	m.Revision, m.WatchesStore = s.announcer.deps.Table.NewestRevision(), s.announcer.deps.WatchesStore()
+	newest := s.announcer.deps.Table.NewestRevision()
+	m.Revision, m.Era, m.WatchesStore = replicator.RevisionOf(newest), replicator.EraOf(newest), s.announcer.deps.WatchesStore()
+	if !s.knowsEras.Load() {
+		m.AfterRevision = replicator.RevisionOf(m.AfterRevision)
+		if m.Delta != nil {
+			delta := m.Delta.WithoutEras()
+			m.Delta = &delta
+		}
+	}
 	s.writing <- struct{}{}
 	defer func() { <-s.writing }()
 	_ = s.conn.SetWriteDeadline(time.Now().Add(silenceTimeout))
@@ -501,7 +515,11 @@
 		s.announcer.recordStoreWatched()
 	}
 	s.watchesStore.Store(m.WatchesStore)
-	s.revision.Store(m.Revision)
+	if m.KnowsEras {
+		s.knowsEras.Store(true)
+	}
+	position := replicator.Position(m.Era, m.Revision)
+	s.revision.Store(position)
 	if m.regular() {
 		s.handleRegular(m)
 	}
@@ -519,7 +537,7 @@
 	case m.WantChanges:
 		return s.answerRequest(m)
 	}
-	return s.pullChanges(m.Revision)
+	return s.pullChanges(position)
 }
 
 // applyChanges applies changes of the store that the other end has sent, in the given
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -7,6 +7,7 @@
 package roster
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -38,6 +39,10 @@
 	deps Dependencies
 	// members holds what was read from each key of the list.
 	members map[string]*member
+	// era is the newest era of the store in the items, and eraChangedAt when a newer one
+	// than at first was seen, zero if there was none.
+	era          uint64
+	eraChangedAt time.Time
 }
 
 // member is what was last read from one key of the list.
@@ -45,6 +50,8 @@
 	// revision is that of the item last read.
 	revision   uint64
 	descriptor router.Descriptor
+	// value is the item's value when it last existed.
+	value []byte
 	// valid is set if the descriptor is that of an existing replica.
 	valid bool
 	// missingSince is when the item was found missing during or soon after an outage,
@@ -61,6 +68,7 @@
 // existing replicas. After recheckAfter, it must be called again even if no item has
 // changed; 0 means that it need not.
 func (r *Roster) Update(items []replicator.Item) (list []router.Descriptor, recheckAfter time.Duration) {
+	r.observeEra(items)
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
@@ -97,8 +105,22 @@
 	return list, recheckAfter
 }
 
+// observeEra records the newest era of the items.
+func (r *Roster) observeEra(items []replicator.Item) {
+	newest := r.era
+	for _, item := range items {
+		newest = max(newest, replicator.EraOf(item.Revision))
+	}
+	if newest > r.era && len(r.members) > 0 {
+		r.eraChangedAt = r.deps.Clock.Now()
+		r.deps.Logger.Warn("roster: the store has come back from an older copy.", "era", newest)
+	}
+	r.era = newest
+}
+
 // updateMember updates a member from its item, which has changed.
 func (r *Roster) updateMember(m *member, item replicator.Item) {
+	returned := replicator.EraOf(item.Revision) > replicator.EraOf(m.revision)
 	m.revision = item.Revision
 	if item.Removed {
 		if r.duringOrAfterOutage() {
@@ -108,12 +130,21 @@
 		return
 	}
 	m.missingSince = time.Time{}
+	unchanged := bytes.Equal(m.value, item.Value)
+	m.value = item.Value
+	if returned && unchanged && !m.valid {
+		// The copy is older than the removal. A replica that lives writes its item again.
+		return
+	}
 	descriptor, err := r.deps.Decode(item)
 	if err != nil {
 		m.valid = false
 		r.deps.Logger.Warn("roster: item describes no replica.", "key", item.Key, "revision", item.Revision, "err", err)
 		return
 	}
+	if m.descriptor.Draining && m.descriptor.ID == descriptor.ID && m.descriptor.StartUnixMilli == descriptor.StartUnixMilli {
+		descriptor.Draining = true
+	}
 	if !m.valid || m.descriptor.Draining != descriptor.Draining || m.descriptor.StartUnixMilli != descriptor.StartUnixMilli {
 		r.deps.Logger.Info("roster: replica is new or changed.", "replica", descriptor.ID, "address", descriptor.Address, "draining", descriptor.Draining, "started", descriptor.StartUnixMilli, "revision", item.Revision)
 	}
@@ -121,11 +152,15 @@
 }
 
 // outage returns the store's current or last outage. If only this daemon cannot reach the
-// store, the store is available: items that it removes do not reappear.
+// store, the store is available: items that it removes do not reappear. A return of the
+// store from an older copy ends an outage: it lacks items that were written since.
 func (r *Roster) outage() watcher.Outage {
 	outage := r.deps.Outage()
 	if since, watching := r.deps.StoreWatchedSince(); outage.Failing && watching {
-		return watcher.Outage{Ended: since}
+		outage = watcher.Outage{Ended: since}
+	}
+	if outage.Ended.Before(r.eraChangedAt) {
+		outage.Ended = r.eraChangedAt
 	}
 	return outage
 }
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -115,6 +115,41 @@
 	})
 }
 
+// TestReturnOfStoreFromOlderCopy has the store come back from a copy that lacks a replica which
+// lives, lists one that has left, and shows one as ready that has said that it leaves.
+func TestReturnOfStoreFromOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		inEra := func(item replicator.Item) replicator.Item {
+			item.Revision = replicator.Position(2, item.Revision)
+			return item
+		}
+		draining := replicator.Item{Key: "c", Value: []byte("draining"), Revision: 9}
+		f.update(present("b", 2), present("c", 3))
+		assert.DeepEqual(t, f.update(present("a", 7), removed("b", 8), draining), []string{"a", "c"})
+		list, _ := f.roster.Update([]replicator.Item{inEra(removed("a", 5)), inEra(present("b", 2)), inEra(present("c", 3))})
+		assert.Equal(t, len(list), 2)
+		assert.Equal(t, list[0].ID, "a")
+		assert.Assert(t, list[1].ID == "c" && list[1].Draining)
+		<-time.After(time.Second)
+		back := replicator.Item{Key: "b", Value: []byte("ready again"), Revision: 7}
+		assert.DeepEqual(t, f.update(inEra(present("a", 6)), inEra(back), inEra(present("c", 3))), []string{"a", "b", "c"})
+	})
+}
+
+// TestReplicaMissingAfterReturnIsGone leaves the item of a replica out of the older copy for
+// good.
+func TestReplicaMissingAfterReturnIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.update(present("a", 7))
+		gone := replicator.Item{Key: "a", Revision: replicator.Position(1, 5), Removed: true}
+		assert.DeepEqual(t, f.update(gone), []string{"a"})
+		<-time.After(3 * time.Second)
+		assert.Equal(t, len(f.update(gone)), 0)
+	})
+}
+
 // TestReplicasOfItemsMissingAfterOutageAreKept removes an item that is only found missing
 // when the outage has ended.
 func TestReplicasOfItemsMissingAfterOutageAreKept(t *testing.T) {
--- a/internal/state/replicator/table.go
+++ b/internal/state/replicator/table.go
@@ -9,6 +9,7 @@
 package replicator
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -23,7 +24,7 @@
 type Item struct {
 	Key   string `cbor:"1,keyasint"`
 	Value []byte `cbor:"2,keyasint,omitempty"`
-	// Revision is the store's revision at the change.
+	// Revision is the position of the change: the store's revision and era.
 	Revision uint64 `cbor:"3,keyasint"`
 	// Removed is set for a key that the store no longer has.
 	Removed bool `cbor:"4,keyasint,omitempty"`
@@ -187,7 +188,9 @@
 }
 
 // removeMissing removes the keys that a complete delta does not have, except those that
-// changed after it. It reports whether it removed any. The caller holds mu.
+// changed after it. An older copy of the store that was made before a value with a version
+// was first written does not take that value back. It reports whether it removed any. The
+// caller holds mu.
 func (t *Table) removeMissing(delta Delta) bool {
 	present := make(map[string]bool, len(delta.Items))
 	for _, item := range delta.Items {
@@ -195,7 +198,8 @@
 	}
 	removed := false
 	for key, item := range t.items {
-		if !present[key] && !item.Removed && item.Revision <= delta.Revision {
+		keptFromEarlierEra := item.versioned() && EraOf(item.Revision) < EraOf(delta.Revision)
+		if !present[key] && !item.Removed && item.Revision <= delta.Revision && !keptFromEarlierEra {
 			removed = t.applyItem(Item{Key: key, Revision: delta.Revision, Removed: true}) || removed
 		}
 	}
@@ -214,7 +218,7 @@
 			removed = append(removed, item)
 		}
 	}
-	slices.SortFunc(removed, func(a, b Item) int { return int(a.Revision) - int(b.Revision) })
+	slices.SortFunc(removed, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, item := range removed[:len(removed)/2] {
 		t.forgottenUpTo = max(t.forgottenUpTo, item.Revision)
 		delete(t.items, item.Key)
