Reports that a peer watches the store are valid longer than its pauses

Traced: an entry without changes sends a message each 0.8 s, but that it watches the store counted for 0.6 s. In between sidecars took the store for unwatched and made calls of their own. Reports now count 0.8 s and two intervals. TestIdleWatcherIsKnownToWatch shows it in virtual time (red before).

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -320,9 +320,10 @@
 	return a.storeWatchedSince, a.deps.Clock.Now().Sub(a.storeWatchedAt) < validity
 }
 
-// reportValidity returns how long what a peer reports in regular messages is valid.
+// reportValidity returns how long what a peer reports in regular messages is valid. A peer
+// without changes sends one each idleInterval.
 func (a *Announcer) reportValidity() time.Duration {
-	return 2 * max(otherRegionInterval, a.rateLimitInterval())
+	return idleInterval + 2*max(otherRegionInterval, a.rateLimitInterval())
 }
 
 // PeerWatchesStore reports whether a connected daemon has recently reported that it
--- a/internal/fleet/announcer/scale_test.go
+++ b/internal/fleet/announcer/scale_test.go
@@ -220,3 +220,20 @@
 		assert.Assert(t, bytes/messages < 40, "%d bytes a message", bytes/messages)
 	})
 }
+
+// TestIdleWatcherIsKnownToWatch guards against sidecars that call the store themselves, since
+// an entry that watches it and has nothing to report sent messages more seldom than they
+// count. The test that showed it is TestChangesReachDaemonsWithoutStore, on a busy machine.
+func TestIdleWatcherIsKnownToWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemoryFleet(1, 2)
+		defer f.close()
+		<-time.After(5 * time.Second)
+		for range 1000 {
+			<-time.After(20 * time.Millisecond)
+			for _, sidecar := range f.sidecars {
+				assert.Assert(t, sidecar.PeerWatchesStore())
+			}
+		}
+	})
+}
