Replicas that ask for a pause get no requests until it ends

A replica that turns a request away with 503 may ask for a pause (Retry-After). It was not read: requests went on arriving, each rejected.

New requests, retries and resumptions pass the replica over; such a rejection costs the retry budget but not one of the few rejections that a request may have, since each pause has one. Values that are no positive number are ignored and logged.

Not built for the product's own interface: its sidecars' Retry-After is about one request.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -207,6 +207,11 @@
 // noReplicaFailure returns the failure of a request for which no replica is left: that
 // of the last attempt, if there was one.
 func (d *dispatch) noReplicaFailure() *Failure {
+	if d.runAttempts == 0 {
+		if failure := d.pauseFailure(); failure != nil {
+			return failure
+		}
+	}
 	if d.lastFailure != nil {
 		return d.lastFailure
 	}
@@ -351,11 +356,12 @@
 	return &Result{Reply: reply, Body: body}, true
 }
 
-// recordReport stores what the answer reports about its replica: whether it leaves, and
-// its weights version if it has a model, else its load.
+// recordReport stores what the answer reports about its replica: whether it leaves or asks
+// for a pause, and its weights version if it has a model, else its load.
 func (d *dispatch) recordReport(reply *Reply) {
 	replica := d.choice.replica
 	d.recordLeaving(reply)
+	d.recordPause(reply)
 	if d.request.Prompt != nil {
 		replica.recordWeightsVersion(d.request.Prompt.Model, reply.WeightsVersion)
 		return
@@ -369,7 +375,10 @@
 // returns false, as another attempt is due.
 func (d *dispatch) handleRejection() bool {
 	replica := d.choice.replica
-	d.rejectedAttempts++
+	if d.reply.Pause <= 0 {
+		// A replica rejects once for each pause, so that these need no limit but the budget.
+		d.rejectedAttempts++
+	}
 	d.router.recorder.Count("attempts.rejected")
 	d.excluded = append(d.excluded, replica)
 	d.router.logger.Info("route: rejected.", "request", d.request.ID, "replica", replica.ID(), "status", d.reply.Status,
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -112,6 +112,9 @@
 	// hash is the hash of the replica's ID. It determines for which prompts and
 	// affinities the replica is the home.
 	hash uint64
+	// pausedUntil is until when the replica wants nothing from this daemon, in Unix
+	// nanoseconds; 0 before it has asked for a pause.
+	pausedUntil atomic.Int64
 	// ended is set once another replica or incarnation was found at the address.
 	ended atomic.Bool
 	// backlogTokens is the number of tokens, by priority, that the replica must prefill
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -128,6 +128,10 @@
 	RetryAfter time.Duration
 	// Leaving is set if the replica says that it leaves: it wants no new requests.
 	Leaving bool
+	// Pause is how long a replica that has turned the request away wants nothing from this
+	// daemon, 0 if it does not say. InvalidPause is what it says if that is no duration.
+	Pause        time.Duration
+	InvalidPause string
 	// ReplicaID is the ID of the replica that answered, "" if it is not named.
 	ReplicaID string
 	// WeightsVersion is the weights version that produced the answer, 0 if not named.
