What is known of a replica holds when the list goes back

A soak in virtual time (replicas that leave, crash and ask for pauses, a list that lags and goes back to older copies, in overlapping series) found three ways in which requests reached replicas that had said that they leave, or in their pauses: - the list named an earlier start of a replica for a while, or left it out: the replica came back as a new one, its pause and its leaving forgotten. Answers name no start; all starts up to that moment leave. - the replica was not in the list when its answer came. The attempt's own replica counts now.

A booking runs once, a refusal that says not run is true, streams are whole and in order, and each request ends by its deadline: no finding in these.

--- a/internal/routing/router/leaving.go
+++ b/internal/routing/router/leaving.go
@@ -18,20 +18,27 @@
 
 // The sources of a replica's leaving.
 const (
-	// LeavingByList means that the list of replicas says so.
-	LeavingByList LeavingSource = "list"
 	// LeavingByAnswer means that an answer of the replica to this daemon says so.
 	LeavingByAnswer LeavingSource = "answer"
 	// LeavingByPeer means that another daemon has reported it.
 	LeavingByPeer LeavingSource = "peer"
 )
 
-// Incarnation identifies one start of a replica.
+// Incarnation identifies one start of a replica. In what is known of replicas that leave it
+// stands for all starts up to this one.
 type Incarnation struct {
 	ID             string `cbor:"1,keyasint"`
 	StartUnixMilli int64  `cbor:"2,keyasint,omitempty"`
 }
 
+// leavingEntry is what is known of a replica that leaves.
+type leavingEntry struct {
+	// lastStartUnixMilli is the last start of the incarnations that leave.
+	lastStartUnixMilli int64
+	// since is when the replica was first known to leave.
+	since time.Time
+}
+
 // LeavingReplica reports to other daemons that a replica has said that it leaves.
 type LeavingReplica struct {
 	Incarnation
@@ -49,19 +56,18 @@
 // safe for concurrent use.
 type LeavingRegistry struct {
 	clock timekeeper.Clock
-	// since holds when each replica was first known to leave. It is replaced, never
-	// changed.
-	since atomic.Pointer[map[Incarnation]time.Time]
+	// entries holds the replicas that leave by ID. It is replaced, never changed.
+	entries atomic.Pointer[map[string]leavingEntry]
 	// version counts the changes.
 	version atomic.Uint64
-	// mu is held while since is replaced.
+	// mu is held while entries is replaced.
 	mu sync.Mutex
 }
 
 // NewLeavingRegistry returns an empty registry.
 func NewLeavingRegistry(clock timekeeper.Clock) *LeavingRegistry {
 	l := &LeavingRegistry{clock: clock}
-	l.since.Store(&map[Incarnation]time.Time{})
+	l.entries.Store(&map[string]leavingEntry{})
 	return l
 }
 
@@ -75,18 +81,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	next := maps.Clone(*l.since.Load())
-	maps.DeleteFunc(next, func(_ Incarnation, since time.Time) bool { return now.Sub(since) >= leavingMemory })
-	next[replica] = at
-	l.since.Store(&next)
+	next := maps.Clone(*l.entries.Load())
+	maps.DeleteFunc(next, func(_ string, e leavingEntry) bool { return now.Sub(e.since) >= leavingMemory })
+	next[replica.ID] = leavingEntry{lastStartUnixMilli: replica.StartUnixMilli, since: at}
+	l.entries.Store(&next)
 	l.version.Add(1)
 	return true
 }
 
 // Leaves reports whether a replica is known to leave.
 func (l *LeavingRegistry) Leaves(replica Incarnation) bool {
-	_, found := (*l.since.Load())[replica]
-	return found
+	entry, found := (*l.entries.Load())[replica.ID]
+	return found && replica.StartUnixMilli <= entry.lastStartUnixMilli
 }
 
 // Version changes with the contents.
@@ -96,8 +102,8 @@
 func (l *LeavingRegistry) Report() []LeavingReplica {
 	now := l.clock.Now()
 	var list []LeavingReplica
-	for replica, since := range *l.since.Load() {
-		list = append(list, LeavingReplica{Incarnation: replica, Ago: now.Sub(since)})
+	for id, entry := range *l.entries.Load() {
+		list = append(list, LeavingReplica{Incarnation: Incarnation{ID: id, StartUnixMilli: entry.lastStartUnixMilli}, Ago: now.Sub(entry.since)})
 	}
 	return list
 }
@@ -121,5 +127,5 @@
 	if !reply.Leaving || reply.WrongReplica && reply.ReplicaID != replica.ID() {
 		return
 	}
-	d.router.pool.RecordLeaving(replica.Address(), LeavingByAnswer, d.router.logger)
+	d.router.pool.recordLeaving(replica, d.router.logger)
 }
--- a/internal/routing/router/leaving_test.go
+++ b/internal/routing/router/leaving_test.go
@@ -51,7 +51,7 @@
 		request()
 		assert.Equal(t, b.sentTo()["i-0"], 0)
 		leaving = ""
-		list[0].StartUnixMilli++
+		list[0].StartUnixMilli = time.Now().UnixMilli() + 1
 		b.pool.SetReplicas(list)
 		request()
 		assert.Assert(t, b.sentTo()["i-0"] > 0)
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -20,6 +20,9 @@
 	// failure. The first backoff is short so that a restarted replica serves soon.
 	minBackoff = 300 * time.Millisecond
 	maxBackoff = 3 * time.Second
+	// removedMemory is how long a replica that is no longer in the list is remembered: as long
+	// as it may have asked for a pause.
+	removedMemory = maxReplicaPause
 	// failureRateWeight is the weight of one answer in the moving average of the
 	// failure rate.
 	failureRateWeight = 0.1
@@ -220,8 +223,17 @@
 	// onBacklog is called with the address of a replica when this daemon's backlog there
 	// has changed. It is nil until OnBacklog is called.
 	onBacklog atomic.Pointer[func(address string)]
-	// mu is held while the view is replaced.
+	// mu is held while the view is replaced, and guards removed.
 	mu sync.Mutex
+	// removed holds replicas that are no longer in the list, by ID, with when they were
+	// removed. What is known of them holds if they come back.
+	removed map[string]removedReplica
+}
+
+// removedReplica is a replica that was removed from the list at a time.
+type removedReplica struct {
+	*Replica
+	at time.Time
 }
 
 // view indexes the replicas. The indexes are immutable; the replicas in them change.
@@ -233,20 +245,24 @@
 
 // NewPool returns an empty pool.
 func NewPool(clock timekeeper.Clock) *Pool {
-	p := &Pool{clock: clock, leaving: NewLeavingRegistry(clock)}
+	p := &Pool{clock: clock, leaving: NewLeavingRegistry(clock), removed: make(map[string]removedReplica)}
 	p.view.Store(&view{})
 	return p
 }
 
 // SetReplicas replaces the list of replicas. A replica that has restarted under its ID
-// or moved to another address is treated as a new one.
+// or moved to another address is treated as a new one. A list that names an earlier start
+// of a replica than one before is out of date in this: the later start holds.
 func (p *Pool) SetReplicas(list []Descriptor) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.view.Load()
 	next := &view{byID: make(map[string]*Replica, len(list)), byAddress: make(map[string]*Replica, len(list)), byService: make(map[string]*group)}
 	for _, descriptor := range list {
-		replica := old.byID[descriptor.ID]
+		replica := p.knownReplica(old, descriptor.ID)
+		if replica != nil {
+			descriptor.StartUnixMilli = max(descriptor.StartUnixMilli, replica.descriptor.Load().StartUnixMilli)
+		}
 		if replica == nil || replica.descriptor.Load().StartUnixMilli != descriptor.StartUnixMilli || replica.Address() != descriptor.Address {
 			replica = &Replica{hash: xxh3.HashString(descriptor.ID)}
 		}
@@ -261,6 +277,24 @@
 		g.buildRings()
 	}
 	p.view.Store(next)
+	now := p.clock.Now()
+	for id, replica := range old.byID {
+		if next.byID[id] == nil {
+			p.removed[id] = removedReplica{Replica: replica, at: now}
+		}
+	}
+	maps.DeleteFunc(p.removed, func(id string, r removedReplica) bool {
+		return next.byID[id] != nil || now.Sub(r.at) >= removedMemory
+	})
+}
+
+// knownReplica returns the replica with an ID in a view, or one that was removed recently, or
+// nil. The caller holds mu.
+func (p *Pool) knownReplica(v *view, id string) *Replica {
+	if replica := v.byID[id]; replica != nil {
+		return replica
+	}
+	return p.removed[id].Replica
 }
 
 // group returns the group of a service and adds it if needed.
@@ -319,14 +353,24 @@
 func (p *Pool) Leaving() *LeavingRegistry { return p.leaving }
 
 // RecordLeaving records that the replica at an address has said that it leaves.
-func (p *Pool) RecordLeaving(address string, source LeavingSource, logger *log.Logger) {
-	replica := p.ReplicaByAddress(address)
-	if replica == nil {
-		return
+func (p *Pool) RecordLeaving(address string, logger *log.Logger) {
+	if replica := p.ReplicaByAddress(address); replica != nil {
+		p.recordLeaving(replica, logger)
 	}
+}
+
+// recordLeaving records that a replica, which may not be in the list, has said that it leaves.
+func (p *Pool) recordLeaving(replica *Replica, logger *log.Logger) {
 	descriptor := replica.descriptor.Load()
-	if p.leaving.Record(descriptor.incarnation()) {
-		logger.Info("route: replica leaves.", "replica", descriptor.ID, "started", descriptor.StartUnixMilli, "source", source)
+	if p.leaving.Leaves(descriptor.incarnation()) {
+		return
+	}
+	// The list may not have the replica's latest start yet, and answers do not name it. A
+	// start after now is of another incarnation.
+	leaving := descriptor.incarnation()
+	leaving.StartUnixMilli = max(leaving.StartUnixMilli, p.clock.Now().UnixMilli())
+	if p.leaving.Record(leaving) {
+		logger.Info("route: replica leaves.", "replica", descriptor.ID, "started", descriptor.StartUnixMilli, "source", LeavingByAnswer)
 	}
 }
 
