--- a/internal/fleet/announcer/bandwidth_test.go
+++ b/internal/fleet/announcer/bandwidth_test.go
@@ -69,6 +69,26 @@
 	return l.freeAt
 }
 
+// queueTime returns the longest time that data has waited for the link.
+func (l *simulatedLink) queueTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.longestQueue
+}
+
+func (l *simulatedLink) resetQueue() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.longestQueue = 0
+}
+
+// carried returns how many bytes the link has carried.
+func (l *simulatedLink) carried() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
 // simulatedStream is one direction of a connection over links.
 type simulatedStream struct {
 	links []*simulatedLink
@@ -336,7 +356,7 @@
 func (f *linkedFleet) longestQueue() time.Duration {
 	longest := time.Duration(0)
 	for _, d := range f.entries {
-		longest = max(longest, d.up.longestQueue)
+		longest = max(longest, d.up.queueTime())
 	}
 	return longest
 }
@@ -372,7 +392,7 @@
 	t.Helper()
 	<-time.After(3 * time.Second)
 	for _, d := range f.entries {
-		d.up.longestQueue = 0
+		d.up.resetQueue()
 	}
 	f.change(2, routeTable(4200))
 	<-time.After(3500 * time.Millisecond)
@@ -392,7 +412,7 @@
 				f := newLinkedFleet(6, 5, 21, watchersLink)
 				defer f.close()
 				slowest, missing := growTable(t, f)
-				crossed := f.regions[0].bytes + f.regions[1].bytes
+				crossed := f.regions[0].carried() + f.regions[1].carried()
 				assert.Check(t, missing == 0 && slowest < changeDeadline, "%d daemons without it, the slowest after %v, %d MB between regions", missing, slowest, crossed>>20)
 			})
 		})
--- a/internal/routing/router/soak_test.go
+++ b/internal/routing/router/soak_test.go
@@ -260,7 +260,8 @@
 				}
 				requests++
 				kind := s.random.IntN(6)
-				tasks.Go(func() { s.request(fmt.Sprint("q", requests), kind) })
+				id := fmt.Sprint("q", requests)
+				tasks.Go(func() { s.request(id, kind) })
 				<-time.After(10 * time.Millisecond)
 			}
 			tasks.Wait()
