A removal is applied without the own store once the others must have noticed an outage

In a short outage in which items expire, the first to fail would have dropped live replicas. The daemon now waits 5 s from the start of its own outage.

TestExpiredItemsAreKeptWhileOutageIsNotNoticedByAll and the changed TestRemovalTakesEffectWithoutOwnStore (which now waits, and also checks that the item is kept at first) fail without the condition.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -17,9 +17,15 @@
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
 
-// reappearTimeout is how long after an outage expired items may take to reappear: the
-// platform promises about two seconds.
-const reappearTimeout = 2200 * time.Millisecond
+const (
+	// reappearTimeout is how long after an outage expired items may take to reappear: the
+	// platform promises about two seconds.
+	reappearTimeout = 2200 * time.Millisecond
+	// outageNoticeTime is how long after the start of an outage other daemons may still be
+	// reported to watch the store: a watch that hangs is noticed after 3.1 s, and reports
+	// are valid for up to 1.8 s.
+	outageNoticeTime = 5 * time.Second
+)
 
 // Dependencies are the functions and services that a roster uses.
 type Dependencies struct {
@@ -151,13 +157,16 @@
 	m.descriptor, m.valid = descriptor, true
 }
 
-// outage returns the store's current or last outage. If only this daemon cannot reach the
-// store, the store is available: items that it removes do not reappear. A return of the
+// outage returns the store's current or last outage. If others still watch the store when an
+// outage has lasted for outageNoticeTime, only this daemon cannot reach it: items that the
+// store removes do not reappear. A return of the
 // store from an older copy ends an outage: it lacks items that were written since.
 func (r *Roster) outage() watcher.Outage {
 	outage := r.deps.Outage()
-	if since, watching := r.deps.StoreWatchedSince(); outage.Failing && watching {
-		outage = watcher.Outage{Ended: since}
+	if outage.Failing && r.deps.Clock.Now().Sub(outage.Began) >= outageNoticeTime {
+		if since, watching := r.deps.StoreWatchedSince(); watching {
+			outage = watcher.Outage{Ended: since}
+		}
 	}
 	if outage.Ended.Before(r.eraChangedAt) {
 		outage.Ended = r.eraChangedAt
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -93,11 +93,31 @@
 		f.storeWatchedSince = time.Now()
 		<-time.After(time.Minute)
 		f.update(present("a", 1), present("b", 2))
-		f.outage = watcher.Outage{Failing: true}
+		f.outage = watcher.Outage{Failing: true, Began: time.Now()}
+		<-time.After(time.Second)
+		assert.DeepEqual(t, f.update(removed("a", 3), present("b", 2)), []string{"a", "b"})
+		<-time.After(5 * time.Second)
 		assert.DeepEqual(t, f.update(removed("a", 3), present("b", 2)), []string{"b"})
 	})
 }
 
+// TestExpiredItemsAreKeptWhileOutageIsNotNoticedByAll has an outage of which other daemons are
+// still reported not to know: items that expire in it may reappear.
+func TestExpiredItemsAreKeptWhileOutageIsNotNoticedByAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.storeWatchedSince = time.Now()
+		<-time.After(time.Minute)
+		f.update(present("a", 1))
+		f.outage = watcher.Outage{Failing: true, Began: time.Now()}
+		<-time.After(2 * time.Second)
+		assert.DeepEqual(t, f.update(removed("a", 3)), []string{"a"})
+		f.outage = watcher.Outage{Began: f.outage.Began, Ended: time.Now()}
+		<-time.After(time.Second)
+		assert.DeepEqual(t, f.update(present("a", 4)), []string{"a"})
+	})
+}
+
 // TestExpiredItemsAreKeptAfterPeersReachStoreAgain has other daemons reach the store again
 // after an outage, before this one does: items that expired in it may still reappear.
 func TestExpiredItemsAreKeptAfterPeersReachStoreAgain(t *testing.T) {
--- a/internal/state/watcher/watch.go
+++ b/internal/state/watcher/watch.go
@@ -51,6 +51,8 @@
 type Outage struct {
 	// Failing is set if the last call failed.
 	Failing bool
+	// Began is when the last outage began, zero if there was none.
+	Began time.Time
 	// Ended is when the last outage ended, zero if none has ended.
 	Ended time.Time
 }
@@ -224,6 +226,7 @@
 	}
 	w.outage.Failing = failing
 	if failing {
+		w.outage.Began = w.clock.Now()
 		w.logger.Warn("store: not available.", "err", err)
 		return
 	}
