Test: a planned stop under load answers what was passed on

Sixteen callers go on using their connections until the process ends. Tried and undone: closing connections that wait to be accepted when the listener closes. The hang that seemed to show the need was the test's, whose callers outlived the process.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,6 +30,8 @@
 	callerAddress string
 	readyAddress  string
 	release       chan struct{}
+	// passedOn holds the paths below /load/ that reached the replica.
+	passedOn sync.Map
 }
 
 func freeAddress(t *testing.T) string {
@@ -101,7 +105,13 @@
 			return router.Event{Raw: []byte("id: 1\n\n"), ID: 1}, nil
 		}
 	default:
-		reply.NotRun = true
+		path := a.Request.Message.(string)
+		if !strings.HasPrefix(path, "/load/") {
+			reply.NotRun = true
+			break
+		}
+		f.passedOn.Store(path, true)
+		reply.ReadBody = func() ([]byte, error) { return []byte(path), nil }
 	}
 	return reply, nil
 }
@@ -177,3 +187,63 @@
 	assert.Equal(t, string(rest), "id: 2\n\nid: 3\n\n")
 	<-drained
 }
+
+// sendUntilClosed sends requests on kept connections until ctx ends or the gateway accepts none,
+// and stores the paths that were answered.
+func sendUntilClosed(ctx context.Context, address string, caller int, answered *sync.Map) {
+	for n := 0; ctx.Err() == nil; {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		reader := bufio.NewReader(conn)
+		for {
+			n++
+			path := fmt.Sprintf("/load/%d/%d", caller, n)
+			if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+				break
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				break
+			}
+			if body, err := io.ReadAll(response.Body); err != nil || string(body) != path {
+				break
+			}
+			answered.Store(path, true)
+			if response.Close {
+				break
+			}
+		}
+		stop()
+		_ = conn.Close()
+	}
+}
+
+// TestDrainUnderLoadAnswersWhatWasPassedOn guards against a planned stop that cuts requests which
+// were just accepted. Callers go on using their connections until the gateway is gone: each
+// request that reached the replica must have been answered.
+func TestDrainUnderLoadAnswersWhatWasPassedOn(t *testing.T) {
+	f := newFixture(t)
+	var callers sync.WaitGroup
+	var answered sync.Map
+	ctx, processEnded := context.WithCancel(t.Context())
+	for caller := range 16 {
+		callers.Go(func() { sendUntilClosed(ctx, f.callerAddress, caller, &answered) })
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, found := answered.Load("/load/0/50"); !found {
+			return poll.Continue("not under load yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+	f.gateway.Drain()
+	processEnded()
+	callers.Wait()
+	f.passedOn.Range(func(path, _ any) bool {
+		_, found := answered.Load(path)
+		assert.Check(t, found, "%s was passed on and not answered", path)
+		return true
+	})
+}
