--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -124,10 +124,10 @@
 	// startedAt is when the announcer started; informed is set once the own copy of the
 	// store names no older version than that of some other daemon.
 	startedAt time.Time
+	informed  atomic.Bool
 	// otherRegionPullDelay is how much longer this daemon waits for a change before it
 	// requests it from another region.
 	otherRegionPullDelay time.Duration
-	informed             atomic.Bool
 	// largeRevision is the revision of the own copy of the store when the last large change
 	// arrived from another daemon.
 	largeRevision atomic.Uint64
--- a/internal/fleet/announcer/bandwidth_test.go
+++ b/internal/fleet/announcer/bandwidth_test.go
@@ -12,13 +12,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
-	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
-	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
-	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
-	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
-	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
 
@@ -238,23 +232,9 @@
 	rank := uint64(3)
 	add := func(region int, rank uint64, link float64, status *Status) *linkedDaemon {
 		d := &linkedDaemon{name: fmt.Sprint("10.", region, ".0.", len(f.entries)+len(f.sidecars), ":70"), region: region, up: &simulatedLink{bytesPerSecond: link}, down: &simulatedLink{bytesPerSecond: link}}
-		d.Announcer, _ = New("", Dependencies{
-			Table:    replicator.New(),
-			Observer: observer.New(0, timekeeper.System{}),
-			Status: func() *Status {
-				if status == nil {
-					return nil
-				}
-				copied := *status
-				return &copied
-			},
-			OnStatus: func(Status) {}, OnCache: func(string, CacheChanges) {},
-			BacklogTokens: func(string) (none [router.PriorityLevels]int) { return none },
-			Transfers:     func(string) time.Duration { return 0 },
-			WatchesStore:  func() bool { return rank > 0 && rank <= 3 },
-			PullDelay:     func() time.Duration { return 100 * time.Millisecond },
-			Rank:          rank, Broadcaster: NewBroadcaster(), Clock: timekeeper.System{}, Logger: log.New(io.Discard), Recorder: recorder.New(), Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), LinkBytesPerSecond: link,
-		})
+		dependencies := fleetDependencies(rank, status)
+		dependencies.LinkBytesPerSecond = link
+		d.Announcer, _ = New("", dependencies)
 		d.deps.Table.Apply(replicator.Delta{Revision: 1, Complete: true, Items: []replicator.Item{{Key: "c", Value: []byte("1"), Revision: 1}}})
 		return d
 	}
--- a/internal/fleet/announcer/scale_test.go
+++ b/internal/fleet/announcer/scale_test.go
@@ -89,6 +89,29 @@
 func (a memoryAddress) Network() string { return "memory" }
 func (a memoryAddress) String() string  { return string(a) }
 
+// fleetDependencies returns the dependencies of a daemon in a simulated fleet: an entry with a
+// rank, or a sidecar with a status. The three entries with the lowest ranks watch the store.
+func fleetDependencies(rank uint64, status *Status) Dependencies {
+	return Dependencies{
+		Table:    replicator.New(),
+		Observer: observer.New(0, timekeeper.System{}),
+		Status: func() *Status {
+			if status == nil {
+				return nil
+			}
+			copied := *status
+			return &copied
+		},
+		OnStatus: func(Status) {}, OnCache: func(string, CacheChanges) {},
+		BacklogTokens: func(string) (none [router.PriorityLevels]int) { return none },
+		Transfers:     func(string) time.Duration { return 0 },
+		WatchesStore:  func() bool { return rank > 0 && rank <= 3 },
+		PullDelay:     func() time.Duration { return 100 * time.Millisecond },
+		Rank:          rank, Broadcaster: NewBroadcaster(), Clock: timekeeper.System{}, Logger: log.New(io.Discard), Recorder: recorder.New(),
+		Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}),
+	}
+}
+
 // memoryFleet is a fleet in two regions of which every entry has a session with every
 // sidecar. The three entries with the lowest ranks watch the store.
 type memoryFleet struct {
@@ -101,23 +124,7 @@
 	f := &memoryFleet{}
 	daemon := func(rank uint64, status *Status) *Announcer {
 		var a *Announcer
-		a, _ = New("", Dependencies{
-			Table:    replicator.New(),
-			Observer: observer.New(0, timekeeper.System{}),
-			Status: func() *Status {
-				if status == nil {
-					return nil
-				}
-				copied := *status
-				return &copied
-			},
-			OnStatus: func(Status) {}, OnCache: func(string, CacheChanges) {},
-			BacklogTokens: func(string) (none [router.PriorityLevels]int) { return none },
-			Transfers:     func(string) time.Duration { return 0 },
-			WatchesStore:  func() bool { return rank > 0 && rank <= 3 },
-			PullDelay:     func() time.Duration { return 100 * time.Millisecond },
-			Rank:          rank, Broadcaster: NewBroadcaster(), Clock: timekeeper.System{}, Logger: log.New(io.Discard), Recorder: recorder.New(), Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}),
-		})
+		a, _ = New("", fleetDependencies(rank, status))
 		a.deps.Table.Apply(replicator.Delta{Revision: 1, Complete: true, Items: []replicator.Item{{Key: "c", Value: []byte("1"), Revision: 1}}})
 		return a
 	}
