Reports of crashes hold what is new

Reports now hold only what changed since the last one of the session, and no crash of which all parts have been cleared.

TestReportsHoldWhatIsNew (before: 40 crashes in each report).

--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -426,7 +426,7 @@
 		m.VersionAges = deps.Observer.Ages()
 	}
 	if evidence := deps.Isolator.Version(); evidence != sent.evidence && (m.Status != nil || m.Subscribed) {
-		report := deps.Isolator.Report()
+		report := deps.Isolator.Report(sent.evidence)
 		m.CrashReport, sent.evidence, changed = &report, evidence, true
 	}
 	if version := deps.Leaving.Version(); version != sent.leaving && (m.Status != nil || m.Subscribed) {
--- a/internal/routing/isolator/isolate.go
+++ b/internal/routing/isolator/isolate.go
@@ -67,6 +67,8 @@
 	replica      uint64
 	parts        []uint64
 	sentAt, lost time.Time
+	// version is that of the evidence since which the crash is known.
+	version uint64
 }
 
 // decisions is what follows from the evidence. It is never changed, only replaced.
@@ -92,15 +94,17 @@
 	mu sync.Mutex
 	// crashes are those remembered, by ID.
 	crashes map[uint64]crash
-	// soundAt holds when suspected parts last had a sound answer.
-	soundAt map[uint64]time.Time
+	// soundAt holds when suspected parts last had a sound answer, and clearedIn the version of
+	// the evidence since which that last cleared a part.
+	soundAt   map[uint64]time.Time
+	clearedIn map[uint64]uint64
 	// trialAt holds when a trial of an isolated part last began.
 	trialAt map[uint64]time.Time
 }
 
 // New returns an isolator without evidence.
 func New(clock timekeeper.Clock) *Isolator {
-	i := &Isolator{clock: clock, trialDelay: rand.N(isolationTime), crashes: make(map[uint64]crash), soundAt: make(map[uint64]time.Time), trialAt: make(map[uint64]time.Time)}
+	i := &Isolator{clock: clock, trialDelay: rand.N(isolationTime), crashes: make(map[uint64]crash), soundAt: make(map[uint64]time.Time), clearedIn: make(map[uint64]uint64), trialAt: make(map[uint64]time.Time)}
 	i.decisions.Store(&decisions{})
 	return i
 }
@@ -168,21 +172,32 @@
 // Version changes with the evidence.
 func (i *Isolator) Version() uint64 { return i.version.Load() }
 
-// Report returns the evidence for other daemons.
-func (i *Isolator) Report() Report {
+// Report returns the evidence after a version for other daemons: crashes that sound answers
+// have not cleared yet, and the sound answers that have cleared others.
+func (i *Isolator) Report(after uint64) Report {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.clock.Now()
-	report := Report{SoundAgo: make(map[uint64]time.Duration, len(i.soundAt))}
+	report := Report{SoundAgo: make(map[uint64]time.Duration)}
 	for id, c := range i.crashes {
-		report.Crashes = append(report.Crashes, Crash{ID: id, Replica: c.replica, Parts: c.parts, SentAgo: now.Sub(c.sentAt), LostAgo: now.Sub(c.lost)})
+		if c.version > after && i.uncleared(c) {
+			report.Crashes = append(report.Crashes, Crash{ID: id, Replica: c.replica, Parts: c.parts, SentAgo: now.Sub(c.sentAt), LostAgo: now.Sub(c.lost)})
+		}
 	}
-	for part, at := range i.soundAt {
-		report.SoundAgo[part] = now.Sub(at)
+	for part, version := range i.clearedIn {
+		if version > after {
+			report.SoundAgo[part] = now.Sub(i.soundAt[part])
+		}
 	}
 	return report
 }
 
+// uncleared reports whether some part of a crash has had no sound answer since. The caller
+// holds mu.
+func (i *Isolator) uncleared(c crash) bool {
+	return slices.ContainsFunc(c.parts, func(part uint64) bool { return c.lost.After(i.soundAt[part]) })
+}
+
 // Merge adds the evidence of another daemon.
 func (i *Isolator) Merge(report Report) {
 	i.mu.Lock()
@@ -218,6 +233,7 @@
 		}
 		delete(i.crashes, oldest)
 	}
+	c.version = i.version.Load() + 1
 	i.crashes[id] = c
 }
 
@@ -231,6 +247,7 @@
 	i.soundAt[part] = at
 	for _, c := range i.crashes {
 		if slices.Contains(c.parts, part) && c.lost.After(last) && !c.lost.After(at) {
+			i.clearedIn[part] = i.version.Load() + 1
 			return true
 		}
 	}
@@ -254,6 +271,7 @@
 	maps.DeleteFunc(i.crashes, func(_ uint64, c crash) bool { return now.Sub(c.lost) >= memory })
 	next := &decisions{suspects: i.suspects(), isolatedUntil: make(map[uint64]time.Time)}
 	maps.DeleteFunc(i.soundAt, func(part uint64, _ time.Time) bool { return !next.suspects[part] })
+	maps.DeleteFunc(i.clearedIn, func(part uint64, _ uint64) bool { return !next.suspects[part] })
 	maps.DeleteFunc(i.trialAt, func(part uint64, _ time.Time) bool { return !next.suspects[part] })
 	byPart := make(map[uint64][]crash)
 	for _, c := range i.crashes {
--- a/internal/routing/isolator/isolate_test.go
+++ b/internal/routing/isolator/isolate_test.go
@@ -104,16 +104,37 @@
 			daemons[2].RecordSound([]uint64{3})
 			for range 200 {
 				from, to := random.IntN(5), random.IntN(5)
-				daemons[to].Merge(daemons[from].Report())
+				daemons[to].Merge(daemons[from].Report(0))
 				<-time.After(time.Duration(random.IntN(10)) * time.Millisecond)
 			}
 			for _, d := range daemons {
 				assert.Assert(t, isolated(d, 7))
 				assert.Assert(t, !isolated(d, 3))
 				before := d.Version()
-				d.Merge(daemons[0].Report())
+				d.Merge(daemons[0].Report(0))
 				assert.Equal(t, d.Version(), before)
 			}
 		})
 	})
 }
+
+// TestReportsHoldWhatIsNew guards against reports that grow with all crashes of the last
+// minutes: on a day with many, each change was followed by all of them in every session.
+func TestReportsHoldWhatIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := isolator.New(timekeeper.System{})
+		crashInTurn(i, 1, 40, 1)
+		<-time.After(time.Second)
+		i.RecordSound([]uint64{1})
+		version := i.Version()
+		assert.Equal(t, len(i.Report(0).Crashes), 0, "all are cleared")
+		crashInTurn(i, 100, 2, 1)
+		report := i.Report(version)
+		assert.Equal(t, len(report.Crashes), 2)
+		assert.Equal(t, len(report.SoundAgo), 0)
+		version = i.Version()
+		assert.Equal(t, len(i.Report(version).Crashes), 0)
+		i.RecordSound([]uint64{1})
+		assert.Equal(t, len(i.Report(version).SoundAgo), 1)
+	})
+}
