Isolator: crashes are sorted where their order is used

The end of a part's isolation relied on a sort inside the function that judges the part. Same behaviour: the same list in the same order.

--- a/internal/routing/isolator/isolate.go
+++ b/internal/routing/isolator/isolate.go
@@ -282,18 +282,20 @@
 		}
 	}
 	for part, crashes := range byPart {
+		slices.SortFunc(crashes, func(a, b crash) int { return a.lost.Compare(b.lost) })
 		if convicts(crashes) && !explained(part, byPart) {
-			next.isolatedUntil[part] = lastLost(crashes).Add(isolationTime + i.trialDelay)
+			last := crashes[len(crashes)-1]
+			next.isolatedUntil[part] = last.lost.Add(isolationTime + i.trialDelay)
 		}
 	}
 	i.decisions.Store(next)
 	i.version.Add(1)
 }
 
-// convicts reports whether crashes of a part without a sound answer since isolate it:
-// enough replicas, and enough of them by requests sent after the crash before.
+// convicts reports whether crashes of a part without a sound answer since, in the order of
+// their times, isolate it: enough replicas, and enough of them by requests sent after the
+// crash before.
 func convicts(crashes []crash) bool {
-	slices.SortFunc(crashes, func(a, b crash) int { return a.lost.Compare(b.lost) })
 	replicas := make(map[uint64]bool)
 	chain, last := 0, time.Time{}
 	for _, c := range crashes {
@@ -326,6 +328,3 @@
 	}
 	return false
 }
-
-// lastLost returns when the last of the crashes, which are sorted, was.
-func lastLost(crashes []crash) time.Time { return crashes[len(crashes)-1].lost }
