Log and count the limits that replicas name (LIMIT)

Answers now yield the limit or the invalid text; its beginning, change and end are logged, and limits counted. Choices are as before.

Test: TestRateLimitIsDecoded. Package tests of platform, router and logging pass.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -356,12 +356,13 @@
 	return &Result{Reply: reply, Body: body}, true
 }
 
-// recordReport stores what the answer reports about its replica: whether it leaves or asks
-// for a pause, and its weights version if it has a model, else its load.
+// recordReport stores what the answer reports about its replica: whether it leaves, asks for
+// a pause or names a limit, and its weights version if it has a model, else its load.
 func (d *dispatch) recordReport(reply *Reply) {
 	replica := d.choice.replica
 	d.recordLeaving(reply)
 	d.recordPause(reply)
+	d.recordRateLimit(reply)
 	if d.request.Prompt != nil {
 		replica.recordWeightsVersion(d.request.Prompt.Model, reply.WeightsVersion)
 		return
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -118,6 +118,9 @@
 	// pausedUntil is until when the replica wants nothing from this daemon, in Unix
 	// nanoseconds; 0 before it has asked for a pause.
 	pausedUntil atomic.Int64
+	// rateLimit is the limit that its last answer to this daemon named, in requests a second
+	// of all daemons; nil if it named none.
+	rateLimit atomic.Pointer[float64]
 	// ended is set once another replica or incarnation was found at the address.
 	ended atomic.Bool
 	// backlogTokens is the number of tokens, by priority, that the replica must prefill
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -132,6 +132,10 @@
 	// daemon, 0 if it does not say. InvalidPause is what it says if that is no duration.
 	Pause        time.Duration
 	InvalidPause string
+	// RateLimit is how many requests a second the replica takes from all daemons together,
+	// nil if it names no limit. InvalidRateLimit is what it says if that is no such number.
+	RateLimit        *float64
+	InvalidRateLimit string
 	// ReplicaID is the ID of the replica that answered, "" if it is not named.
 	ReplicaID string
 	// WeightsVersion is the weights version that produced the answer, 0 if not named.
