A replica's limit is divided among the daemons (LIMIT)

Seen by callers: a replica in need that named a limit of 2.3 requests a second got 34 in 4 s; each of three entries went on as before. Cause: Server-Limit was read by nothing; and no part of the router bounds a rate over all daemons, only in each. The class: a bound of the fleet that no daemon knows, or that each would keep alone.

The new package divider holds what is known of limits and this daemon's shares. Answers are observations with an interval, from sending to answer; of overlapping ones the lower limit holds, so that a late answer does not raise it. Daemons report them like replicas that leave. Sidecars list the entries that are connected to them; rendezvous hashing selects which entries may send to a limited replica, each at least 0.5 requests a second of the limit, those of its region first. Each has a token bucket; a replica without a permit is no candidate. A limit of 0 is probed each 5 s by one entry. If no replica has a permit, the request is refused at once with the time of the next one.

Ruled out: one share for each entry (1.9 a second over 23 entries is one in 12 s each), and permits from the sidecar (one more hop on each request; plain services have none).

Evidence: TestReplicaGetsNoMoreThanItsLimit failed before (98 requests in 4 s more than allowed) and passes; so do tests at 1, 5, 23 and 360 daemons with limits of 0, 0.3, 1.9 and 20, and all replicas limited at once: at least nine tenths of the sum of the limits are served.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
@@ -98,6 +99,11 @@
 	// Leaving holds the replicas that have said that they leave. It is exchanged like the
 	// Isolator's evidence.
 	Leaving *router.LeavingRegistry
+	// Limits holds the limits that replicas name. They are exchanged like the Isolator's
+	// evidence, and sidecars list the entries that share them.
+	Limits *divider.Divider
+	// Region is the region of the daemon.
+	Region string
 	// Broadcaster wakes the senders of all sessions.
 	Broadcaster *Broadcaster
 	Clock       timekeeper.Clock
@@ -132,6 +138,9 @@
 	// arrived from another daemon.
 	largeRevision atomic.Uint64
 
+	// membership counts the changes of the connected entries.
+	membership atomic.Uint64
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// sessions holds all open sessions, byReplica those with daemons that attend to a
@@ -161,6 +170,9 @@
 // New starts an announcer. An empty address means that it accepts no connections.
 func New(address string, deps Dependencies) (*Announcer, error) {
 	a := &Announcer{deps: deps, startedAt: deps.Clock.Now(), cancelByAddress: make(map[string]context.CancelFunc), otherRegionPullDelay: minOtherRegionPullDelay + rand.N(maxOtherRegionPullDelay-minOtherRegionPullDelay), refusedSince: make(map[string]time.Time), sessions: make(map[*session]bool), byReplica: make(map[string]*session), backlogChanged: NewBroadcaster()}
+	if deps.Rank != 0 {
+		deps.Limits.SetSelf(divider.Member{ID: deps.Rank, Region: deps.Region})
+	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if address == "" {
 		return a, nil
@@ -201,6 +213,8 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.sessions, s)
+		a.membership.Add(1)
+		a.deps.Limits.SetMembers(s, nil)
 		if a.pull.source == s {
 			a.pull = pullState{}
 		}
@@ -353,6 +367,19 @@
 	return count
 }
 
+// members returns the connected entries.
+func (a *Announcer) members() []divider.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	members := []divider.Member{}
+	for s := range a.sessions {
+		if member := s.member.Load(); member != nil {
+			members = append(members, *member)
+		}
+	}
+	return members
+}
+
 // LowerRankedWatchers returns how many entries with a lower rank than this one watch the
 // store, as reported by the sidecar that knows of the fewest; 0 without a session.
 func (a *Announcer) LowerRankedWatchers() int {
--- a/internal/fleet/announcer/announcer_test.go
+++ b/internal/fleet/announcer/announcer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
@@ -107,7 +108,7 @@
 		},
 		Broadcaster: d.broadcaster,
 		Clock:       timekeeper.System{},
-		Logger:      log.New(io.Discard), Recorder: recorder.New(), Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}),
+		Logger:      log.New(io.Discard), Recorder: recorder.New(), Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), Limits: divider.New(timekeeper.System{}),
 	})
 	assert.NilError(t, err)
 	t.Cleanup(d.announcer.Close)
--- a/internal/fleet/announcer/scale_test.go
+++ b/internal/fleet/announcer/scale_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
@@ -108,7 +109,7 @@
 		WatchesStore:  func() bool { return rank > 0 && rank <= 3 },
 		PullDelay:     func() time.Duration { return 100 * time.Millisecond },
 		Rank:          rank, Broadcaster: NewBroadcaster(), Clock: timekeeper.System{}, Logger: log.New(io.Discard), Recorder: recorder.New(),
-		Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}),
+		Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), Limits: divider.New(timekeeper.System{}),
 	}
 }
 
@@ -278,3 +279,33 @@
 		}
 	})
 }
+
+// TestLimitsReachAllEntries has one entry see a replica name a limit, and later that it ends.
+// All entries know it, and their shares add up to the limit.
+func TestLimitsReachAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemoryFleet(12, 12)
+		defer f.close()
+		<-time.After(5 * time.Second)
+		replica, limit := divider.Replica{ID: "i-7", StartUnixMilli: 3}, 2.0
+		f.entries[5].deps.Limits.Observe(replica, &limit, time.Now())
+		<-time.After(time.Second)
+		permits := 0
+		for range 100 {
+			<-time.After(100 * time.Millisecond)
+			for i, a := range f.entries {
+				if wait := a.deps.Limits.Wait(replica); wait == 0 && a.deps.Limits.Take(replica) {
+					permits++
+				} else {
+					assert.Assert(t, wait > 0, "entry %d", i)
+				}
+			}
+		}
+		assert.Assert(t, permits >= 18 && permits <= 22+4, "%d permits in 10 s", permits)
+		f.entries[2].deps.Limits.Observe(replica, nil, time.Now())
+		<-time.After(time.Second)
+		for i, a := range f.entries {
+			assert.Equal(t, a.deps.Limits.Wait(replica), time.Duration(0), "entry %d", i)
+		}
+	})
+}
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
@@ -188,6 +189,14 @@
 	// Leaving holds the replicas that leave as far as the sender knows. It is set like
 	// CrashReport.
 	Leaving []router.LeavingReplica `cbor:"24,keyasint,omitempty"`
+	// Region is the sender's region. It is set together with Rank.
+	Region string `cbor:"25,keyasint,omitempty"`
+	// Limits holds the limits that replicas name as far as the sender knows. It is set like
+	// CrashReport and holds what is new.
+	Limits []divider.Limit `cbor:"26,keyasint,omitempty"`
+	// Members holds the entries that are connected to the sender, a sidecar. It is set in
+	// messages to entries that subscribe, when it has changed.
+	Members *[]divider.Member `cbor:"27,keyasint,omitempty"`
 	// AcceptsParts is set in a request for changes if they may be sent in parts.
 	AcceptsParts bool `cbor:"17,keyasint,omitempty"`
 	// Part is a part of large changes that were requested.
@@ -226,6 +235,8 @@
 	lowerRankedWatchers atomic.Int64
 	subscribed          atomic.Bool
 	revision            atomic.Uint64
+	// member is the other end if it is an entry, nil until it is known.
+	member atomic.Pointer[divider.Member]
 	// knowsEras is set if the other end knows eras of the store.
 	knowsEras atomic.Bool
 	// otherRegion is set if the ends are in different regions.
@@ -272,8 +283,9 @@
 	versions     map[string]uint64
 	// evidence is the isolator's version at the last report.
 	evidence uint64
-	// leaving is the version of the registry of replicas that leave at the last report.
-	leaving uint64
+	// leaving is the version of the registry of replicas that leave at the last report, limits
+	// that of the limits, and membership that of the connected entries.
+	leaving, limits, membership uint64
 	// cacheCursor is the number of the first change in the cache log that was not sent
 	// yet, 0 before the first message.
 	cacheCursor uint64
@@ -404,7 +416,7 @@
 		OtherRegion: s.otherRegion.Load(), WatchesStore: deps.WatchesStore(), Subscribed: s.announcer.subscribes(s),
 	}
 	if sent.at.IsZero() {
-		m.Rank, m.KnowsEras = deps.Rank, true
+		m.Rank, m.Region, m.KnowsEras = deps.Rank, deps.Region, true
 	}
 	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision()
 	if status := deps.Status(); status != nil {
@@ -432,6 +444,19 @@
 	if version := deps.Leaving.Version(); version != sent.leaving && (m.Status != nil || m.Subscribed) {
 		m.Leaving, sent.leaving, changed = deps.Leaving.Report(), version, true
 	}
+	if version := deps.Limits.Version(); version != sent.limits && (m.Status != nil || m.Subscribed) {
+		m.Limits = deps.Limits.Report(sent.limits)
+		sent.limits, changed = version, true
+	}
+	if !s.subscribed.Load() {
+		sent.membership = 0
+	} else if membership := s.announcer.membership.Load(); m.Status != nil && membership != sent.membership {
+		members := s.announcer.members()
+		m.Members, sent.membership, changed = &members, membership, true
+	}
+	if sent.subscribed && !m.Subscribed {
+		deps.Limits.SetMembers(s, nil)
+	}
 	sent.announcedRevision = deps.Table.NewestRevision()
 	sent.transfers = m.Transfers
 	sent.backlog, sent.watchesStore, sent.subscribed = m.BacklogTokens, m.WatchesStore, m.Subscribed
@@ -582,6 +607,8 @@
 	deps := &s.announcer.deps
 	if m.Rank != 0 {
 		s.rank.Store(m.Rank)
+		s.member.Store(&divider.Member{ID: m.Rank, Region: m.Region})
+		s.announcer.membership.Add(1)
 	}
 	s.subscribed.Store(m.Subscribed)
 	s.backlogTokens.Store(&m.BacklogTokens)
@@ -600,6 +627,12 @@
 	for _, replica := range deps.Leaving.Merge(m.Leaving) {
 		deps.Logger.Info("fleet: replica leaves.", "replica", replica.ID, "started", replica.StartUnixMilli, "source", router.LeavingByPeer, "from", s.conn.RemoteAddr())
 	}
+	for _, limit := range deps.Limits.Merge(m.Limits) {
+		deps.Logger.Info("fleet: limit of a replica changes.", "replica", limit.Replica.ID, "started", limit.Replica.StartUnixMilli, "limited", limit.RequestsPerSecond != nil, "from", s.conn.RemoteAddr())
+	}
+	if m.Members != nil {
+		deps.Limits.SetMembers(s, *m.Members)
+	}
 	if m.Status == nil {
 		return
 	}
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -170,7 +170,7 @@
 	}
 	backingOff, failureRate := replica.inBackoff(s.now)
 	c := candidate{replica: replica, descriptor: descriptor, state: replica.FreshState(s.now), failureRate: failureRate}
-	c.eligible = !backingOff && replica.pauseRemaining(s.now) <= 0 && !slices.Contains(s.excluded, replica) && (c.state == nil || c.state.Phase <= Preparing)
+	c.eligible = !backingOff && s.router.pool.waitRemaining(replica, descriptor, s.now) <= 0 && !slices.Contains(s.excluded, replica) && (c.state == nil || c.state.Phase <= Preparing)
 	if s.request.Prompt != nil {
 		c.weightsVersion = replica.WeightsVersion(s.request.Prompt.Model, s.now)
 		c.eligible = c.eligible && (s.pinnedVersion == 0 || c.weightsVersion == 0 || c.weightsVersion == s.pinnedVersion)
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -175,6 +175,10 @@
 		if failure := d.checkAdmission(c); failure != nil {
 			return failure
 		}
+		if !d.router.pool.limits.Take(c.replica.descriptor.Load().limited()) {
+			// Another request has taken the last permit since the choice.
+			continue
+		}
 		err := d.send(c)
 		if err == nil {
 			return nil
@@ -208,7 +212,7 @@
 // of the last attempt, if there was one.
 func (d *dispatch) noReplicaFailure() *Failure {
 	if d.runAttempts == 0 {
-		if failure := d.pauseFailure(); failure != nil {
+		if failure := d.unavailableFailure(); failure != nil {
 			return failure
 		}
 	}
--- a/internal/routing/router/pause.go
+++ b/internal/routing/router/pause.go
@@ -45,10 +45,10 @@
 	return time.Duration(until - now.UnixNano())
 }
 
-// pauseFailure returns the failure of a request for which no replica is left because all that
-// serve have asked for a pause: its caller may come back when the first of them takes
-// requests again. It returns nil if some replica has not asked for one.
-func (d *dispatch) pauseFailure() *Failure {
+// unavailableFailure returns the failure of a request for which no replica is left because all
+// that serve have asked for a pause or have reached their limit: its caller may come back
+// when the first of them takes requests again. It returns nil if some replica takes them now.
+func (d *dispatch) unavailableFailure() *Failure {
 	now := d.router.clock.Now()
 	first := time.Duration(0)
 	for _, replica := range d.router.pool.group(d.service.name).replicas {
@@ -56,7 +56,7 @@
 		if !d.router.pool.takesRequests(replica, descriptor) {
 			continue
 		}
-		remaining := replica.pauseRemaining(now)
+		remaining := d.router.pool.waitRemaining(replica, descriptor, now)
 		if remaining <= 0 {
 			return nil
 		}
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"github.com/zeebo/xxh3"
 )
@@ -118,9 +119,6 @@
 	// pausedUntil is until when the replica wants nothing from this daemon, in Unix
 	// nanoseconds; 0 before it has asked for a pause.
 	pausedUntil atomic.Int64
-	// rateLimit is the limit that its last answer to this daemon named, in requests a second
-	// of all daemons; nil if it named none.
-	rateLimit atomic.Pointer[float64]
 	// ended is set once another replica or incarnation was found at the address.
 	ended atomic.Bool
 	// backlogTokens is the number of tokens, by priority, that the replica must prefill
@@ -221,6 +219,8 @@
 	clock timekeeper.Clock
 	// leaving holds the replicas that have said that they leave.
 	leaving *LeavingRegistry
+	// limits holds this daemon's shares of the limits that replicas name.
+	limits *divider.Divider
 	// view is never changed, only replaced.
 	view atomic.Pointer[view]
 	// onBacklog is called with the address of a replica when this daemon's backlog there
@@ -248,7 +248,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(clock timekeeper.Clock) *Pool {
-	p := &Pool{clock: clock, leaving: NewLeavingRegistry(clock), removed: make(map[string]removedReplica)}
+	p := &Pool{clock: clock, leaving: NewLeavingRegistry(clock), limits: divider.New(clock), removed: make(map[string]removedReplica)}
 	p.view.Store(&view{})
 	return p
 }
@@ -355,6 +355,9 @@
 // Leaving returns the registry of replicas that leave.
 func (p *Pool) Leaving() *LeavingRegistry { return p.leaving }
 
+// Limits returns this daemon's shares of the limits that replicas name.
+func (p *Pool) Limits() *divider.Divider { return p.limits }
+
 // RecordLeaving records that the replica at an address has said that it leaves.
 func (p *Pool) RecordLeaving(address string, logger *log.Logger) {
 	if replica := p.ReplicaByAddress(address); replica != nil {
--- a/internal/routing/router/ratelimit_test.go
+++ b/internal/routing/router/ratelimit_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
 
@@ -47,6 +49,42 @@
 	return f
 }
 
+// exchange has the daemons exchange reports through one sidecar, each in an interval, until the
+// returned function is called.
+func (f *limitedFleet) exchange(interval time.Duration) (stop func()) {
+	sidecar := divider.New(timekeeper.System{})
+	var members []divider.Member
+	for n := range f.daemons {
+		members = append(members, divider.Member{ID: uint64(n + 1), Region: "r"})
+	}
+	var tasks sync.WaitGroup
+	stopped := make(chan struct{})
+	for n, bed := range f.daemons {
+		limits := bed.pool.Limits()
+		limits.SetSelf(members[n])
+		limits.SetMembers(sidecar, members)
+		tasks.Go(func() {
+			reported, received := uint64(0), uint64(0)
+			<-time.After(interval * time.Duration(n) / time.Duration(len(f.daemons)))
+			for {
+				toReport, toReceive := limits.Version(), sidecar.Version()
+				sidecar.Merge(limits.Report(reported))
+				limits.Merge(sidecar.Report(received))
+				reported, received = toReport, toReceive
+				select {
+				case <-stopped:
+					return
+				case <-time.After(interval):
+				}
+			}
+		})
+	}
+	return func() {
+		close(stopped)
+		tasks.Wait()
+	}
+}
+
 // limit has a replica name a limit from now on.
 func (f *limitedFleet) limit(i int, requestsPerSecond float64) {
 	f.mu.Lock()
@@ -121,6 +159,7 @@
 func TestReplicaGetsNoMoreThanItsLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newLimitedFleet(3, 12)
+		defer f.exchange(300 * time.Millisecond)()
 		f.load(100, time.Second)
 		f.limit(3, 2.1)
 		f.limit(6, 1.9)
@@ -131,3 +170,72 @@
 		assert.Equal(t, served, 1500)
 	})
 }
+
+// TestLimitsHoldOverFleetsOfAllSizes guards against daemons that each allow what all together
+// may: one replica names a limit far below one request a second for each daemon.
+func TestLimitsHoldOverFleetsOfAllSizes(t *testing.T) {
+	for _, daemons := range []int{1, 5, 23, 360} {
+		for _, limit := range []float64{0, 0.3, 1.9, 20} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLimitedFleet(daemons, 3)
+				defer f.exchange(300 * time.Millisecond)()
+				f.limit(0, limit)
+				_, refused := f.load(200, 12*time.Second)
+				assert.Check(t, f.excess(0) <= 0, "%d daemons, limit %v: %d requests more than allowed", daemons, limit, f.excess(0))
+				assert.Check(t, refused == 0, "%d daemons, limit %v: %d refused", daemons, limit, refused)
+			})
+		}
+	}
+}
+
+// TestAllReplicasLimited has all replicas name limits that add up to less than the load. The
+// bound from perfect knowledge is the sum of the limits; nine tenths of it are served, and all
+// others are refused at once, with a time to come back.
+func TestAllReplicasLimited(t *testing.T) {
+	for _, daemons := range []int{3, 23} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newLimitedFleet(daemons, 12)
+			defer f.exchange(300 * time.Millisecond)()
+			for i := range 12 {
+				f.limit(i, 2+float64(i%3))
+			}
+			f.load(100, 5*time.Second)
+			served, refused := f.load(100, 20*time.Second)
+			const sum = 36 * 20
+			assert.Check(t, served >= sum*9/10 && served <= sum*11/10, "%d daemons: %d served of %d", daemons, served, sum)
+			assert.Equal(t, served+refused, 2000)
+			for i := range 12 {
+				assert.Check(t, f.excess(i) <= 0, "%d daemons: %d requests more than allowed", daemons, f.excess(i))
+			}
+			started := time.Now()
+			for range 30 {
+				if failure := f.daemons[0].router.Begin(newRequest(route(Repeatable, 2, false))).Failure; failure != nil {
+					assert.Assert(t, failure.NotRun && failure.RetryAfter >= minRetryAfter && failure.RetryAfter < 10*time.Second)
+				}
+			}
+			assert.Assert(t, time.Since(started) < time.Second)
+		})
+	}
+}
+
+// TestEndOfLimitReachesAllDaemons has a replica that took no requests at all take them again:
+// some daemon finds out, and all use it.
+func TestEndOfLimitReachesAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(5, 3)
+		defer f.exchange(300 * time.Millisecond)()
+		f.limit(0, 0)
+		f.load(100, 10*time.Second)
+		f.mu.Lock()
+		delete(f.limits, "i-0")
+		f.mu.Unlock()
+		f.load(100, 10*time.Second)
+		for n, bed := range f.daemons {
+			bed.sentTo()
+			for range 100 {
+				bed.router.Begin(newRequest(route(Repeatable, 2, false)))
+			}
+			assert.Assert(t, bed.sentTo()["i-0"] > 10, "daemon %d", n)
+		}
+	})
+}
