--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -293,7 +293,7 @@
 	notSent := errors.Is(err, ErrNotSent)
 	d.recordCrash(err)
 	d.router.recorder.Count("attempts.lost")
-	d.router.logger.Info("route: attempt failed.", "request", d.request.ID, "replica", replica.ID(), "notSent", notSent, "err", err)
+	d.router.logger.Info("route: attempt failed.", "request", d.request.ID, "content", d.request.ContentKey, "replica", replica.ID(), "notSent", notSent, "err", err)
 	d.excluded = append(d.excluded, replica)
 	if d.ctx.Err() == nil {
 		replica.recordFailure(d.router.clock.Now())
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -9,9 +9,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/zeebo/xxh3"
 )
 
 var errorNamespace = errorx.NewNamespace("router")
@@ -69,6 +71,9 @@
 	LastEventID int64
 	// WeightsVersion is the weights version that must produce the answer, 0 for any.
 	WeightsVersion int
+	// ContentKey is the same for requests of one caller with the same content, as from
+	// NewContentKey; 0 if it is not known.
+	ContentKey uint64
 	// PreferredReplicaID is the ID of a replica that is tried first, "" for none.
 	PreferredReplicaID string
 	// Affinity is a hash; requests with the same value go to the same plain server
@@ -83,6 +88,19 @@
 	prefixes []*sharedPrefix
 }
 
+// NewContentKey returns a key of a request's content: its caller, path, body and whatever else
+// tells requests apart.
+func NewContentKey(fields ...[]byte) uint64 {
+	hasher := xxh3.New()
+	var length [8]byte
+	for _, field := range fields {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = hasher.Write(length[:])
+		_, _ = hasher.Write(field)
+	}
+	return max(1, hasher.Sum64())
+}
+
 // Attempt is one try of a request at one replica, as a transport sends it.
 type Attempt struct {
 	Request *Request
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -136,7 +136,7 @@
 	route := d.request.Route
 	replica := d.choice.replica
 	d.router.recorder.Count("streams.broken")
-	d.router.logger.Info("route: stream interrupted.", "request", d.request.ID, "replica", replica.ID(), "last", d.lastEventID, "err", cause)
+	d.router.logger.Info("route: stream interrupted.", "request", d.request.ID, "content", d.request.ContentKey, "replica", replica.ID(), "last", d.lastEventID, "err", cause)
 	d.excluded = append(d.excluded, replica)
 	d.recordCrash(cause)
 	if d.ctx.Err() == nil {
