--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -173,6 +173,7 @@
 	if deps.Rank != 0 {
 		deps.Limits.SetSelf(divider.Member{ID: deps.Rank, Region: deps.Region})
 	}
+	deps.Isolator.OnUrgent(deps.Broadcaster.Send)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if address == "" {
 		return a, nil
--- a/internal/fleet/announcer/scale_test.go
+++ b/internal/fleet/announcer/scale_test.go
@@ -269,7 +269,7 @@
 		defer f.close()
 		<-time.After(5 * time.Second)
 		for i := range uint64(4) {
-			f.entries[i*3].deps.Isolator.RecordCrash(i, i, []uint64{7}, time.Now().Add(-100*time.Millisecond))
+			f.entries[i*3].deps.Isolator.RecordCrash(i, i, 0, []uint64{7}, time.Now().Add(-100*time.Millisecond))
 			<-time.After(500 * time.Millisecond)
 		}
 		<-time.After(time.Second)
@@ -309,3 +309,23 @@
 		}
 	})
 }
+
+// TestLossesReachAllEntriesAtOnce has three entries see one replica each end under the same
+// request, within the time of a few crashes.
+func TestLossesReachAllEntriesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemoryFleet(12, 12)
+		defer f.close()
+		<-time.After(5 * time.Second)
+		for i := range uint64(3) {
+			sentAt := time.Now()
+			<-time.After(50 * time.Millisecond)
+			f.entries[i*4].deps.Isolator.RecordLoss(7, i, sentAt)
+			<-time.After(300 * time.Millisecond)
+		}
+		for i, a := range f.entries {
+			_, isolated := a.deps.Isolator.RequestIsolated(7)
+			assert.Assert(t, isolated, "entry %d", i)
+		}
+	})
+}
--- a/internal/routing/divider/divide.go
+++ b/internal/routing/divider/divide.go
@@ -315,6 +315,21 @@
 	return limit / float64(sharers)
 }
 
+// Selects reports whether this daemon is the one of all members that a key selects; each is
+// if none is known.
+func (d *Divider) Selects(key uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.removeMembers(d.clock.Now())
+	own := d.self.order(d.self.Region, key)
+	for member := range d.members {
+		if member != d.self && member.order(member.Region, key).before(own) {
+			return false
+		}
+	}
+	return true
+}
+
 // order is the place of a member among those that may send to a replica.
 type order struct {
 	otherRegion bool
--- a/internal/routing/isolator/isolate.go
+++ b/internal/routing/isolator/isolate.go
@@ -1,7 +1,11 @@
-// Package isolator finds prompt parts on which replicas crash, so that no more requests
-// with them are sent.
+// Package isolator finds prompt parts and requests on which replicas crash, so that no more
+// of these requests are sent.
 //
-// The evidence is a crash: a replica was lost while it began the answer to a request. All
+// The evidence on a request is the loss of replicas that had it, by a key of its content. It
+// is isolated once several replicas were lost, not all together, without a sound answer since.
+// One daemon tries it again, and a request that keeps coming is tried only a few times.
+//
+// The evidence on parts is a crash: a replica was lost while it began the answer to a request. All
 // shared parts of the request are suspects then. A sound answer clears each part that it
 // has. A part is isolated once it has crashed several replicas one after the other, each
 // by a request that was sent after the crash before, and has had no sound answer since.
@@ -53,6 +57,8 @@
 	// SentAgo and LostAgo are how long ago the request was sent and the replica was lost.
 	SentAgo time.Duration `cbor:"4,keyasint"`
 	LostAgo time.Duration `cbor:"5,keyasint"`
+	// Request is a key of the request's content, 0 if it is not known.
+	Request uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Report is the evidence that one daemon has.
@@ -60,11 +66,18 @@
 	Crashes []Crash `cbor:"1,keyasint,omitempty"`
 	// SoundAgo holds how long ago suspected parts last had a sound answer.
 	SoundAgo map[uint64]time.Duration `cbor:"2,keyasint,omitempty"`
+	// Losses, RequestSoundAgo and RequestSeenAgo are the evidence on requests: the replicas
+	// that were lost with them, and how long ago they last had a sound answer and came while
+	// they were isolated.
+	Losses          []Loss                   `cbor:"3,keyasint,omitempty"`
+	RequestSoundAgo map[uint64]time.Duration `cbor:"4,keyasint,omitempty"`
+	RequestSeenAgo  map[uint64]time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // crash is a Crash with points in time.
 type crash struct {
 	replica      uint64
+	request      uint64
 	parts        []uint64
 	sentAt, lost time.Time
 	// version is that of the evidence since which the crash is known.
@@ -89,9 +102,19 @@
 	decisions atomic.Pointer[decisions]
 	// version counts the changes of the evidence.
 	version atomic.Uint64
+	// suspectRequests and isolatedRequests are the numbers of requests with evidence and of
+	// those that are isolated. Without any the path of a request takes no lock.
+	suspectRequests, isolatedRequests atomic.Int64
+	// onUrgent and selectsTrial are nil until they are set.
+	onUrgent     atomic.Pointer[func()]
+	selectsTrial atomic.Pointer[func(key uint64) bool]
 
 	// mu guards the fields below.
 	mu sync.Mutex
+	// requests holds the evidence on requests by the keys of their contents, from which old
+	// evidence was last removed at requestsForgottenAt.
+	requests            map[uint64]*suspectRequest
+	requestsForgottenAt time.Time
 	// crashes are those remembered, by ID.
 	crashes map[uint64]crash
 	// soundAt holds when suspected parts last had a sound answer, and clearedIn the version of
@@ -104,20 +127,21 @@
 
 // New returns an isolator without evidence.
 func New(clock timekeeper.Clock) *Isolator {
-	i := &Isolator{clock: clock, trialDelay: rand.N(isolationTime), crashes: make(map[uint64]crash), soundAt: make(map[uint64]time.Time), clearedIn: make(map[uint64]uint64), trialAt: make(map[uint64]time.Time)}
+	i := &Isolator{clock: clock, trialDelay: rand.N(isolationTime), crashes: make(map[uint64]crash), requests: make(map[uint64]*suspectRequest), soundAt: make(map[uint64]time.Time), clearedIn: make(map[uint64]uint64), trialAt: make(map[uint64]time.Time)}
 	i.decisions.Store(&decisions{})
 	return i
 }
 
 // RecordCrash records that a replica was lost now while it began the answer to a request
-// that was sent at a time. The ID is a hash of the replica's incarnation and the request.
-func (i *Isolator) RecordCrash(id, replica uint64, parts []uint64, sentAt time.Time) {
+// that was sent at a time. The ID is a hash of the replica's incarnation and the request;
+// request is a key of its content, 0 if it is not known.
+func (i *Isolator) RecordCrash(id, replica, request uint64, parts []uint64, sentAt time.Time) {
 	if len(parts) == 0 {
 		return
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.add(id, crash{replica: replica, parts: parts[:min(len(parts), maxParts)], sentAt: sentAt, lost: i.clock.Now()})
+	i.add(id, crash{replica: replica, request: request, parts: parts[:min(len(parts), maxParts)], sentAt: sentAt, lost: i.clock.Now()})
 	i.decide()
 }
 
@@ -181,7 +205,7 @@
 	report := Report{SoundAgo: make(map[uint64]time.Duration)}
 	for id, c := range i.crashes {
 		if c.version > after && i.uncleared(c) {
-			report.Crashes = append(report.Crashes, Crash{ID: id, Replica: c.replica, Parts: c.parts, SentAgo: now.Sub(c.sentAt), LostAgo: now.Sub(c.lost)})
+			report.Crashes = append(report.Crashes, Crash{ID: id, Replica: c.replica, Request: c.request, Parts: c.parts, SentAgo: now.Sub(c.sentAt), LostAgo: now.Sub(c.lost)})
 		}
 	}
 	for part, version := range i.clearedIn {
@@ -189,6 +213,7 @@
 			report.SoundAgo[part] = now.Sub(i.soundAt[part])
 		}
 	}
+	i.reportRequests(&report, after, now)
 	return report
 }
 
@@ -200,14 +225,23 @@
 
 // Merge adds the evidence of another daemon.
 func (i *Isolator) Merge(report Report) {
+	if i.merge(&report) {
+		i.notifyUrgent()
+	}
+}
+
+// merge adds the evidence of another daemon, and reports whether others should learn of it
+// at once.
+func (i *Isolator) merge(report *Report) (urgent bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now, changed := i.clock.Now(), false
+	urgent = i.mergeRequests(report, now)
 	for _, c := range report.Crashes {
 		if _, known := i.crashes[c.ID]; known || c.LostAgo < 0 || c.LostAgo >= memory || len(c.Parts) == 0 {
 			continue
 		}
-		i.add(c.ID, crash{replica: c.Replica, parts: c.Parts[:min(len(c.Parts), maxParts)], sentAt: now.Add(-c.SentAgo), lost: now.Add(-c.LostAgo)})
+		i.add(c.ID, crash{replica: c.Replica, request: c.Request, parts: c.Parts[:min(len(c.Parts), maxParts)], sentAt: now.Add(-c.SentAgo), lost: now.Add(-c.LostAgo)})
 		changed = true
 	}
 	suspects := i.suspects()
@@ -220,6 +254,7 @@
 	if changed {
 		i.decide()
 	}
+	return urgent
 }
 
 // add remembers a crash. The caller holds mu.
@@ -294,15 +329,16 @@
 
 // convicts reports whether crashes of a part without a sound answer since, in the order of
 // their times, isolate it: enough replicas, and enough of them by requests sent after the
-// crash before.
+// crash before. Crashes of requests with the same content count once: these are isolated
+// themselves, and the part may be sound.
 func convicts(crashes []crash) bool {
-	replicas := make(map[uint64]bool)
+	replicas, requests := make(map[uint64]bool), make(map[uint64]bool)
 	chain, last := 0, time.Time{}
 	for _, c := range crashes {
-		if replicas[c.replica] {
+		if replicas[c.replica] || c.request != 0 && requests[c.request] {
 			continue
 		}
-		replicas[c.replica] = true
+		replicas[c.replica], requests[c.request] = true, true
 		if !c.sentAt.Before(last) {
 			chain, last = chain+1, c.lost
 		}
--- a/internal/routing/isolator/isolate_test.go
+++ b/internal/routing/isolator/isolate_test.go
@@ -17,7 +17,7 @@
 func crashInTurn(i *isolator.Isolator, first, crashes int, parts ...uint64) {
 	for n := range crashes {
 		<-time.After(time.Second)
-		i.RecordCrash(uint64(first+n), uint64(first+n), parts, time.Now().Add(-100*time.Millisecond))
+		i.RecordCrash(uint64(first+n), uint64(first+n), 0, parts, time.Now().Add(-100*time.Millisecond))
 	}
 }
 
@@ -49,7 +49,7 @@
 		i := isolator.New(timekeeper.System{})
 		<-time.After(time.Second)
 		for n := range uint64(20) {
-			i.RecordCrash(n, n, []uint64{1, n}, time.Now().Add(-100*time.Millisecond))
+			i.RecordCrash(n, n, 0, []uint64{1, n}, time.Now().Add(-100*time.Millisecond))
 		}
 		assert.Assert(t, !isolated(i, 1))
 	})
@@ -61,7 +61,7 @@
 		i := isolator.New(timekeeper.System{})
 		for n := range uint64(20) {
 			<-time.After(time.Second)
-			i.RecordCrash(n, 5, []uint64{1}, time.Now().Add(-100*time.Millisecond))
+			i.RecordCrash(n, 5, 0, []uint64{1}, time.Now().Add(-100*time.Millisecond))
 		}
 		assert.Assert(t, !isolated(i, 1))
 	})
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 )
 
@@ -54,6 +55,9 @@
 	// once that answer was recorded as sound.
 	headAt        time.Time
 	soundRecorded bool
+	// timedOut is set once this daemon has ended the current attempt because its replica did not
+	// answer in time.
+	timedOut atomic.Bool
 	// isolationKeys are the isolator's keys of the prompt's shared parts.
 	isolationKeys []uint64
 	// firstEventDelay is the time from sentAt to the attempt's first event.
@@ -256,8 +260,12 @@
 		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
+	d.timedOut.Store(false)
 	if timeout, hasTimeout := d.replyTimeout(); hasTimeout {
-		timer := time.AfterFunc(timeout, cancel)
+		timer := time.AfterFunc(timeout, func() {
+			d.timedOut.Store(true)
+			cancel()
+		})
 		defer timer.Stop()
 	}
 	if d.canFailOver() {
--- a/internal/routing/router/isolation.go
+++ b/internal/routing/router/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -31,43 +32,57 @@
 	return keys
 }
 
-// checkIsolated returns a failure if a part of the prompt is isolated because replicas have
-// crashed on it.
+// checkIsolated returns a failure if the request or a part of its prompt is isolated because
+// replicas have crashed on it.
 func (d *dispatch) checkIsolated() *Failure {
-	if len(d.isolationKeys) == 0 {
-		return nil
+	remaining, isolated := d.router.isolator.RequestIsolated(d.request.ContentKey)
+	if isolated {
+		d.router.logger.Info("route: request refused, replicas crash on it.", "request", d.request.ID, "content", d.request.ContentKey, "ran", d.runAttempts, "back", remaining)
+	} else if remaining, isolated = d.router.isolator.Isolated(d.isolationKeys); isolated {
+		d.router.logger.Info("route: request refused, replicas crash on a part of its prompt.", "request", d.request.ID, "ran", d.runAttempts, "back", remaining)
 	}
-	remaining, isolated := d.router.isolator.Isolated(d.isolationKeys)
 	if !isolated {
 		return nil
 	}
 	d.router.recorder.Count("isolated")
-	d.router.logger.Info("route: request refused, replicas crash on a part of its prompt.", "request", d.request.ID, "ran", d.runAttempts, "back", remaining)
 	if d.runAttempts > 0 {
 		return &Failure{Reason: ReasonReplicaFailed}
 	}
 	return &Failure{Reason: ReasonIsolated, NotRun: true, RetryAfter: min(max(minRetryAfter, remaining), maxIsolationRetryAfter)}
 }
 
-// recordCrash records the loss of the replica for the isolator, if it was at the start of
-// the current attempt's answer. Replicas that were lost earlier or later were lost to
-// other requests.
+// key returns a hash of the incarnation. The start is no seed of the hash: xxh3 combines seeds
+// with short texts so that similar ones collide.
+func (i Incarnation) key() uint64 {
+	return NewContentKey([]byte(i.ID), strconv.AppendInt(nil, i.StartUnixMilli, 10))
+}
+
+// recordCrash records the loss of the replica for the isolator. Against the request counts a
+// loss before the answer has gone past its start, against the parts of its prompt only one at
+// the start of the answer: replicas that were lost earlier or later were lost to other
+// requests.
 func (d *dispatch) recordCrash(err error) {
-	now := d.router.clock.Now()
-	if len(d.isolationKeys) == 0 || d.reply == nil || d.ctx.Err() != nil || errors.Is(err, ErrInvalidAnswer) || now.Sub(d.headAt) >= answerStartTime {
+	if d.ctx.Err() != nil || errors.Is(err, ErrInvalidAnswer) || errors.Is(err, ErrNotSent) || d.reply != nil && d.router.clock.Now().Sub(d.headAt) >= answerStartTime {
 		return
 	}
 	descriptor := d.choice.replica.descriptor.Load()
-	incarnation := xxh3.HashStringSeed(descriptor.ID, uint64(descriptor.StartUnixMilli))
+	incarnation := descriptor.incarnation().key()
+	if !d.timedOut.Load() {
+		d.router.isolator.RecordLoss(d.request.ContentKey, incarnation, d.sentAt)
+	}
+	if len(d.isolationKeys) == 0 || d.reply == nil {
+		return
+	}
 	d.router.recorder.Count("attempts.crashed")
 	d.router.logger.Info("route: replica was lost at the start of an answer.", "request", d.request.ID, "replica", descriptor.ID, "parts", d.isolationKeys)
-	d.router.isolator.RecordCrash(xxh3.HashStringSeed(d.request.ID, incarnation), incarnation, d.isolationKeys, d.sentAt)
+	d.router.isolator.RecordCrash(xxh3.HashStringSeed(d.request.ID, incarnation), incarnation, d.request.ContentKey, d.isolationKeys, d.sentAt)
 }
 
 // recordSound records that the current attempt's answer has gone past its start.
 func (d *dispatch) recordSound() {
 	if !d.soundRecorded {
 		d.soundRecorded = true
+		d.router.isolator.RecordSoundRequest(d.request.ContentKey)
 		d.router.isolator.RecordSound(d.isolationKeys)
 	}
 }
--- a/internal/routing/router/poison_test.go
+++ b/internal/routing/router/poison_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
 
@@ -22,7 +24,8 @@
 // poisonedFleet simulates daemons before replicas of which each that begins to run requests
 // with one content ends, with all requests that it runs, and is back after some seconds.
 type poisonedFleet struct {
-	daemons []*testBed
+	daemons  []*testBed
+	replicas int
 	// poison is the content that crashes replicas.
 	poison string
 	// restart is how long a replica is down.
@@ -45,7 +48,7 @@
 type content string
 
 func newPoisonedFleet(daemons, replicas int, poison string) *poisonedFleet {
-	f := &poisonedFleet{poison: poison, restart: 3 * time.Second, downUntil: map[string]time.Time{}, generation: map[string]int{}}
+	f := &poisonedFleet{replicas: replicas, poison: poison, restart: 3 * time.Second, downUntil: map[string]time.Time{}, generation: map[string]int{}}
 	for range daemons {
 		f.daemons = append(f.daemons, newTestBed(replicas, func(_ int, a *Attempt) (*Reply, error) { return f.answer(a) }))
 	}
@@ -57,10 +60,57 @@
 	return f
 }
 
-// crash ends a replica. The caller holds mu.
+// crash ends a replica, which starts again as a new incarnation. The caller holds mu.
 func (f *poisonedFleet) crash(id string) {
 	f.generation[id]++
 	f.downUntil[id] = time.Now().Add(f.restart)
+	time.AfterFunc(f.restart, f.list)
+}
+
+// list has all daemons learn the incarnations of all replicas.
+func (f *poisonedFleet) list() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, bed := range f.daemons {
+		var list []Descriptor
+		for i := range f.replicas {
+			d := descriptor(i, 1)
+			d.StartUnixMilli += int64(f.generation[d.ID])
+			list = append(list, d)
+		}
+		bed.pool.SetReplicas(list)
+	}
+}
+
+// exchange has the daemons exchange evidence through one sidecar, each in an interval, until the
+// returned function is called.
+func (f *poisonedFleet) exchange(interval time.Duration) (stop func()) {
+	sidecar := isolator.New(timekeeper.System{})
+	stopped := make(chan struct{})
+	var tasks sync.WaitGroup
+	for n, bed := range f.daemons {
+		own := bed.router.Isolator()
+		own.SetTrialSelector(func(key uint64) bool { return key%uint64(len(f.daemons)) == uint64(n) })
+		tasks.Go(func() {
+			reported, received := uint64(0), uint64(0)
+			<-time.After(interval * time.Duration(n) / time.Duration(len(f.daemons)))
+			for {
+				toReport, toReceive := own.Version(), sidecar.Version()
+				sidecar.Merge(own.Report(reported))
+				own.Merge(sidecar.Report(received))
+				reported, received = toReport, toReceive
+				select {
+				case <-stopped:
+					return
+				case <-time.After(interval):
+				}
+			}
+		})
+	}
+	return func() {
+		close(stopped)
+		tasks.Wait()
+	}
 }
 
 // answer simulates a replica that works for 30 ms.
@@ -144,6 +194,7 @@
 func TestRequestThatCrashesReplicasIsIsolated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newPoisonedFleet(3, 3, "poison")
+		defer f.exchange(300 * time.Millisecond)()
 		f.load(40, 0, time.Second)
 		f.load(40, 4, 20*time.Second)
 		assert.Check(t, f.lateArrivals() <= maxPoisonArrivals, "%d attempts later than %v after the third of %d crashes", f.lateArrivals(), poisonGrace, len(f.crashes))
@@ -151,3 +202,103 @@
 		assert.Check(t, served >= 395, "%d of 400 sound requests served", served)
 	})
 }
+
+// promptPoison has the poison be a request to a model whose parts others share, instead of one
+// to a plain service.
+func (f *poisonedFleet) promptPoison() {
+	f.newRequest = func(text string) *Request {
+		request := modelRequest(route(Repeatable, 2, false), PromptPart{ID: "hot", Tokens: 300}, PromptPart{ID: "own " + text, Tokens: 100})
+		request.Message, request.ContentKey = content(text), NewContentKey([]byte(text))
+		return request
+	}
+}
+
+// TestPoisonIsIsolatedInFleetsOfAllSizes has each daemon see a few of the crashes only, for plain
+// services and for models whose replicas end before the head of the answer.
+func TestPoisonIsIsolatedInFleetsOfAllSizes(t *testing.T) {
+	for _, daemons := range []int{1, 5, 23, 360} {
+		for _, prompt := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newPoisonedFleet(daemons, 12, "poison")
+				if prompt {
+					f.promptPoison()
+				}
+				defer f.exchange(300 * time.Millisecond)()
+				f.load(40, 0, time.Second)
+				f.load(40, 4, 20*time.Second)
+				assert.Check(t, f.lateArrivals() <= maxPoisonArrivals, "%d daemons, prompt %v: %d attempts later than %v after the third of %d crashes", daemons, prompt, f.lateArrivals(), poisonGrace, len(f.crashes))
+				served := f.load(40, 4, 10*time.Second)
+				assert.Check(t, served == 400, "%d daemons, prompt %v: %d of 400 sound requests served", daemons, prompt, served)
+			})
+		}
+	}
+}
+
+// TestPoisonThatKeepsComingIsTriedSeldom has the poison come for two hours: all trials count
+// against the bound.
+func TestPoisonThatKeepsComingIsTriedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPoisonedFleet(5, 6, "poison")
+		defer f.exchange(time.Second)()
+		f.load(4, 2, 2*time.Hour)
+		assert.Check(t, f.lateArrivals() <= maxPoisonArrivals, "%d attempts later than %v after the third of %d crashes", f.lateArrivals(), poisonGrace, len(f.crashes))
+	})
+}
+
+// TestMendedRequestComesBack has a request that has crashed replicas crash them no more: some
+// daemon tries it, and all serve it again.
+func TestMendedRequestComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPoisonedFleet(5, 6, "poison")
+		defer f.exchange(300 * time.Millisecond)()
+		f.load(40, 4, 10*time.Second)
+		f.mu.Lock()
+		f.poison = "none"
+		f.mu.Unlock()
+		f.load(5, 0, time.Second)
+		for range 2 * 60 * 4 {
+			f.daemons[0].router.Begin(f.newRequest("poison"))
+			for _, bed := range f.daemons[1:] {
+				bed.router.Begin(f.newRequest("poison"))
+			}
+			<-time.After(250 * time.Millisecond)
+		}
+		for n, bed := range f.daemons {
+			assert.Assert(t, bed.router.Begin(f.newRequest("poison")).Failure == nil, "daemon %d", n)
+		}
+	})
+}
+
+// TestPlannedCrashIsolatesNoRequest has all replicas end together, again and again, while one
+// caller repeats a request at a high rate: it runs on most of them each time.
+func TestPlannedCrashIsolatesNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPoisonedFleet(3, 6, "none")
+		defer f.exchange(300 * time.Millisecond)()
+		hot := func(d time.Duration) (served int) {
+			for range d / (5 * time.Millisecond) {
+				for _, bed := range f.daemons {
+					go bed.router.Begin(f.newRequest("hot"))
+				}
+				<-time.After(5 * time.Millisecond)
+			}
+			<-time.After(time.Second)
+			for _, bed := range f.daemons {
+				if bed.router.Begin(f.newRequest("hot")).Failure == nil {
+					served++
+				}
+			}
+			return served
+		}
+		for range 4 {
+			assert.Equal(t, hot(2*time.Second), 3)
+			f.mu.Lock()
+			for i := range 6 {
+				f.crash(descriptor(i, 1).ID)
+			}
+			f.mu.Unlock()
+			<-time.After(f.restart + maxBackoff)
+		}
+		assert.Equal(t, hot(2*time.Second), 3)
+	})
+}
--- a/internal/routing/router/request_test.go
+++ b/internal/routing/router/request_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -22,3 +23,16 @@
 		seen[k] = true
 	}
 }
+
+// TestIncarnationsHaveDistinctKeys has similar IDs start at similar times.
+func TestIncarnationsHaveDistinctKeys(t *testing.T) {
+	seen := map[uint64]Incarnation{}
+	for i := range 10 {
+		for start := range int64(1000) {
+			incarnation := Incarnation{ID: fmt.Sprint("i-", i), StartUnixMilli: start}
+			other, found := seen[incarnation.key()]
+			assert.Assert(t, !found, "%v and %v", incarnation, other)
+			seen[incarnation.key()] = incarnation
+		}
+	}
+}
