Requests that wait at a replica when they are isolated are called back

Each request that was sent before its content or a part of its prompt was isolated, and that still waits at a replica, would end one replica more. Its attempt is ended now: replicas drop requests whose connection closes. It is answered 502 at once, as it may have run. The replica is not backed off from, and the end counts as no loss. A trial is not called back.

Test: TestWaitingRequestsAreRecalled, red without the registration of OnIsolated (3 s instead of 300 ms).

--- a/internal/routing/isolator/isolate.go
+++ b/internal/routing/isolator/isolate.go
@@ -106,8 +106,12 @@
 	// those that are isolated. Without any the path of a request takes no lock.
 	suspectRequests, isolatedRequests atomic.Int64
 	// onUrgent and selectsTrial are nil until they are set.
-	onUrgent     atomic.Pointer[func()]
-	selectsTrial atomic.Pointer[func(key uint64) bool]
+	onUrgent atomic.Pointer[func()]
+	// onIsolated is called when newlyIsolated is set: some request or part is isolated that was
+	// not.
+	onIsolated    atomic.Pointer[func()]
+	newlyIsolated atomic.Bool
+	selectsTrial  atomic.Pointer[func(key uint64) bool]
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -139,12 +143,40 @@
 	if len(parts) == 0 {
 		return
 	}
+	defer i.notifyIsolated()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.add(id, crash{replica: replica, request: request, parts: parts[:min(len(parts), maxParts)], sentAt: sentAt, lost: i.clock.Now()})
 	i.decide()
 }
 
+// OnIsolated sets the function that is called when a request or part is newly isolated. It must
+// not block, and may call Blocked.
+func (i *Isolator) OnIsolated(f func()) { i.onIsolated.Store(&f) }
+
+// notifyIsolated calls onIsolated if a request or part is newly isolated since the last call.
+func (i *Isolator) notifyIsolated() {
+	if f := i.onIsolated.Load(); i.newlyIsolated.Swap(false) && f != nil {
+		(*f)()
+	}
+}
+
+// Blocked reports whether a request with a key and the given parts is isolated now and not due
+// for a trial.
+func (i *Isolator) Blocked(request uint64, parts []uint64) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.clock.Now()
+	if s := i.requests[request]; s != nil && s.isolated {
+		trialAt, allowed := s.nextTrial()
+		if !allowed || now.Before(trialAt) {
+			return true
+		}
+	}
+	isolated := i.decisions.Load().isolatedUntil
+	return slices.ContainsFunc(parts, func(part uint64) bool { return now.Before(isolated[part]) })
+}
+
 // RecordSound records that a request with the given parts was answered without a crash.
 func (i *Isolator) RecordSound(parts []uint64) {
 	suspects := i.decisions.Load().suspects
@@ -225,6 +257,7 @@
 
 // Merge adds the evidence of another daemon.
 func (i *Isolator) Merge(report Report) {
+	defer i.notifyIsolated()
 	if i.merge(&report) {
 		i.notifyUrgent()
 	}
@@ -321,6 +354,9 @@
 		if convicts(crashes) && !explained(part, byPart) {
 			last := crashes[len(crashes)-1]
 			next.isolatedUntil[part] = last.lost.Add(isolationTime + i.trialDelay)
+			if _, before := i.decisions.Load().isolatedUntil[part]; !before {
+				i.newlyIsolated.Store(true)
+			}
 		}
 	}
 	i.decisions.Store(next)
--- a/internal/routing/isolator/request.go
+++ b/internal/routing/isolator/request.go
@@ -109,7 +109,7 @@
 func (i *Isolator) OnUrgent(f func()) { i.onUrgent.Store(&f) }
 
 // SetTrialSelector sets the function that reports whether this daemon, of all, tries the
-// requests with a key.
+// requests or the part with a key.
 func (i *Isolator) SetTrialSelector(f func(key uint64) bool) { i.selectsTrial.Store(&f) }
 
 // RecordLoss records that a replica was lost now while it had a request that was sent at a
@@ -118,6 +118,7 @@
 	if request == 0 {
 		return
 	}
+	defer i.notifyIsolated()
 	i.mu.Lock()
 	urgent := i.addLoss(request, loss{replica: replica, sentAt: sentAt, lost: i.clock.Now()})
 	i.mu.Unlock()
@@ -225,6 +226,7 @@
 	switch {
 	case convicted && !s.isolated:
 		i.isolatedRequests.Add(1)
+		i.newlyIsolated.Store(true)
 	case !convicted && s.isolated:
 		i.isolatedRequests.Add(-1)
 	}
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -56,8 +56,8 @@
 	headAt        time.Time
 	soundRecorded bool
 	// timedOut is set once this daemon has ended the current attempt because its replica did not
-	// answer in time.
-	timedOut atomic.Bool
+	// answer in time, and recalled once it has because the request is isolated.
+	timedOut, recalled atomic.Bool
 	// isolationKeys are the isolator's keys of the prompt's shared parts.
 	isolationKeys []uint64
 	// firstEventDelay is the time from sentAt to the attempt's first event.
@@ -261,6 +261,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
 	d.timedOut.Store(false)
+	d.recalled.Store(false)
 	if timeout, hasTimeout := d.replyTimeout(); hasTimeout {
 		timer := time.AfterFunc(timeout, func() {
 			d.timedOut.Store(true)
@@ -271,6 +272,7 @@
 	if d.canFailOver() {
 		d.unwatch = c.replica.registerFailover(d, cancel)
 	}
+	defer r.wait(d)()
 	reply, err := r.transport.Send(ctx, attempt)
 	if err != nil {
 		return err
@@ -303,7 +305,7 @@
 	d.router.recorder.Count("attempts.lost")
 	d.router.logger.Info("route: attempt failed.", "request", d.request.ID, "content", d.request.ContentKey, "replica", replica.ID(), "notSent", notSent, "err", err)
 	d.excluded = append(d.excluded, replica)
-	if d.ctx.Err() == nil {
+	if d.ctx.Err() == nil && !d.recalled.Load() {
 		replica.recordFailure(d.router.clock.Now())
 	}
 	if notSent {
--- a/internal/routing/router/isolation.go
+++ b/internal/routing/router/isolation.go
@@ -67,7 +67,7 @@
 	}
 	descriptor := d.choice.replica.descriptor.Load()
 	incarnation := descriptor.incarnation().key()
-	if !d.timedOut.Load() {
+	if !d.timedOut.Load() && !d.recalled.Load() {
 		d.router.isolator.RecordLoss(d.request.ContentKey, incarnation, d.sentAt)
 	}
 	if len(d.isolationKeys) == 0 || d.reply == nil {
@@ -78,6 +78,33 @@
 	d.router.isolator.RecordCrash(xxh3.HashStringSeed(d.request.ID, incarnation), incarnation, d.request.ContentKey, d.isolationKeys, d.sentAt)
 }
 
+// wait registers a request that waits for the head of an answer. The returned function removes
+// the registration.
+func (r *Router) wait(d *dispatch) func() {
+	r.waitingMu.Lock()
+	defer r.waitingMu.Unlock()
+	r.waiting[d] = true
+	return func() {
+		r.waitingMu.Lock()
+		defer r.waitingMu.Unlock()
+		delete(r.waiting, d)
+	}
+}
+
+// recallIsolated ends the attempts of isolated requests that wait for the head of an answer:
+// replicas drop them if they have not begun them.
+func (r *Router) recallIsolated() {
+	r.waitingMu.Lock()
+	defer r.waitingMu.Unlock()
+	for d := range r.waiting {
+		if r.isolator.Blocked(d.request.ContentKey, d.isolationKeys) {
+			r.recorder.Count("recalled")
+			d.recalled.Store(true)
+			d.cancelAttempt()
+		}
+	}
+}
+
 // recordSound records that the current attempt's answer has gone past its start.
 func (d *dispatch) recordSound() {
 	if !d.soundRecorded {
--- a/internal/routing/router/poison_test.go
+++ b/internal/routing/router/poison_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -302,3 +303,44 @@
 		assert.Equal(t, hot(2*time.Second), 3)
 	})
 }
+
+// TestWaitingRequestsAreRecalled guards against requests that wait at replicas when they are
+// isolated: each would end one more. Other requests that wait stay.
+func TestWaitingRequestsAreRecalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPoisonedFleet(1, 6, "none")
+		r := f.daemons[0].router
+		r.transport = Transport{Send: func(ctx context.Context, _ *Attempt) (*Reply, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}}
+		results := map[string]chan time.Duration{}
+		for _, text := range []string{"poison", "bad part", "sound"} {
+			request := f.newRequest(text)
+			request.Route = route(AtMostOnce, 1, false)
+			if text == "bad part" {
+				request = modelRequest(request.Route, PromptPart{ID: "bad", Tokens: 300}, PromptPart{ID: "own", Tokens: 100})
+			}
+			results[text] = make(chan time.Duration, 1)
+			go func() {
+				started := time.Now()
+				r.Begin(request)
+				results[text] <- time.Since(started)
+			}()
+		}
+		part := modelRequest(route(AtMostOnce, 1, false), PromptPart{ID: "bad", Tokens: 300}, PromptPart{ID: "own", Tokens: 100}).Prompt.isolationKeys()
+		for n := range uint64(4) {
+			sentAt := time.Now()
+			<-time.After(100 * time.Millisecond)
+			r.isolator.RecordLoss(NewContentKey([]byte("poison")), n, sentAt)
+			r.isolator.RecordCrash(n, n, 0, part, sentAt)
+		}
+		assert.Equal(t, <-results["poison"], 300*time.Millisecond)
+		assert.Equal(t, <-results["bad part"], 400*time.Millisecond)
+		assert.Equal(t, <-results["sound"], 3*time.Second)
+		for _, replica := range r.pool.group("s").replicas {
+			backingOff, _ := replica.inBackoff(time.Now())
+			assert.Assert(t, !backingOff)
+		}
+	})
+}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -56,11 +56,15 @@
 	// mu guards services.
 	mu       sync.Mutex
 	services map[string]*serviceState
+
+	// waitingMu guards waiting: the requests that wait for the head of an answer.
+	waitingMu sync.Mutex
+	waiting   map[*dispatch]bool
 }
 
 // New returns a router for the replicas of the pool.
 func New(options Options, pool *Pool, transport Transport, clock timekeeper.Clock, logger *log.Logger, metrics *recorder.Recorder) *Router {
-	return &Router{
+	r := &Router{
 		options:   options,
 		pool:      pool,
 		transport: transport,
@@ -71,7 +75,10 @@
 		stored:    newStoredParts(),
 		isolator:  isolator.New(clock),
 		services:  make(map[string]*serviceState),
+		waiting:   make(map[*dispatch]bool),
 	}
+	r.isolator.OnIsolated(r.recallIsolated)
+	return r
 }
 
 // Isolator returns the isolator of prompt parts on which replicas crash. Daemons that
