Trials of isolated parts are agreed over all daemons

Each daemon ended a part's isolation at its own random time within a minute, 0.2 s apart at 360 daemons, so several tried the part before the first crash was known. Now the daemon that the part's key selects among the members tries it, one request a minute, as for requests. Others ask callers to come back after 5 s at the least. Without known members it is as before.

--- a/internal/routing/isolator/isolate.go
+++ b/internal/routing/isolator/isolate.go
@@ -32,10 +32,13 @@
 	// how many of them one after the other.
 	minCrashes = 4
 	minChain   = 3
-	// isolationTime is how long after its last crash a part is isolated at least, and twice
-	// that at most: daemons end it one after the other, so that few try the part at a time.
-	// Each then lets one request through in isolationTime, until a trial is answered.
+	// isolationTime is how long after its last crash a part is isolated at least. Then one daemon
+	// lets one request through in isolationTime, until a trial is answered. Without a selector
+	// daemons end the isolation one after the other, within as long again.
 	isolationTime = time.Minute
+	// trialRetryAfter is the time after which requests that wait for another daemon's trial
+	// should be repeated.
+	trialRetryAfter = 5 * time.Second
 	// memory is how long crashes are remembered, maxCrashes how many.
 	memory     = 10 * time.Minute
 	maxCrashes = 256
@@ -96,7 +99,8 @@
 // concurrent use.
 type Isolator struct {
 	clock timekeeper.Clock
-	// trialDelay is how much longer than isolationTime this daemon isolates parts.
+	// trialDelay is how much longer than isolationTime this daemon isolates parts if no
+	// selector is set.
 	trialDelay time.Duration
 	// decisions is read on the path of each request.
 	decisions atomic.Pointer[decisions]
@@ -208,7 +212,7 @@
 	for _, part := range parts {
 		until, ok := isolated[part]
 		if ok && (now.Before(until) || !i.startTrial(part, now)) {
-			longest, found = max(longest, until.Sub(now)), true
+			longest, found = max(longest, trialRetryAfter, until.Sub(now)), true
 		}
 	}
 	return longest, found
@@ -216,6 +220,9 @@
 
 // startTrial reports whether a request may be sent as a trial of a part now.
 func (i *Isolator) startTrial(part uint64, now time.Time) bool {
+	if selects := i.selectsTrial.Load(); selects != nil && !(*selects)(part) {
+		return false
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if last, found := i.trialAt[part]; found && now.Sub(last) < isolationTime {
@@ -353,7 +360,10 @@
 		slices.SortFunc(crashes, func(a, b crash) int { return a.lost.Compare(b.lost) })
 		if convicts(crashes) && !explained(part, byPart) {
 			last := crashes[len(crashes)-1]
-			next.isolatedUntil[part] = last.lost.Add(isolationTime + i.trialDelay)
+			next.isolatedUntil[part] = last.lost.Add(isolationTime)
+			if i.selectsTrial.Load() == nil {
+				next.isolatedUntil[part] = next.isolatedUntil[part].Add(i.trialDelay)
+			}
 			if _, before := i.decisions.Load().isolatedUntil[part]; !before {
 				i.newlyIsolated.Store(true)
 			}
--- a/internal/routing/isolator/isolate_test.go
+++ b/internal/routing/isolator/isolate_test.go
@@ -138,3 +138,34 @@
 		assert.Equal(t, len(i.Report(version).SoundAgo), 1)
 	})
 }
+
+// TestTrialsOfPartsAreAgreed has a part that still crashes replicas come to 360 daemons that
+// exchange evidence within a second: its trials do not grow with the daemons.
+func TestTrialsOfPartsAreAgreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		daemons := make([]*isolator.Isolator, 360)
+		for n := range daemons {
+			daemons[n] = isolator.New(timekeeper.System{})
+			daemons[n].SetTrialSelector(func(key uint64) bool { return key%uint64(len(daemons)) == uint64(n) })
+		}
+		crashInTurn(daemons[0], 1, 5, 1)
+		trials := 0
+		for range 10 * 60 {
+			report := daemons[0].Report(0)
+			for n, d := range daemons {
+				d.Merge(report)
+				if isolated(d, 1) {
+					continue
+				}
+				trials++
+				id := uint64(1000 + trials)
+				d.RecordCrash(id, id, 0, []uint64{1}, time.Now())
+				if n != 0 {
+					daemons[0].Merge(d.Report(0))
+				}
+			}
+			<-time.After(time.Second)
+		}
+		assert.Assert(t, trials > 0 && trials <= 10, "%d trials in 10 minutes", trials)
+	})
+}
