The load in an answer does not replace what a sidecar has reported

A request without a prompt to a replica with a sidecar replaced the whole state by the load in its answer: a replica that prepared or loaded weights seemed to serve, with unknown versions and empty memory, and the report seemed new. The load alone is updated now while the report is recent.

Test: TestLoadInAnswerKeepsReport, red before (phase serving, no versions).

--- a/internal/routing/router/answer_test.go
+++ b/internal/routing/router/answer_test.go
@@ -192,3 +192,26 @@
 		assert.Equal(t, failure.RetryAfter, 3*time.Second)
 	})
 }
+
+// TestLoadInAnswerKeepsReport guards against the load that an answer names replacing all that the
+// replica's sidecar has reported: a loading replica would seem to serve.
+func TestLoadInAnswerKeepsReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(1, func(int, *Attempt) (*Reply, error) {
+			reply := answerReply(200, "ok")
+			reply.Running, reply.Queued = 3, 1
+			return reply, nil
+		})
+		address := descriptor(0, 1).Address
+		b.pool.UpdateState(address, State{Phase: Preparing, StartUnixMilli: 1, WeightsVersions: map[string]int{"m": 2}, MemoryUsed: 500})
+		reportedAt := time.Now()
+		<-time.After(100 * time.Millisecond)
+		assert.Assert(t, b.router.Begin(newRequest(route(Repeatable, 1, false))).Failure == nil)
+		state := b.pool.ReplicaByAddress(address).State()
+		assert.DeepEqual(t, *state, State{Phase: Preparing, StartUnixMilli: 1, WeightsVersions: map[string]int{"m": 2}, MemoryUsed: 500, Running: 3, Queued: 1, ReceivedAt: reportedAt})
+
+		<-time.After(stateTTL)
+		assert.Assert(t, b.router.Begin(newRequest(route(Repeatable, 1, false))).Failure == nil)
+		assert.DeepEqual(t, *b.pool.ReplicaByAddress(address).State(), State{Running: 3, Queued: 1, ReceivedAt: time.Now()})
+	})
+}
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -382,7 +382,7 @@
 		return
 	}
 	if reply.Running >= 0 {
-		replica.state.Store(&State{Running: reply.Running, Queued: reply.Queued, ReceivedAt: d.router.clock.Now()})
+		replica.recordLoad(reply.Running, reply.Queued, d.router.clock.Now())
 	}
 }
 
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -471,6 +471,22 @@
 	}
 }
 
+// recordLoad records the load that an answer names. What else a recent report says is kept, with
+// its age. Answers name no start, so a state with one is from a report.
+func (r *Replica) recordLoad(running, queued int, now time.Time) {
+	for {
+		current := r.state.Load()
+		state := State{ReceivedAt: now}
+		if current != nil && now.Sub(current.ReceivedAt) < stateTTL && current.StartUnixMilli != 0 {
+			state = *current
+		}
+		state.Running, state.Queued = running, queued
+		if r.state.CompareAndSwap(current, &state) {
+			return
+		}
+	}
+}
+
 // registerFailover registers the cancel function of an attempt, which is called when
 // the replica's sidecar reports the replica as unreachable. The returned function
 // removes the registration.
