A change that arrives while no message is due is still announced

It takes the revision once, at the beginning, now. Found by a reader. Test: TestChangeDuringUnsentMessageIsAnnounced, red before.

--- a/internal/fleet/announcer/scale_test.go
+++ b/internal/fleet/announcer/scale_test.go
@@ -329,3 +329,38 @@
 		}
 	})
 }
+
+// TestChangeDuringUnsentMessageIsAnnounced guards against a change that arrives while a session
+// decides that it has nothing to send: it counted as announced.
+func TestChangeDuringUnsentMessageIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deps := fleetDependencies(1, nil)
+		apply := func(revision uint64) {
+			deps.Table.Apply(replicator.Delta{Revision: revision, Complete: true, Items: []replicator.Item{{Key: "c", Value: []byte("1"), Revision: revision}}})
+		}
+		apply(1)
+		arriving := false
+		deps.Status = func() *Status {
+			if arriving {
+				apply(2)
+			}
+			return nil
+		}
+		a, err := New("", deps)
+		assert.NilError(t, err)
+		defer a.Close()
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		defer func() { _ = far.Close() }()
+		s := newSession(a, near, false)
+		_, due := s.nextMessage()
+		assert.Assert(t, due)
+		s.sent.at = time.Now()
+		arriving = true
+		_, due = s.nextMessage()
+		assert.Assert(t, !due)
+		arriving = false
+		_, due = s.nextMessage()
+		assert.Assert(t, due, "the change is not announced")
+	})
+}
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -418,7 +418,8 @@
 	if sent.at.IsZero() {
 		m.Rank, m.Region, m.KnowsEras = deps.Rank, deps.Region, true
 	}
-	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision()
+	newest := deps.Table.NewestRevision()
+	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision(newest)
 	if status := deps.Status(); status != nil {
 		m.PeerWatchesStore = s.announcer.PeerWatchesStore()
 		m.LowerRankedWatchers = s.announcer.watchersRankedBelow(s)
@@ -457,19 +458,19 @@
 	if sent.subscribed && !m.Subscribed {
 		deps.Limits.SetMembers(s, nil)
 	}
-	sent.announcedRevision = deps.Table.NewestRevision()
+	sent.announcedRevision = newest
 	sent.transfers = m.Transfers
 	sent.backlog, sent.watchesStore, sent.subscribed = m.BacklogTokens, m.WatchesStore, m.Subscribed
 	return m, changed || deps.Clock.Now().Sub(sent.at) >= idleInterval
 }
 
 // announcesRevision reports whether the other end should learn at once that the own copy of
-// the store has changed: from a daemon that watches the store, and from one of its region
+// the store has changed, to the given revision: from a daemon that watches the store, and from one of its region
 // that has received a large change.
-func (s *session) announcesRevision() bool {
+func (s *session) announcesRevision(newest uint64) bool {
 	deps := &s.announcer.deps
 	latest := max(s.knownRevision(), s.sent.announcedRevision)
-	return deps.WatchesStore() && deps.Table.NewestRevision() > latest || !s.otherRegion.Load() && s.announcer.largeRevision.Load() > latest
+	return deps.WatchesStore() && newest > latest || !s.otherRegion.Load() && s.announcer.largeRevision.Load() > latest
 }
 
 // knownRevision returns the newest revision up to which the other end has all changes,
