Running requests count in large groups whose replicas have no report

Cause of TestLargeGroupSharesLoad, which failed in 6 of 300 runs: the random part that keeps daemons apart (up to 0.004) outweighs ten running requests (0.0004 each) at replicas without a report. In groups of more than 64 replicas the candidates are drawn at random, which keeps daemons apart already; the random part there is below one running request now. The test passes 3,000 times, three times over.

--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -43,6 +43,10 @@
 	// tieBreakLoss bounds a random loss that keeps daemons with the same knowledge from
 	// choosing the same replica.
 	tieBreakLoss = 0.004
+	// sampledTieBreakLoss is that bound for replicas without a recent report in large groups:
+	// daemons draw different candidates there. It is below the loss of one more running
+	// request, so that their number always counts.
+	sampledTieBreakLoss = 0.0001
 )
 
 const (
@@ -186,7 +190,11 @@
 	c := choice{replica: cand.replica, weightsVersion: cand.weightsVersion}
 	wait, networkLoss := r.networkCost(cand.descriptor)
 	c.wait = wait
-	c.loss = networkLoss + cand.failureRate*failureLoss + rand.Float64()*tieBreakLoss
+	tieBreak := tieBreakLoss
+	if s.largeGroup != nil && cand.state == nil {
+		tieBreak = sampledTieBreakLoss
+	}
+	c.loss = networkLoss + cand.failureRate*failureLoss + rand.Float64()*tieBreak
 	if cand.descriptor.ID == request.PreferredReplicaID {
 		c.loss -= preferredGain
 	}
