--- a/internal/fleet/announcer/rate_test.go
+++ b/internal/fleet/announcer/rate_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
+	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 )
 
@@ -25,3 +29,24 @@
 		assert.Assert(t, sameRegion.messageInterval() <= silenceTimeout/2 && otherRegion.messageInterval() <= silenceTimeout/2, "%d sessions", n)
 	}
 }
+
+// BenchmarkReportBytes reports the sizes of messages that list the entries, and of one limit and
+// one loss of a replica.
+func BenchmarkReportBytes(b *testing.B) {
+	size := func(v any) float64 {
+		data, err := cbor.Marshal(v)
+		assert.NilError(b, err)
+		return float64(len(data))
+	}
+	var members []divider.Member
+	for i := range uint64(360) {
+		members = append(members, divider.Member{ID: i << 50, Region: "central-tx"})
+	}
+	limit := 1.9
+	now := time.Second
+	for b.Loop() {
+		b.ReportMetric(size(message{Members: &members}), "bytes/360members")
+		b.ReportMetric(size(divider.Limit{Replica: divider.Replica{ID: "i-82d56a2acb", StartUnixMilli: 1 << 40, Region: "central-tx"}, Observation: 1 << 60, RequestsPerSecond: &limit, SentAgo: now, AnsweredAgo: now}), "bytes/limit")
+		b.ReportMetric(size(isolator.Loss{Request: 1 << 60, Replica: 1 << 60, SentAgo: now, LostAgo: now}), "bytes/loss")
+	}
+}
--- a/internal/routing/divider/divide.go
+++ b/internal/routing/divider/divide.go
@@ -12,24 +12,16 @@
 package divider
 
 import (
-	"cmp"
-	"encoding/binary"
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/timekeeper"
-	"github.com/zeebo/xxh3"
 )
 
 const (
-	// minShare is the smallest share of a limit that a daemon gets if it is not the only
-	// one, in requests a second.
-	minShare = 0.5
 	// probeRate is the rate, in requests a second, at which a replica that names a lower limit
 	// is still asked whether the limit has ended.
 	probeRate = 0.2
@@ -40,13 +32,6 @@
 	// refreshInterval is the interval at which an observation that repeats the one before is
 	// reported to other daemons.
 	refreshInterval = 2 * time.Second
-	// transitSlack is more than a report takes from daemon to daemon, which ages do not count.
-	transitSlack = 250 * time.Millisecond
-	// assumedMembers is how many daemons are assumed to share a limit while none is known.
-	assumedMembers = 24
-	// memberMemory is how long a daemon that is no longer listed keeps its share: it may be cut
-	// off from those that list it, but not from replicas.
-	memberMemory = 10 * time.Second
 	// maxWait bounds the wait that is reported for replicas to which this daemon may not send.
 	maxWait = 5 * time.Second
 )
@@ -58,13 +43,6 @@
 	Region         string `cbor:"3,keyasint,omitempty"`
 }
 
-// Member is a daemon that sends requests.
-type Member struct {
-	// ID is unique among the daemons and not 0.
-	ID     uint64 `cbor:"1,keyasint"`
-	Region string `cbor:"2,keyasint,omitempty"`
-}
-
 // state is what is known of the limit of one replica.
 type state struct {
 	replica Replica
@@ -120,14 +98,6 @@
 	return &Divider{clock: clock, states: make(map[string]*state), members: make(map[Member]time.Time), lists: make(map[any][]Member), membership: 1}
 }
 
-// SetSelf sets which of the members this daemon is.
-func (d *Divider) SetSelf(self Member) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.self = self
-	d.membership++
-}
-
 // Observe records the limit that an answer of a replica names, nil for none, in requests a
 // second. The request was sent at sentAt. Observe reports whether the known limit changes, and
 // to what.
@@ -161,8 +131,8 @@
 	return replica.StartUnixMilli <= s.replica.StartUnixMilli
 }
 
-// limits reports whether the replica names a limit.
-func (s *state) limits() bool { return !math.IsInf(s.limit, 1) }
+// limited reports whether the replica names a limit.
+func (s *state) limited() bool { return !math.IsInf(s.limit, 1) }
 
 // apply replaces the state of a replica by a later observation, whose times may be off by a
 // slack. The caller holds mu.
@@ -172,7 +142,7 @@
 		return
 	}
 	current := d.states[next.replica.ID]
-	if current == nil && !next.limits() {
+	if current == nil && !next.limited() {
 		return
 	}
 	if current != nil && current.replica.StartUnixMilli == next.replica.StartUnixMilli {
@@ -190,10 +160,10 @@
 		next.reportedAt, next.version = next.answeredAt, d.version.Add(1)
 	}
 	d.states[next.replica.ID] = &next
-	if current != nil && current.limits() {
+	if current != nil && current.limited() {
 		d.limited.Add(-1)
 	}
-	if next.limits() {
+	if next.limited() {
 		d.limited.Add(1)
 	}
 	d.forget(now)
@@ -224,7 +194,7 @@
 			continue
 		}
 		delete(d.states, id)
-		if s.limits() {
+		if s.limited() {
 			d.limited.Add(-1)
 		}
 	}
@@ -274,7 +244,7 @@
 // limitedState returns the state of a replica that names a limit, else nil. The caller holds mu.
 func (d *Divider) limitedState(replica Replica) *state {
 	s := d.states[replica.ID]
-	if s == nil || !s.limits() || !s.covers(replica) || d.clock.Now().Sub(s.answeredAt) >= memory {
+	if s == nil || !s.limited() || !s.covers(replica) || d.clock.Now().Sub(s.answeredAt) >= memory {
 		return nil
 	}
 	return s
@@ -293,161 +263,3 @@
 	}
 	s.tokensAt = now
 }
-
-// share returns this daemon's share of the limit of a replica. The caller holds mu.
-func (d *Divider) share(s *state) float64 {
-	limit := max(s.limit, probeRate)
-	if len(d.members) == 0 {
-		return limit / assumedMembers
-	}
-	sharers := min(len(d.members), max(1, int(min(limit, math.MaxInt32)/minShare)))
-	preferred := 0
-	key := xxh3.HashString(s.replica.ID)
-	own := d.self.order(s.replica.Region, key)
-	for member := range d.members {
-		if member != d.self && member.order(s.replica.Region, key).before(own) {
-			preferred++
-		}
-	}
-	if preferred >= sharers {
-		return 0
-	}
-	return limit / float64(sharers)
-}
-
-// Selects reports whether this daemon is the one of all members that a key selects; each is
-// if none is known.
-func (d *Divider) Selects(key uint64) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.removeMembers(d.clock.Now())
-	own := d.self.order(d.self.Region, key)
-	for member := range d.members {
-		if member != d.self && member.order(member.Region, key).before(own) {
-			return false
-		}
-	}
-	return true
-}
-
-// order is the place of a member among those that may send to a replica.
-type order struct {
-	otherRegion bool
-	hash        uint64
-}
-
-func (m Member) order(region string, key uint64) order {
-	var id [8]byte
-	binary.LittleEndian.PutUint64(id[:], m.ID)
-	return order{otherRegion: m.Region != region, hash: xxh3.HashSeed(id[:], key)}
-}
-
-func (o order) before(other order) bool {
-	if o.otherRegion != other.otherRegion {
-		return other.otherRegion
-	}
-	return o.hash < other.hash
-}
-
-// SetMembers sets the members that a source lists. They replace those that it listed before.
-func (d *Divider) SetMembers(source any, list []Member) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.recordListed()
-	if list == nil {
-		delete(d.lists, source)
-	} else {
-		d.lists[source] = list
-	}
-	d.recordListed()
-}
-
-// recordListed records that the listed members are listed now. The caller holds mu.
-func (d *Divider) recordListed() {
-	now := d.clock.Now()
-	for _, list := range d.lists {
-		for _, member := range list {
-			if _, known := d.members[member]; !known {
-				d.membership++
-			}
-			d.members[member] = now
-		}
-	}
-}
-
-// removeMembers removes members that have not been listed for memberMemory. The caller holds
-// mu.
-func (d *Divider) removeMembers(now time.Time) {
-	if now.Sub(d.membersCheckedAt) < memberMemory/10 {
-		return
-	}
-	d.membersCheckedAt = now
-	d.recordListed()
-	maps.DeleteFunc(d.members, func(_ Member, at time.Time) bool {
-		gone := len(d.lists) > 0 && now.Sub(at) >= memberMemory
-		if gone {
-			d.membership++
-		}
-		return gone
-	})
-}
-
-// Version changes with what other daemons should learn.
-func (d *Divider) Version() uint64 { return d.version.Load() }
-
-// Limit is an observation that daemons report to each other.
-type Limit struct {
-	Replica     Replica `cbor:"1,keyasint"`
-	Observation uint64  `cbor:"2,keyasint"`
-	// RequestsPerSecond is nil if the replica names no limit.
-	RequestsPerSecond *float64 `cbor:"3,keyasint,omitempty"`
-	// SentAgo and AnsweredAgo are how long ago the request was sent and its answer arrived.
-	SentAgo     time.Duration `cbor:"4,keyasint"`
-	AnsweredAgo time.Duration `cbor:"5,keyasint"`
-}
-
-// Report returns what other daemons should learn of after a version.
-func (d *Divider) Report(after uint64) []Limit {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	var list []Limit
-	for _, s := range d.states {
-		if s.version <= after || now.Sub(s.answeredAt) >= memory {
-			continue
-		}
-		limit := Limit{Replica: s.replica, Observation: s.observation, SentAgo: now.Sub(s.sentAt), AnsweredAgo: now.Sub(s.answeredAt)}
-		if s.limits() {
-			value := s.limit
-			limit.RequestsPerSecond = &value
-		}
-		list = append(list, limit)
-	}
-	slices.SortFunc(list, func(a, b Limit) int { return cmp.Compare(b.AnsweredAgo, a.AnsweredAgo) })
-	return list
-}
-
-// Merge records what another daemon reports and returns the reports that change a known limit.
-func (d *Divider) Merge(report []Limit) (changes []Limit) {
-	if len(report) == 0 {
-		return nil
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	for _, limit := range report {
-		value := math.Inf(1)
-		if limit.RequestsPerSecond != nil {
-			value = *limit.RequestsPerSecond
-		}
-		if !(value >= 0) || limit.AnsweredAgo < 0 || limit.SentAgo < limit.AnsweredAgo {
-			continue
-		}
-		before := d.knownLimit(limit.Replica)
-		d.apply(state{replica: limit.Replica, observation: limit.Observation, limit: value, sentAt: now.Add(-limit.SentAgo), answeredAt: now.Add(-limit.AnsweredAgo)}, transitSlack)
-		if d.knownLimit(limit.Replica) != before {
-			changes = append(changes, limit)
-		}
-	}
-	return changes
-}
--- a/internal/routing/divider/divide_test.go
+++ b/internal/routing/divider/divide_test.go
@@ -1,6 +1,7 @@
 package divider_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,3 +121,29 @@
 		assert.Assert(t, taken(d, 10*time.Second) >= 3)
 	})
 }
+
+// BenchmarkWait measures how long it takes to find out whether a replica may get a request, with
+// no limits known and with limits of all of 74 replicas, among 360 daemons.
+func BenchmarkWait(b *testing.B) {
+	d := divider.New(timekeeper.System{})
+	var members []divider.Member
+	for i := range uint64(360) {
+		members = append(members, divider.Member{ID: i + 1, Region: "r"})
+	}
+	d.SetSelf(members[0])
+	d.SetMembers("sidecar", members)
+	replicas := make([]divider.Replica, 74)
+	for i := range replicas {
+		replicas[i] = divider.Replica{ID: fmt.Sprint("i-", i), Region: "r"}
+	}
+	measure := func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			d.Wait(replicas[i%len(replicas)])
+		}
+	}
+	b.Run("unlimited", measure)
+	for _, r := range replicas {
+		d.Observe(r, rate(2), time.Now())
+	}
+	b.Run("limited", measure)
+}
