--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -465,8 +465,8 @@
 }
 
 // announcesRevision reports whether the other end should learn at once that the own copy of
-// the store has changed, to the given revision: from a daemon that watches the store, and from one of its region
-// that has received a large change.
+// the store has changed, to the given revision: from a daemon that watches the store, and
+// from one of its region that has received a large change.
 func (s *session) announcesRevision(newest uint64) bool {
 	deps := &s.announcer.deps
 	latest := max(s.knownRevision(), s.sent.announcedRevision)
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -272,7 +272,7 @@
 	if d.canFailOver() {
 		d.unwatch = c.replica.registerFailover(d, cancel)
 	}
-	defer r.wait(d)()
+	defer r.registerWaiting(d)()
 	reply, err := r.transport.Send(ctx, attempt)
 	if err != nil {
 		return err
--- a/internal/routing/router/isolation.go
+++ b/internal/routing/router/isolation.go
@@ -78,9 +78,9 @@
 	d.router.isolator.RecordCrash(xxh3.HashStringSeed(d.request.ID, incarnation), incarnation, d.request.ContentKey, d.isolationKeys, d.sentAt)
 }
 
-// wait registers a request that waits for the head of an answer. The returned function removes
-// the registration.
-func (r *Router) wait(d *dispatch) func() {
+// registerWaiting registers a request that waits for the head of an answer. The returned function
+// removes the registration.
+func (r *Router) registerWaiting(d *dispatch) func() {
 	r.waitingMu.Lock()
 	defer r.waitingMu.Unlock()
 	r.waiting[d] = true
--- a/internal/routing/router/poison_test.go
+++ b/internal/routing/router/poison_test.go
@@ -87,31 +87,17 @@
 // returned function is called.
 func (f *poisonedFleet) exchange(interval time.Duration) (stop func()) {
 	sidecar := isolator.New(timekeeper.System{})
-	stopped := make(chan struct{})
-	var tasks sync.WaitGroup
-	for n, bed := range f.daemons {
-		own := bed.router.Isolator()
+	return repeatInTurn(len(f.daemons), interval, func(n int) func() {
+		own := f.daemons[n].router.Isolator()
 		own.SetTrialSelector(func(key uint64) bool { return key%uint64(len(f.daemons)) == uint64(n) })
-		tasks.Go(func() {
-			reported, received := uint64(0), uint64(0)
-			<-time.After(interval * time.Duration(n) / time.Duration(len(f.daemons)))
-			for {
-				toReport, toReceive := own.Version(), sidecar.Version()
-				sidecar.Merge(own.Report(reported))
-				own.Merge(sidecar.Report(received))
-				reported, received = toReport, toReceive
-				select {
-				case <-stopped:
-					return
-				case <-time.After(interval):
-				}
-			}
-		})
-	}
-	return func() {
-		close(stopped)
-		tasks.Wait()
-	}
+		reported, received := uint64(0), uint64(0)
+		return func() {
+			toReport, toReceive := own.Version(), sidecar.Version()
+			sidecar.Merge(own.Report(reported))
+			own.Merge(sidecar.Report(received))
+			reported, received = toReport, toReceive
+		}
+	})
 }
 
 // answer simulates a replica that works for 30 ms.
--- a/internal/routing/router/ratelimit_test.go
+++ b/internal/routing/router/ratelimit_test.go
@@ -57,32 +57,18 @@
 	for n := range f.daemons {
 		members = append(members, divider.Member{ID: uint64(n + 1), Region: "r"})
 	}
-	var tasks sync.WaitGroup
-	stopped := make(chan struct{})
-	for n, bed := range f.daemons {
-		limits := bed.pool.Limits()
+	return repeatInTurn(len(f.daemons), interval, func(n int) func() {
+		limits := f.daemons[n].pool.Limits()
 		limits.SetSelf(members[n])
 		limits.SetMembers(sidecar, members)
-		tasks.Go(func() {
-			reported, received := uint64(0), uint64(0)
-			<-time.After(interval * time.Duration(n) / time.Duration(len(f.daemons)))
-			for {
-				toReport, toReceive := limits.Version(), sidecar.Version()
-				sidecar.Merge(limits.Report(reported))
-				limits.Merge(sidecar.Report(received))
-				reported, received = toReport, toReceive
-				select {
-				case <-stopped:
-					return
-				case <-time.After(interval):
-				}
-			}
-		})
-	}
-	return func() {
-		close(stopped)
-		tasks.Wait()
-	}
+		reported, received := uint64(0), uint64(0)
+		return func() {
+			toReport, toReceive := limits.Version(), sidecar.Version()
+			sidecar.Merge(limits.Report(reported))
+			limits.Merge(sidecar.Report(received))
+			reported, received = toReport, toReceive
+		}
+	})
 }
 
 // limit has a replica name a limit from now on.
