The limit of a lost replica is forgotten

After a replica that had named one was gone, each choice of each request took the divider's lock for good. Answers without a limit remove them now, too; what may be sent is the same, since expired limits were not heeded before.

--- a/internal/routing/divider/divide.go
+++ b/internal/routing/divider/divide.go
@@ -138,6 +138,7 @@
 // slack. The caller holds mu.
 func (d *Divider) apply(next state, slack time.Duration) {
 	now := d.clock.Now()
+	d.forget(now)
 	if now.Sub(next.answeredAt) >= memory {
 		return
 	}
@@ -166,7 +167,6 @@
 	if next.limited() {
 		d.limited.Add(1)
 	}
-	d.forget(now)
 }
 
 // yieldsTo reports whether another observation of the same start of the replica replaces the
--- a/internal/routing/isolator/request.go
+++ b/internal/routing/isolator/request.go
@@ -201,6 +201,7 @@
 	s.losses = append(s.losses, l)
 	slices.SortStableFunc(s.losses, func(a, b loss) int { return a.lost.Compare(b.lost) })
 	if len(s.losses) > maxLosses {
+		// The first and the last losses tell how many trials have failed.
 		s.losses = slices.Delete(s.losses, 1, 2)
 	}
 	i.decideRequest(s)
