--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -48,7 +48,9 @@
 	next     int
 	loadedAt time.Time
 	sequence int
-	running  int
+	// written is the version that was last written to the store.
+	written int
+	running int
 	// preempts is set while the engine is short of memory: it then preempts the newest of
 	// every engineSlots requests once.
 	preempts bool
@@ -87,10 +89,16 @@
 	return []any{map[string]any{"name": engineModel, "version": e.version, "adapters": []string{}}}
 }
 
+// beat writes the entry if more than its sequence has changed.
 func (e *engine) beat() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.store.put("servers/"+e.id, map[string]any{"service": "llm", "address": e.address, "zone": "pampa-norte", "version": "v1", "slots": engineSlots, "state": "ready", "cold-left-ms": 0, "stage": "colocated", "models": e.models(), "sequence": e.sequence, "born": e.born})
+	models := e.models()
+	if e.written == e.version {
+		return
+	}
+	e.written = e.version
+	e.store.put("servers/"+e.id, map[string]any{"service": "llm", "address": e.address, "zone": "pampa-norte", "version": "v1", "slots": engineSlots, "state": "ready", "cold-left-ms": 0, "stage": "colocated", "models": models, "sequence": e.sequence, "born": e.born})
 }
 
 func (e *engine) handleReport(w http.ResponseWriter, _ *http.Request) {
--- a/review/standin/paged.go
+++ b/review/standin/paged.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// pageItems is the number of items in a page of the store, `page` in the users' site files.
-	pageItems = 50
+	// pageItems is the number of items in a page of the store.
+	pageItems = 500
 	// replicaCount is the number of replicas of the service. leavingShare of them are taken away
 	// while the processes of the system are started in turn, one each leavingPause.
-	replicaCount = 120
+	replicaCount = 800
 	leavingShare = 0.25
-	leavingPause = 5 * time.Millisecond
+	leavingPause = time.Millisecond
 	// abruptOne is set so that one in abruptOne replicas never reports that it is draining.
 	abruptOne = 3
 	// servesFor is how long a replica that has left serves on: drain-ms and many seconds.
@@ -75,9 +75,9 @@
 	time.Sleep(time.Until(last.Add(stableTime + drainBound + 500*time.Millisecond)))
 	var clients sync.WaitGroup
 	var sent, ok atomic.Int64
-	for c := range 10 {
+	for c := range 20 {
 		clients.Go(func() {
-			for n := range 60 {
+			for n := range 100 {
 				e, id := edges[c%len(edges)], fmt.Sprintf("late-%02d-%03d", c, n)
 				method, path, body := "GET", "/look/"+id, []byte(nil)
 				if n%2 == 1 {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -73,7 +73,8 @@
 	server                     *http.Server
 	mu                         sync.Mutex
 	state                      string
-	sequence                   int
+	// written is the state that was last written.
+	written string
 	// left is closed when the replica no longer writes its entry.
 	left chan struct{}
 }
@@ -106,7 +107,8 @@
 	}
 }
 
-// beat writes the entry unless the replica has left.
+// beat writes the entry unless the replica has left. The entry changes only when more than its
+// sequence changes, so a beat that brings nothing new is not shown to the store.
 func (p *plainReplica) beat() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -115,8 +117,11 @@
 		return
 	default:
 	}
-	p.sequence++
-	p.store.put("servers/"+p.id, map[string]any{"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": 6, "state": p.state, "cold-left-ms": 0, "sequence": p.sequence, "born": p.born})
+	if p.written == p.state {
+		return
+	}
+	p.written = p.state
+	p.store.put("servers/"+p.id, map[string]any{"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": 6, "state": p.state, "cold-left-ms": 0, "sequence": 0, "born": p.born})
 }
 
 // leave removes the entry without a report of draining; the replica serves on for a while and
