--- a/review/standin/watchcut.go
+++ b/review/standin/watchcut.go
@@ -10,7 +10,7 @@
 const (
 	// maxWatch is how long a watch waits until the store cuts it, and cutTime for how long the
 	// store does so.
-	maxWatch, cutTime = 300 * time.Millisecond, 20 * time.Second
+	maxWatch, cutTime = time.Second, 20 * time.Second
 )
 
 func init() { cases["watchcut"] = watchCut }
