--- a/review/standin/stalecopy.go
+++ b/review/standin/stalecopy.go
@@ -16,6 +16,8 @@
 	// have been leaving when a process starts.
 	leaveEach = 3 * time.Millisecond
 	headStart = 190 * time.Millisecond
+	// copiedReplicas is the number of replicas of the service, on three pages.
+	copiedReplicas = 1200
 )
 
 // staleCopy stops and starts an edge while replicas are taken away. It returns how many requests
@@ -32,12 +34,12 @@
 		w.newDaemon("side", fmt.Sprintf("side-pampa-norte-%d", i+1), fmt.Sprintf("127.0.2.%d", i+1), port, e, s.address).start()
 	}
 	var replicas []*plainReplica
-	for range replicaCount {
+	for range copiedReplicas {
 		replicas = append(replicas, newPlainReplica("127.0.0.1", fmt.Sprintf("i-%08x", rand.Uint32()|1<<28), "desk", "pampa-norte", s, seen))
 	}
 	// The first edge runs all the while; the others are stopped and started in turn.
 	var edges []*daemon
-	for i, name := range []string{"edge-pampa-norte-1", "edge-pampa-sur-7", "edge-pampa-sur-4", "edge-pampa-norte-3"} {
+	for i, name := range []string{"edge-pampa-norte-1", "edge-pampa-sur-4", "edge-pampa-sur-10", "edge-pampa-sur-17", "edge-pampa-norte-3"} {
 		e := w.newDaemon("edge", name, fmt.Sprintf("127.0.1.%d", i+1), port, nil, s.address)
 		e.start()
 		e.awaitReady(10 * time.Second)
@@ -46,7 +48,7 @@
 	restarted := edges[1:]
 	time.Sleep(5 * time.Second)
 	left := make(map[string]time.Time)
-	share := int(leavingShare*replicaCount) / len(restarted)
+	share := int(leavingShare*copiedReplicas) / len(restarted)
 	for round, e := range restarted {
 		if trouble {
 			e.signal(syscall.SIGTERM)
@@ -75,7 +77,7 @@
 	last := restarted[len(restarted)-1]
 	time.Sleep(time.Until(last.startedAt.Add(stableTime + drainBound)))
 	var clients sync.WaitGroup
-	for c := range 21 {
+	for c := range 24 {
 		e := restarted[c%len(restarted)]
 		clients.Go(func() {
 			for n := range 100 {
