--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,19 +133,20 @@
 		return
 	}
 	request.CallerGone = listener.Disconnected(ctx.Conn())
+	waited := max(0, arrived.Sub(listener.ReceivedAt(ctx.Conn())))
 	result := g.router.Begin(request)
 	switch {
 	case result.Failure != nil:
 		g.logger.Info("request: failed.", "request", request.ID, "route", request.Route.Name, "reason", result.Failure.Reason,
-			"notRun", result.Failure.NotRun, "took", g.clock.Now().Sub(arrived))
+			"notRun", result.Failure.NotRun, "waited", waited, "took", g.clock.Now().Sub(arrived))
 		g.protocol.WriteFailure(ctx, result.Failure)
 	case result.Stream != nil:
 		g.protocol.WriteHead(ctx, result.Reply)
-		ctx.SetBodyStream(&streamBody{gateway: g, request: request, stream: result.Stream}, -1)
+		ctx.SetBodyStream(&streamBody{gateway: g, request: request, stream: result.Stream, waited: waited}, -1)
 	default:
 		g.protocol.WriteHead(ctx, result.Reply)
 		ctx.SetBody(result.Body)
-		g.logger.Info("request: answered.", "request", request.ID, "route", request.Route.Name, "status", result.Reply.Status, "took", g.clock.Now().Sub(arrived))
+		g.logger.Info("request: answered.", "request", request.ID, "route", request.Route.Name, "status", result.Reply.Status, "waited", waited, "took", g.clock.Now().Sub(arrived))
 	}
 }
 
@@ -153,9 +154,11 @@
 // an error the connection is closed without the last chunk, so that the caller can tell
 // that the stream is incomplete.
 type streamBody struct {
-	gateway    *Gateway
-	request    *router.Request
-	stream     *router.EventStream
+	gateway *Gateway
+	request *router.Request
+	stream  *router.EventStream
+	// waited is the time between the receipt of the request and its handling.
+	waited     time.Duration
 	unread     []byte
 	eventCount int
 	err        error
@@ -182,7 +185,7 @@
 func (s *streamBody) Close() error {
 	s.stream.Close()
 	complete := errors.Is(s.err, io.EOF)
-	fields := append(s.stream.LogFields(), "request", s.request.ID, "route", s.request.Route.Name, "whole", complete, "events", s.eventCount, "took", s.gateway.clock.Now().Sub(s.request.Arrived))
+	fields := append(s.stream.LogFields(), "request", s.request.ID, "route", s.request.Route.Name, "whole", complete, "events", s.eventCount, "waited", s.waited, "took", s.gateway.clock.Now().Sub(s.request.Arrived))
 	if s.err != nil && !complete {
 		fields = append(fields, "err", s.err)
 	}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -182,6 +182,8 @@
 	changed *sync.Cond
 	// inbound holds received bytes that were not read yet.
 	inbound []byte
+	// receivedAt is when bytes were last added to inbound.
+	receivedAt time.Time
 	// queuedBytes counts bytes passed to gnet's event loop that it has not processed yet.
 	queuedBytes int
 	// bufferedBytes counts bytes in gnet's outbound buffer, which a slow client has not
@@ -205,6 +207,7 @@
 		return false
 	}
 	c.inbound = append(c.inbound, data...)
+	c.receivedAt = time.Now()
 	c.changed.Broadcast()
 	return true
 }
@@ -230,6 +233,18 @@
 	return nil
 }
 
+// ReceivedAt returns when the last bytes of the client were received. It returns the zero time
+// before the first, and for a connection of another listener.
+func ReceivedAt(c net.Conn) time.Time {
+	own, ok := c.(*conn)
+	if !ok {
+		return time.Time{}
+	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.receivedAt
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -24,6 +24,7 @@
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -133,6 +134,45 @@
 	// idleSince and idleTimeout are set while the connection is idle.
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// unacknowledged is how many sent bytes the server had not acknowledged when the exchange
+	// was aborted, -1 if it was not or the number is not known.
+	unacknowledged atomic.Int64
+}
+
+// newConn returns a connection without an exchange.
+func newConn(netConn net.Conn) *conn {
+	c := &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}
+	c.unacknowledged.Store(-1)
+	return c
+}
+
+// abort resets the connection because the request's context has ended.
+func (c *conn) abort() {
+	c.unacknowledged.Store(countUnacknowledged(c.Conn))
+	c.reset()
+}
+
+// countUnacknowledged returns how many sent bytes the other end has not acknowledged: they wait
+// in a queue of this machine's link or are in transit. It returns -1 if that is not known.
+func countUnacknowledged(c net.Conn) int64 {
+	syscallConn, ok := c.(syscall.Conn)
+	if !ok {
+		return -1
+	}
+	rawConn, err := syscallConn.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	count := -1
+	err = rawConn.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			count = n
+		}
+	})
+	if err != nil {
+		return -1
+	}
+	return int64(count)
 }
 
 // reset closes the connection with a TCP reset. Data that was not delivered yet is
@@ -167,7 +207,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	answer := &Answer{client: c, conn: connection, address: request.Address}
-	answer.stopReset = context.AfterFunc(ctx, connection.reset)
+	answer.stopReset = context.AfterFunc(ctx, connection.abort)
 	_ = connection.SetDeadline(request.Deadline)
 	if err := c.writeRequest(answer, request); err != nil {
 		answer.Close()
@@ -175,6 +215,9 @@
 	}
 	if err := answer.readHead(c.idField, request.ID); err != nil {
 		answer.Close()
+		if n := connection.unacknowledged.Load(); n >= 0 {
+			err = fmt.Errorf("aborted with %d bytes not acknowledged: %w", n, err)
+		}
 		return nil, fmt.Errorf("%w: %w", ErrExchangeFailed, err)
 	}
 	return answer, nil
@@ -198,7 +241,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", request.Address, err)
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}, nil
+	return newConn(netConn), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection to a server. It
