--- /dev/null
+++ b/listener/export_test.go
@@ -0,0 +1,30 @@
+package listener
+
+import (
+	"errors"
+	"net"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+)
+
+// StallLoop stops the event loop of a connection, as on a machine that gives the process no
+// processor time, until resume is called. It returns once the loop stands still.
+func StallLoop(c net.Conn) (resume func()) {
+	stalled, resumed := make(chan struct{}), make(chan struct{})
+	_ = c.(*conn).raw.Wake(func(gnet.Conn, error) error {
+		close(stalled)
+		<-resumed
+		return nil
+	})
+	<-stalled
+	return func() { close(resumed) }
+}
+
+// CloseArrived reports whether the kernel has the client's close or reset behind all data that was
+// read.
+func CloseArrived(c net.Conn) bool {
+	var peeked [1]byte
+	n, _, err := unix.Recvfrom(c.(*conn).raw.Fd(), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
+}
