Nothing is sent to a replica after its caller has left

Cause: whether the caller is still there was known only from the event loop, which reads the bytes of a connection once in a pass and the close behind them in a later one, and was asked only when a replica was chosen. A daemon that had no processor for a second finds requests and closes in its sockets together, and sends the requests on before it reads the closes. The same holds for what happens between the choice and the first byte: opening a connection, a retry, a resumption. The class: a decision on a state of the caller that was observed some time ago and is not looked at again when it takes effect.

Now a transport asks the router when it is about to send the first byte (Attempt.Admit). The router asks the caller's socket itself, by a look at what the kernel has, and compares the deadline with the clock. The time left that the replica gets is taken at that moment, too. The connection to the replica stays usable and the replica is not blamed. Both interfaces do this.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -161,6 +161,7 @@
 	return &router.Request{
 		ID: c.requestID, Catalog: c.catalog.routing, Workspace: &router.Workspace{Name: workspace.Name, Dedicated: true},
 		Arrived: now, Deadline: now.Add(timeout), LastEventID: -1, CallerGone: listener.Disconnected(ctx.Conn()),
+		CallerLeft: func() bool { return listener.Left(ctx.Conn()) },
 	}
 }
 
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -166,14 +166,21 @@
 		Revision:           m.service.revision.Revision,
 		SidecarIncarnation: e.incarnationOf(a.Address),
 		SenderAddress:      e.common.Identity().LinkAddress,
-		Remaining:          a.Request.Deadline.Sub(e.clock.Now()),
 		Priority:           m.workspace.Priority,
+		BeforeSend: func(request *link.Request) error {
+			remaining, err := a.Admit()
+			request.Remaining = remaining
+			return err
+		},
 	}
 }
 
 // openFailed drops the connection to the sidecar and returns the error for the router,
 // which is router.ErrNotSent if nothing was sent.
 func (e *Entry) openFailed(a *router.Attempt, err error) error {
+	if errors.Is(err, router.ErrExpired) {
+		return fmt.Errorf("%w: %w", router.ErrNotSent, err)
+	}
 	e.common.Client().DropConnection(a.Address)
 	if errors.Is(err, link.ErrNotSent) {
 		return fmt.Errorf("%w: %w", router.ErrNotSent, err)
@@ -395,7 +402,7 @@
 	}
 	e.logger.Warn("entry: no usable answer to a call; asking for its outcome.", "request", a.Request.ID, "attempt", request.AttemptID, "err", err)
 	e.common.Client().DropConnection(a.Address)
-	request.Kind, request.Call = link.Attach, nil
+	request.Kind, request.Call, request.BeforeSend = link.Attach, nil, nil
 	frame, attachErr := e.common.Client().RoundTrip(ctx, a.Address, request)
 	if attachErr != nil || frame.AttemptID != request.AttemptID {
 		return nil, fmt.Errorf("ask for the outcome: %w", errors.Join(err, attachErr, sequencer.ErrOtherAttempt))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,7 @@
 		return
 	}
 	request.CallerGone = listener.Disconnected(ctx.Conn())
+	request.CallerLeft = func() bool { return listener.Left(ctx.Conn()) }
 	waited := max(0, arrived.Sub(listener.ReceivedAt(ctx.Conn())))
 	result := g.router.Begin(request)
 	switch {
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -55,6 +55,8 @@
 	// once that answer was recorded as sound.
 	headAt        time.Time
 	soundRecorded bool
+	// callerLeft is set once an attempt was not sent because the caller had left.
+	callerLeft bool
 	// timedOut is set once this daemon has ended the current attempt because its replica did not
 	// answer in time, and recalled once it has because the request is isolated.
 	timedOut, recalled atomic.Bool
@@ -200,9 +202,12 @@
 func (d *dispatch) checkExpired() *Failure {
 	select {
 	case <-d.request.CallerGone:
-		return &Failure{Reason: ReasonCallerGone, NotRun: d.runAttempts == 0}
+		d.callerLeft = true
 	default:
 	}
+	if d.callerLeft {
+		return &Failure{Reason: ReasonCallerGone, NotRun: d.runAttempts == 0}
+	}
 	if d.timeLeft() < minTimeLeft {
 		return &Failure{Reason: ReasonDeadline, NotRun: d.runAttempts == 0, RetryAfter: minRetryAfter}
 	}
@@ -212,6 +217,20 @@
 // timeLeft returns the time until the request's deadline.
 func (d *dispatch) timeLeft() time.Duration { return d.request.Deadline.Sub(d.router.clock.Now()) }
 
+// admit implements Attempt.Admit. The time since the last check may be long: for a connection, or
+// because the process did not run.
+func (d *dispatch) admit() (time.Duration, error) {
+	if left := d.request.CallerLeft; left != nil && left() {
+		d.callerLeft = true
+		return 0, ErrExpired
+	}
+	remaining := d.timeLeft()
+	if remaining <= 0 {
+		return 0, ErrExpired
+	}
+	return remaining, nil
+}
+
 // noReplicaFailure returns the failure of a request for which no replica is left: that
 // of the last attempt, if there was one.
 func (d *dispatch) noReplicaFailure() *Failure {
@@ -235,7 +254,7 @@
 		Request:        request,
 		ReplicaID:      descriptor.ID,
 		Address:        descriptor.Address,
-		Remaining:      d.timeLeft(),
+		Admit:          d.admit,
 		WeightsVersion: c.weightsVersion,
 		CacheScope:     c.cacheScope,
 		Priority:       request.priority(),
@@ -300,6 +319,11 @@
 // recordAttemptError records that the current attempt got no usable answer.
 func (d *dispatch) recordAttemptError(err error) {
 	replica := d.choice.replica
+	if errors.Is(err, ErrExpired) {
+		d.router.recorder.Count("attempts.expired")
+		d.router.logger.Info("route: not sent, the request has expired.", "request", d.request.ID, "replica", replica.ID(), "left", d.callerLeft)
+		return
+	}
 	notSent := errors.Is(err, ErrNotSent)
 	d.recordCrash(err)
 	d.router.recorder.Count("attempts.lost")
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -25,6 +25,8 @@
 	// ErrInvalidAnswer means that what the server sent is not a valid answer to the
 	// request.
 	ErrInvalidAnswer = errorNamespace.NewType("invalid").New("invalid answer")
+	// ErrExpired means that the caller has left or that the deadline has passed.
+	ErrExpired = errorNamespace.NewType("expired").New("request has expired")
 )
 
 // PromptPart is one part of a prompt, the unit in which prompts are cached and shared.
@@ -83,6 +85,9 @@
 	Message any
 	// CallerGone is closed when the caller has left; nil if that is not observed.
 	CallerGone <-chan struct{}
+	// CallerLeft reports whether the caller has left, also if CallerGone is not closed yet; nil
+	// if that is not observed.
+	CallerLeft func() bool
 
 	// prefixes holds the shared prefix for each weights version that was considered.
 	prefixes []*sharedPrefix
@@ -108,8 +113,10 @@
 	ReplicaID string
 	// Address is the replica's IP address and port.
 	Address string
-	// Remaining is the time left until the request's deadline.
-	Remaining time.Duration
+	// Admit is called by the transport when it is about to send the first byte. It returns the
+	// time left until the request's deadline. After an error, which is ErrExpired, the transport
+	// sends nothing and returns the error together with ErrNotSent.
+	Admit func() (remaining time.Duration, err error)
 	// WeightsVersion is the required weights version, 0 for any; a replica with another
 	// version must reject the attempt.
 	WeightsVersion int
--- a/listener/departed_test.go
+++ b/listener/departed_test.go
@@ -47,6 +47,10 @@
 func (b *departedBed) send(ctx context.Context, attempt *router.Attempt) (*router.Reply, error) {
 	answer, err := b.client.Do(ctx, &replica.Request{
 		Address: b.replicaAddress, Method: fasthttp.MethodPost, Path: "/", Fields: []replica.Field{{Name: "Host", Value: "h"}}, ID: "q", ConnectTimeout: 5 * time.Second, Deadline: attempt.Request.Deadline,
+		BeforeSend: func() ([]replica.Field, error) {
+			_, err := attempt.Admit()
+			return nil, err
+		},
 	})
 	if err != nil {
 		return nil, err
@@ -57,12 +61,35 @@
 	}, nil
 }
 
+// serveReplica answers one request on each connection and returns the address.
+func serveReplica(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, l.Close()) })
+	go func() {
+		for {
+			connection, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = connection.Close() }()
+				if _, err := connection.Read(make([]byte, 1<<10)); err == nil {
+					_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 // newDepartedBed starts a gateway and its replica and returns the gateway's address.
 func newDepartedBed(t *testing.T) (*departedBed, string) {
 	t.Helper()
 	clock := timekeeper.System{}
 	b := &departedBed{
-		replicaAddress: serve(t, func(*fasthttp.RequestCtx) {}), client: replica.New("Id", clock),
+		replicaAddress: serveReplica(t), client: replica.New("Id", clock),
 		handled: make(chan net.Conn), proceed: make(chan struct{}), outcome: make(chan string, 1),
 	}
 	pool := router.NewPool(clock)
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -102,7 +104,7 @@
 
 // OnOpen implements gnet.EventHandler.
 func (l *Listener) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
-	c := &conn{raw: raw, local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, disconnected: make(chan struct{})}
+	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, disconnected: make(chan struct{})}
 	c.changed = sync.NewCond(&c.mu)
 	raw.SetContext(c)
 	select {
@@ -170,7 +172,10 @@
 
 // conn implements net.Conn for one gnet connection.
 type conn struct {
-	raw             gnet.Conn
+	raw gnet.Conn
+	// fd is the socket's file descriptor. It may belong to another file once the connection
+	// has ended.
+	fd              int
 	local, remote   net.Addr
 	maxInboundBytes int
 	// disconnected is closed when ended is set.
@@ -233,6 +238,31 @@
 	return nil
 }
 
+// Left reports whether the client has closed or reset its connection. Unlike Disconnected it
+// does not depend on the event loop, which reads a close behind a request only later. It is
+// false for a connection of another listener.
+func Left(c net.Conn) bool {
+	own, ok := c.(*conn)
+	return ok && own.left()
+}
+
+func (c *conn) left() bool {
+	select {
+	case <-c.disconnected:
+		return true
+	default:
+	}
+	var peeked [1]byte
+	n, _, err := unix.Recvfrom(c.fd, peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case n > 0, errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
+		return false
+	}
+	// Any other result is the end of this connection, also if the descriptor is that of
+	// another file by now.
+	return true
+}
+
 // ReceivedAt returns when the last bytes of the client were received. It returns the zero time
 // before the first, and for a connection of another listener.
 func ReceivedAt(c net.Conn) time.Time {
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -116,3 +116,20 @@
 		assert.Equal(t, string(response.Body()), fmt.Sprintf("/%d", i))
 	}
 }
+
+// TestOpenConnectionHasNotLeft checks that a caller that waits for its answer, or has sent another
+// request already, does not count as one that has left.
+func TestOpenConnectionHasNotLeft(t *testing.T) {
+	left := make(chan bool, 4)
+	address := serve(t, func(ctx *fasthttp.RequestCtx) { left <- listener.Left(ctx.Conn()) })
+	for _, requests := range []int{1, 2} {
+		connection, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(connection, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", requests))
+		assert.NilError(t, err)
+		for range requests {
+			assert.Check(t, !<-left)
+		}
+		assert.NilError(t, connection.Close())
+	}
+}
--- a/peer/link/client.go
+++ b/peer/link/client.go
@@ -131,6 +131,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("open exchange with %s: %w: %w", address, ErrNotSent, err)
 	}
+	if request.BeforeSend != nil {
+		if err := request.BeforeSend(request); err != nil {
+			stream.Cancel()
+			return nil, fmt.Errorf("open exchange with %s: %w: %w", address, ErrNotSent, err)
+		}
+	}
 	if err := stream.Send(request); err != nil {
 		stream.Cancel()
 		c.DropConnection(address)
--- a/peer/link/message.go
+++ b/peer/link/message.go
@@ -51,7 +51,10 @@
 	SenderAddress string `cbor:"sender,omitempty"`
 	// Remaining is the time left until the request's deadline.
 	Remaining time.Duration `cbor:"remaining,omitempty"`
-	Priority  int           `cbor:"priority,omitempty"`
+	// BeforeSend is called once the exchange is open, right before the request is sent, and may
+	// change it. After an error nothing is sent. It may be nil.
+	BeforeSend func(*Request) error `cbor:"-"`
+	Priority   int                  `cbor:"priority,omitempty"`
 	// FirstTokenIndex is the index of the first token wanted; above 0 when resuming.
 	FirstTokenIndex int        `cbor:"from,omitempty"`
 	Infer           *Inference `cbor:"infer,omitempty"`
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -78,7 +78,10 @@
 	// Fields holds the header fields, the one with the ID included. The client adds
 	// Content-Length.
 	Fields []Field
-	Body   []byte
+	// BeforeSend is called once the connection is open, right before the first byte is sent. It
+	// returns further header fields. After an error nothing is sent. It may be nil.
+	BeforeSend func() ([]Field, error)
+	Body       []byte
 	// ID is echoed by the server in the header field that was given to New.
 	ID string
 	// ConnectTimeout is the limit for opening a connection.
@@ -131,7 +134,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// idleSince and idleTimeout are set while the connection is idle.
+	// idleSince is set while the connection is idle, idleTimeout by the last answer.
 	idleSince   time.Time
 	idleTimeout time.Duration
 	// unacknowledged is how many sent bytes the server had not acknowledged when the exchange
@@ -141,7 +144,7 @@
 
 // newConn returns a connection without an exchange.
 func newConn(netConn net.Conn) *conn {
-	c := &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}
+	c := &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), idleTimeout: defaultIdleTimeout}
 	c.unacknowledged.Store(-1)
 	return c
 }
@@ -206,6 +209,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if request.BeforeSend != nil {
+		fields, err := request.BeforeSend()
+		if err != nil {
+			c.keepIdle(request.Address, connection, connection.idleTimeout)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		request.Fields = append(request.Fields, fields...)
+	}
 	answer := &Answer{client: c, conn: connection, address: request.Address}
 	answer.stopReset = context.AfterFunc(ctx, connection.abort)
 	_ = connection.SetDeadline(request.Deadline)
--- a/peer/replica/client_test.go
+++ b/peer/replica/client_test.go
@@ -250,6 +250,34 @@
 	assert.ErrorIs(t, err, ErrNotSent)
 }
 
+// TestRefusedSendSendsNothing refuses a request when its connection is open. Nothing of it may reach
+// the server, and the connection serves the next request, with the fields that are added to it.
+func TestRefusedSendSendsNothing(t *testing.T) {
+	received := make(chan string, 2)
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			r, _, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			received <- r.Header.Get(idField) + r.Header.Get("X-Added")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idField+": b\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c, refused := newClient(), errors.New("caller has left")
+	r := request(address, "a", "x")
+	r.BeforeSend = func() ([]Field, error) { return nil, refused }
+	_, err := c.Do(context.Background(), r)
+	assert.ErrorIs(t, err, ErrNotSent)
+	assert.ErrorIs(t, err, refused)
+	r = request(address, "b", "x")
+	r.BeforeSend = func() ([]Field, error) { return []Field{{Name: "X-Added", Value: "+"}}, nil }
+	answer, err := c.Do(context.Background(), r)
+	assert.NilError(t, err)
+	answer.Close()
+	assert.Equal(t, <-received, "b+")
+}
+
 // TestEventsAreNeverPartial reads a stream in pieces of every size, then a stream that
 // ends within an event, then an event that is too large.
 func TestEventsAreNeverPartial(t *testing.T) {
