--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -157,10 +157,10 @@
 // newRouterRequest returns the router's request without its route and its message, which
 // depend on the kind of request.
 func (e *Entry) newRouterRequest(ctx *fasthttp.RequestCtx, c *caller, workspace *decoder.Workspace, timeout time.Duration) *router.Request {
-	now := e.clock.Now()
+	arrived := listener.ReceivedAt(ctx.Conn(), e.clock.Now())
 	return &router.Request{
 		ID: c.requestID, Catalog: c.catalog.routing, Workspace: &router.Workspace{Name: workspace.Name, Dedicated: true},
-		Arrived: now, Deadline: now.Add(timeout), LastEventID: -1, CallerGone: listener.Disconnected(ctx.Conn()),
+		Arrived: arrived, Deadline: arrived.Add(timeout), LastEventID: -1, CallerGone: listener.Disconnected(ctx.Conn()),
 		CallerLeft: func() bool { return listener.Left(ctx.Conn()) },
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,8 @@
 
 // Protocol defines how requests and answers are encoded.
 type Protocol struct {
-	// Parse reads a request. It returns false if it has already answered the request,
-	// for instance with an error.
+	// Parse reads a request whose last bytes were received at arrived. It returns false if
+	// it has already answered the request, for instance with an error.
 	Parse func(ctx *fasthttp.RequestCtx, arrived time.Time) (*router.Request, bool)
 	// WriteHead writes the status and the header fields of a replica's answer.
 	WriteHead func(ctx *fasthttp.RequestCtx, reply *router.Reply)
@@ -124,7 +124,8 @@
 
 // handle answers one request of a caller.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
-	arrived := g.clock.Now()
+	handled := g.clock.Now()
+	arrived := listener.ReceivedAt(ctx.Conn(), handled)
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -134,7 +135,7 @@
 	}
 	request.CallerGone = listener.Disconnected(ctx.Conn())
 	request.CallerLeft = func() bool { return listener.Left(ctx.Conn()) }
-	waited := max(0, arrived.Sub(listener.ReceivedAt(ctx.Conn())))
+	waited := handled.Sub(arrived)
 	result := g.router.Begin(request)
 	switch {
 	case result.Failure != nil:
--- a/listener/departed_test.go
+++ b/listener/departed_test.go
@@ -96,18 +96,44 @@
 	pool.SetReplicas([]router.Descriptor{{ID: "i", Service: "s", Address: b.replicaAddress, Slots: 4}})
 	options := router.Options{RetryBudgetRatio: 0.2, RetryBudgetExtra: 10, RetryBudgetWindow: 10 * time.Second}
 	r := router.New(options, pool, router.Transport{Send: b.send}, clock, log.New(io.Discard), recorder.New())
+	return b, serveGateway(t, r, gateway.Protocol{
+		Parse:        b.parse,
+		WriteHead:    func(*fasthttp.RequestCtx, *router.Reply) { b.outcome <- "answered" },
+		WriteFailure: func(_ *fasthttp.RequestCtx, failure *router.Failure) { b.outcome <- string(failure.Reason) },
+	})
+}
+
+// serveGateway starts a gateway and returns its address.
+func serveGateway(t *testing.T, r *router.Router, protocol gateway.Protocol) string {
+	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := free.Addr().String()
 	assert.NilError(t, free.Close())
-	g, err := gateway.New(gateway.Settings{Address: address, ReadyAddress: "127.0.0.1:0", IdleTimeout: time.Minute, Grace: 5 * time.Second}, gateway.Protocol{
-		Parse:        b.parse,
-		WriteHead:    func(*fasthttp.RequestCtx, *router.Reply) { b.outcome <- "answered" },
-		WriteFailure: func(_ *fasthttp.RequestCtx, failure *router.Failure) { b.outcome <- string(failure.Reason) },
-	}, r, func() bool { return true }, clock, log.New(io.Discard))
+	settings := gateway.Settings{Address: address, ReadyAddress: "127.0.0.1:0", IdleTimeout: time.Minute, Grace: 5 * time.Second}
+	g, err := gateway.New(settings, protocol, r, func() bool { return true }, timekeeper.System{}, log.New(io.Discard))
 	assert.NilError(t, err)
 	t.Cleanup(g.Drain)
-	return b, address
+	return address
+}
+
+// TestDeadlineCountsFromTheReceipt guards against requests that are given more time than their
+// callers have because they waited before they were handled: a request that was received behind
+// another one arrives when it is received.
+func TestDeadlineCountsFromTheReceipt(t *testing.T) {
+	type handling struct{ arrived, handled time.Time }
+	handlings := make(chan handling, 2)
+	address := serveGateway(t, nil, gateway.Protocol{Parse: func(_ *fasthttp.RequestCtx, arrived time.Time) (*router.Request, bool) {
+		handlings <- handling{arrived, time.Now()}
+		return nil, false
+	}})
+	caller, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	first, second := <-handlings, <-handlings
+	assert.Check(t, second.arrived.Before(first.handled), "it arrived %v after the first was handled", second.arrived.Sub(first.handled))
+	assert.NilError(t, caller.Close())
 }
 
 // TestRequestOfDepartedCallerIsNotSent guards against the failure in which a daemon that got no
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -263,15 +263,18 @@
 	return true
 }
 
-// ReceivedAt returns when the last bytes of the client were received. It returns the zero time
-// before the first, and for a connection of another listener.
-func ReceivedAt(c net.Conn) time.Time {
+// ReceivedAt returns when the last bytes of the client were received: a request that they complete
+// may have waited since. It returns now if that is not known.
+func ReceivedAt(c net.Conn, now time.Time) time.Time {
 	own, ok := c.(*conn)
 	if !ok {
-		return time.Time{}
+		return now
 	}
 	own.mu.Lock()
 	defer own.mu.Unlock()
+	if own.receivedAt.IsZero() || own.receivedAt.After(now) {
+		return now
+	}
 	return own.receivedAt
 }
 
