Decode and log the version of a replica's software, and what a stream resumes

Both are decoded and logged now, with no effect on decisions: software and resumes in the lines of decisions, software in those of the list.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -152,7 +152,7 @@
 		descriptor.Draining = true
 	}
 	if !m.valid || m.descriptor.Draining != descriptor.Draining || m.descriptor.StartUnixMilli != descriptor.StartUnixMilli {
-		r.deps.Logger.Info("roster: replica is new or changed.", "replica", descriptor.ID, "address", descriptor.Address, "draining", descriptor.Draining, "started", descriptor.StartUnixMilli, "revision", item.Revision)
+		r.deps.Logger.Info("roster: replica is new or changed.", "replica", descriptor.ID, "address", descriptor.Address, "draining", descriptor.Draining, "software", descriptor.SoftwareVersion, "started", descriptor.StartUnixMilli, "revision", item.Revision)
 	}
 	m.descriptor, m.valid = descriptor, true
 }
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -275,8 +275,8 @@
 	if c.source != nil {
 		r.pool.addTransfer(c.source, c.replica, c.transferTime)
 	}
-	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "service", d.service.name, "pace", d.service.Pace(), "reason", c.reason,
-		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID)
+	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "software", descriptor.SoftwareVersion, "service", d.service.name, "pace", d.service.Pace(), "reason", c.reason,
+		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
 	d.timedOut.Store(false)
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -49,6 +49,9 @@
 	StartUnixMilli int64
 	// WarmUpRemaining is how much longer the replica is slow after its start.
 	WarmUpRemaining time.Duration
+	// SoftwareVersion is the version of the replica's software, "" if unknown. Versions have no
+	// order.
+	SoftwareVersion string
 	// WeightsVersions maps each model to its weights version.
 	WeightsVersions map[string]int
 }
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -71,6 +71,9 @@
 	// LastEventID is the ID of the last event that the caller has, -1 for none. The
 	// answer continues after it.
 	LastEventID int64
+	// Resumes is the ID of the request that brought the caller the first event of the stream
+	// that LastEventID continues, "" if it is not named.
+	Resumes string
 	// WeightsVersion is the weights version that must produce the answer, 0 for any.
 	WeightsVersion int
 	// ContentKey is the same for requests of one caller with the same content, as from
