Streams go on only at the software version that began them

Cause: the version of a replica's software was not known to the router, so an interrupted stream went on at whichever replica was best; and Resumes was not read, so a stream that its caller took up was a new request that begins late, at whichever entry and replica. The class: an identity that binds the parts of one piece of work is not carried along when the work moves between processes, and what is not known is treated like what does not matter.

Now the version that brought the first event is pinned for the rest of the answer. It is recorded under the ID of the request, by the entry and by two sidecars that a hash of the ID selects; an entry whose caller takes up a stream asks its own records and these sidecars, at most 0.2 s.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
+	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -102,6 +103,10 @@
 	// Limits holds the limits that replicas name. They are exchanged like the Isolator's
 	// evidence, and sidecars list the entries that share them.
 	Limits *divider.Divider
+	// Streams holds the software versions that began streams, and Origin returns what else is
+	// known of these. Sidecars answer entries from both.
+	Streams *pinner.Registry
+	Origin  func(pinner.Query) pinner.Origin
 	// Region is the region of the daemon.
 	Region string
 	// Broadcaster wakes the senders of all sessions.
@@ -138,6 +143,11 @@
 	// arrived from another daemon.
 	largeRevision atomic.Uint64
 
+	// queries holds the channels of the goroutines that wait for answers, by the number of their
+	// query; lastQuery is the last number.
+	queries   sync.Map
+	lastQuery atomic.Uint64
+
 	// membership counts the changes of the connected entries.
 	membership atomic.Uint64
 
--- a/internal/fleet/announcer/announcer_test.go
+++ b/internal/fleet/announcer/announcer_test.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
+	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -37,6 +38,15 @@
 	// that the received changes leave.
 	reports map[string]Status
 	keys    map[uint64]bool
+	// serving is what the daemon knows about software versions that serve.
+	serving []string
+}
+
+// origin implements Dependencies.Origin.
+func (d *daemon) origin(pinner.Query) pinner.Origin {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return pinner.Origin{Serving: d.serving, Observed: len(d.serving) > 0}
 }
 
 func newDaemon(t *testing.T, listening bool) *daemon {
@@ -109,6 +119,7 @@
 		Broadcaster: d.broadcaster,
 		Clock:       timekeeper.System{},
 		Logger:      log.New(io.Discard), Recorder: recorder.New(), Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), Limits: divider.New(timekeeper.System{}),
+		Streams: pinner.New(timekeeper.System{}), Origin: d.origin,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(d.announcer.Close)
--- a/internal/fleet/announcer/scale_test.go
+++ b/internal/fleet/announcer/scale_test.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
+	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -109,7 +110,7 @@
 		WatchesStore:  func() bool { return rank > 0 && rank <= 3 },
 		PullDelay:     func() time.Duration { return 100 * time.Millisecond },
 		Rank:          rank, Broadcaster: NewBroadcaster(), Clock: timekeeper.System{}, Logger: log.New(io.Discard), Recorder: recorder.New(),
-		Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), Limits: divider.New(timekeeper.System{}),
+		Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), Limits: divider.New(timekeeper.System{}), Streams: pinner.New(timekeeper.System{}),
 	}
 }
 
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -19,6 +19,7 @@
 
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
+	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/internal/weights/observer"
@@ -203,12 +204,20 @@
 	Part *part `cbor:"18,keyasint,omitempty"`
 	// Busy refuses a request for large changes.
 	Busy bool `cbor:"19,keyasint,omitempty"`
+	// KnowsStreams is set in a session's first message by daemons that record streams and
+	// answer queries about them.
+	KnowsStreams bool `cbor:"28,keyasint,omitempty"`
+	// StreamRecords are to be recorded, and OriginQuery to be answered, by the receiver, a
+	// sidecar. OriginReply is its answer.
+	StreamRecords []pinner.Record `cbor:"29,keyasint,omitempty"`
+	OriginQuery   *originQuery    `cbor:"30,keyasint,omitempty"`
+	OriginReply   *originReply    `cbor:"31,keyasint,omitempty"`
 }
 
 // regular reports whether the message is one of those that are sent once per interval,
-// which describe the sender, and not one that only requests or brings changes.
+// which describe the sender, and not one that only requests or brings something.
 func (m *message) regular() bool {
-	return !m.WantChanges && m.Delta == nil && m.Part == nil && !m.Busy
+	return !m.WantChanges && m.Delta == nil && m.Part == nil && !m.Busy && m.StreamRecords == nil && m.OriginQuery == nil && m.OriginReply == nil
 }
 
 // session is one connection between two daemons.
@@ -239,6 +248,9 @@
 	member atomic.Pointer[divider.Member]
 	// knowsEras is set if the other end knows eras of the store.
 	knowsEras atomic.Bool
+	// knowsStreams is set if the other end records streams. streamRecords are those to send.
+	knowsStreams  atomic.Bool
+	streamRecords recordQueue
 	// otherRegion is set if the ends are in different regions.
 	otherRegion atomic.Bool
 	// replicaAddress is the address of the other end's replica, nil until it is known.
@@ -364,6 +376,9 @@
 	for ctx.Err() == nil {
 		broadcast, tableChanged := deps.Broadcaster.Wait(), deps.Table.Changed()
 		cacheChanged, backlogChanged := s.replicaUpdates()
+		if s.sendStreamRecords() != nil {
+			return
+		}
 		if m, changed := s.nextMessage(); changed {
 			if s.send(*m) != nil {
 				return
@@ -416,7 +431,7 @@
 		OtherRegion: s.otherRegion.Load(), WatchesStore: deps.WatchesStore(), Subscribed: s.announcer.subscribes(s),
 	}
 	if sent.at.IsZero() {
-		m.Rank, m.Region, m.KnowsEras = deps.Rank, deps.Region, true
+		m.Rank, m.Region, m.KnowsEras, m.KnowsStreams = deps.Rank, deps.Region, true, true
 	}
 	newest := deps.Table.NewestRevision()
 	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision(newest)
@@ -552,6 +567,12 @@
 	if m.KnowsEras {
 		s.knowsEras.Store(true)
 	}
+	if m.KnowsStreams {
+		s.knowsStreams.Store(true)
+	}
+	for _, record := range m.StreamRecords {
+		s.announcer.deps.Streams.Add(record)
+	}
 	position := replicator.Position(m.Era, m.Revision)
 	s.revision.Store(position)
 	if m.regular() {
@@ -568,6 +589,10 @@
 	case m.Busy:
 		s.announcer.endPull(s, busyRetryInterval)
 		return nil
+	case m.OriginQuery != nil:
+		return s.answerOriginQuery(m.OriginQuery)
+	case m.OriginReply != nil:
+		s.announcer.receiveOriginReply(m.OriginReply)
 	case m.WantChanges:
 		return s.answerRequest(m)
 	}
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -118,8 +118,8 @@
 	candidates []candidate
 	// prefixes holds the shared prefix of the prompt on each weights version.
 	prefixes []*sharedPrefix
-	// pinnedVersion is the weights version that must produce the answer, 0 for any.
-	pinnedVersion int
+	// pins are the versions that must produce the answer.
+	pins pins
 	// excluded replicas may not get the request.
 	excluded []*Replica
 	// largeGroup is the service's group if it is sampled because it is too large to
@@ -129,12 +129,19 @@
 	affinityHome *Replica
 }
 
+// pins are the versions that must produce an answer because they began it.
+type pins struct {
+	// weights is a weights version, 0 for any, software a software version, nil for any.
+	weights  int
+	software *string
+}
+
 // selections reuses the memory of finished selections.
 var selections = sync.Pool{New: func() any { return new(selection) }}
 
 // choose returns the replica with the least expected loss, or false if no replica may
-// take the request. The answer must come from pinnedVersion, 0 for any weights version.
-func (r *Router) choose(request *Request, service *serviceState, excluded []*Replica, pinnedVersion int) (choice, bool) {
+// take the request.
+func (r *Router) choose(request *Request, service *serviceState, excluded []*Replica, pinned pins) (choice, bool) {
 	s := selections.Get().(*selection)
 	defer func() {
 		clear(s.candidates)
@@ -142,12 +149,16 @@
 		*s = selection{candidates: s.candidates[:0], prefixes: s.prefixes[:0]}
 		selections.Put(s)
 	}()
-	s.router, s.request, s.service, s.pinnedVersion, s.now = r, request, service, pinnedVersion, r.clock.Now()
+	s.router, s.request, s.service, s.pins, s.now = r, request, service, pinned, r.clock.Now()
 	if catalogService := request.Catalog.Service(service.name); catalogService != nil {
 		s.engine = catalogService.Engine
 	}
 	s.excluded = excluded
-	if g := r.pool.group(service.name); len(g.replicas) <= fullScanLimit {
+	g := r.pool.group(service.name)
+	if pinned.software != nil {
+		g = g.ofSoftware(*pinned.software)
+	}
+	if len(g.replicas) <= fullScanLimit {
 		s.scanAll(g)
 	} else {
 		s.sample(g)
@@ -177,7 +188,7 @@
 	c.eligible = !backingOff && s.router.pool.waitRemaining(replica, descriptor, s.now) <= 0 && !slices.Contains(s.excluded, replica) && (c.state == nil || c.state.Phase <= Preparing)
 	if s.request.Prompt != nil {
 		c.weightsVersion = replica.WeightsVersion(s.request.Prompt.Model, s.now)
-		c.eligible = c.eligible && (s.pinnedVersion == 0 || c.weightsVersion == 0 || c.weightsVersion == s.pinnedVersion)
+		c.eligible = c.eligible && (s.pins.weights == 0 || c.weightsVersion == 0 || c.weightsVersion == s.pins.weights)
 	}
 	s.candidates = append(s.candidates, c)
 	return true
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -40,17 +40,22 @@
 	renewedAtEvent                                 int64
 	// pinnedVersion is the weights version that must produce the answer, 0 for any.
 	pinnedVersion int
+	// pinnedSoftware is the software version that must produce the answer, nil for any.
+	pinnedSoftware *string
 	// excluded replicas have failed or rejected the request and do not get it again.
 	excluded []*Replica
 	// choice, reply and cancelAttempt belong to the current attempt, which was sent at
-	// sentAt.
+	// sentAt to a replica of the software version sentSoftware. streamRecordedAt is when that
+	// was last recorded, zero if it was not.
 	choice        choice
+	sentSoftware  string
 	reply         *Reply
 	cancelAttempt context.CancelFunc
 	// unwatch stops the cancellation of the attempt when its replica becomes
 	// unreachable; nil if it is not watched.
-	unwatch func()
-	sentAt  time.Time
+	unwatch          func()
+	sentAt           time.Time
+	streamRecordedAt time.Time
 	// headAt is when the head of the current attempt's answer arrived. soundRecorded is set
 	// once that answer was recorded as sound.
 	headAt        time.Time
@@ -174,7 +179,7 @@
 		if failure := d.checkIsolated(); failure != nil {
 			return failure
 		}
-		c, found := d.router.choose(d.request, d.service, d.excluded, d.pinnedVersion)
+		c, found := d.router.choose(d.request, d.service, d.excluded, d.pins())
 		if !found {
 			return d.noReplicaFailure()
 		}
@@ -197,6 +202,9 @@
 	}
 }
 
+// pins returns the versions that must produce the answer.
+func (d *dispatch) pins() pins { return pins{weights: d.pinnedVersion, software: d.pinnedSoftware} }
+
 // checkExpired returns a final failure if the caller has left or too little time
 // remains.
 func (d *dispatch) checkExpired() *Failure {
@@ -249,7 +257,7 @@
 func (d *dispatch) send(c choice) error {
 	r, request := d.router, d.request
 	descriptor := c.replica.descriptor.Load()
-	d.choice, d.sentAt = c, r.clock.Now()
+	d.choice, d.sentAt, d.sentSoftware = c, r.clock.Now(), descriptor.SoftwareVersion
 	attempt := &Attempt{
 		Request:        request,
 		ReplicaID:      descriptor.ID,
--- a/internal/routing/router/group_test.go
+++ b/internal/routing/router/group_test.go
@@ -60,12 +60,12 @@
 				var chosen []string
 				for _, daemon := range []*testBed{a, b} {
 					request := modelRequest(route(Streaming, 1, false), PromptPart{fmt.Sprint("p", round, i), 5000}, PromptPart{"own", 10})
-					promptChoice, found := daemon.router.choose(request, daemon.router.serviceState("s"), nil, 0)
+					promptChoice, found := daemon.router.choose(request, daemon.router.serviceState("s"), nil, pins{})
 					assert.Assert(t, found)
 					assert.Equal(t, promptChoice.reason, "home")
 					affinityRequest := newRequest(route(AtMostOnce, 1, false))
 					affinityRequest.Affinity = uint64(i + 1)
-					affinityChoice, found := daemon.router.choose(affinityRequest, daemon.router.serviceState("s"), nil, 0)
+					affinityChoice, found := daemon.router.choose(affinityRequest, daemon.router.serviceState("s"), nil, pins{})
 					assert.Assert(t, found)
 					chosen = append(chosen, promptChoice.replica.ID(), affinityChoice.replica.ID())
 				}
--- a/internal/routing/router/load_test.go
+++ b/internal/routing/router/load_test.go
@@ -201,7 +201,7 @@
 			request := modelRequest(route(Streaming, 1, false), PromptPart{"a", 500}, PromptPart{"b", 5000}, PromptPart{"own", 1000})
 			b.ReportAllocs()
 			for b.Loop() {
-				bed.router.choose(request, bed.router.serviceState("s"), nil, 0)
+				bed.router.choose(request, bed.router.serviceState("s"), nil, pins{})
 			}
 		})
 	}
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -234,6 +234,8 @@
 	// removed holds replicas that are no longer in the list, by ID, with when they were
 	// removed. What is known of them holds if they come back.
 	removed map[string]removedReplica
+	// software holds the software versions of each service's replicas. It is guarded by mu.
+	software map[string]*softwareLog
 }
 
 // removedReplica is a replica that was removed from the list at a time.
@@ -251,7 +253,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(clock timekeeper.Clock) *Pool {
-	p := &Pool{clock: clock, leaving: NewLeavingRegistry(clock), limits: divider.New(clock), removed: make(map[string]removedReplica)}
+	p := &Pool{clock: clock, leaving: NewLeavingRegistry(clock), limits: divider.New(clock), removed: make(map[string]removedReplica), software: make(map[string]*softwareLog)}
 	p.view.Store(&view{})
 	return p
 }
@@ -262,6 +264,7 @@
 func (p *Pool) SetReplicas(list []Descriptor) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordSoftware(list)
 	old := p.view.Load()
 	next := &view{byID: make(map[string]*Replica, len(list)), byAddress: make(map[string]*Replica, len(list)), byService: make(map[string]*group)}
 	for _, descriptor := range list {
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -223,6 +223,9 @@
 	ReasonReplicaFailed Reason = "broken"
 	// ReasonIsolated means that replicas have crashed on a part of the prompt.
 	ReasonIsolated Reason = "isolated"
+	// ReasonUnknownStream means that the stream cannot go on because it is not known which
+	// software version began it.
+	ReasonUnknownStream Reason = "unknownStream"
 	// ReasonCallerGone means that the caller has left.
 	ReasonCallerGone Reason = "gone"
 )
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -1,12 +1,14 @@
 package router
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
+	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
@@ -35,6 +37,10 @@
 	// SupersededAt returns when a version newer than the given one was first named for
 	// the model, and false if there is no newer one.
 	SupersededAt func(model string, version int) (time.Time, bool)
+	// RecordStream has other daemons record which software version began a stream, FindStream
+	// asks them. They may be nil.
+	RecordStream func(pinner.Record)
+	FindStream   func(context.Context, pinner.Query) pinner.Origin
 }
 
 // Router chooses replicas for the requests of one daemon and sends the requests to
@@ -52,6 +58,8 @@
 	stored *storedParts
 	// isolator decides which prompt parts are not sent because replicas crash on them.
 	isolator *isolator.Isolator
+	// streams holds which software version began the streams of this daemon.
+	streams *pinner.Registry
 
 	// mu guards services.
 	mu       sync.Mutex
@@ -74,6 +82,7 @@
 		holders:   newPartHolders(),
 		stored:    newStoredParts(),
 		isolator:  isolator.New(clock),
+		streams:   pinner.New(clock),
 		services:  make(map[string]*serviceState),
 		waiting:   make(map[*dispatch]bool),
 	}
@@ -85,6 +94,9 @@
 // exchange its reports decide on the evidence of all.
 func (r *Router) Isolator() *isolator.Isolator { return r.isolator }
 
+// Streams returns the records of which software version began this daemon's streams.
+func (r *Router) Streams() *pinner.Registry { return r.streams }
+
 // serviceState returns the state of the named service and creates it on first use.
 func (r *Router) serviceState(name string) *serviceState {
 	r.mu.Lock()
@@ -103,7 +115,12 @@
 func (r *Router) Begin(request *Request) *Result {
 	r.recorder.Count("requests")
 	d := newDispatch(r, request)
-	result := d.sendUntilAnswered()
+	var result *Result
+	if failure := d.pinTakenUpStream(); failure != nil {
+		result = d.failureResult(failure)
+	} else {
+		result = d.sendUntilAnswered()
+	}
 	if result.Failure != nil {
 		r.recorder.Count("failed." + string(result.Failure.Reason))
 	}
--- a/internal/routing/router/software_test.go
+++ b/internal/routing/router/software_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"gotest.tools/v3/assert"
 )
 
@@ -105,3 +107,111 @@
 		})
 	}
 }
+
+// takeUp has the caller take up a stream, which began as the given request. It returns the software
+// version at which it goes on, "" if it is refused.
+func (b *testBed) takeUp(t *testing.T, resumes string) string {
+	t.Helper()
+	request := streamRequest("q", 0)
+	request.Resumes, request.LastEventID = resumes, 3
+	result := b.router.Begin(request)
+	if result.Failure != nil {
+		assert.Equal(t, result.Failure.Reason, ReasonUnknownStream)
+		assert.Check(t, result.Failure.NotRun)
+		return ""
+	}
+	result.Stream.Close()
+	return b.softwareOf(b.attempts[len(b.attempts)-1])
+}
+
+// TestOnlyServingVersionTakesUpStreams guards against streams that are refused though only one
+// software version can have begun them (LOST), and against a daemon that takes the only version in
+// its list for the only one there was (ORDER): it has just started, or another has just left.
+func TestOnlyServingVersionTakesUpStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) { return streamReply(a.LastEventID+1, 8, io.EOF), nil })
+		b.setSoftware("v1", "v1")
+		assert.Equal(t, b.takeUp(t, "stream 1"), "", "just after the start")
+		<-time.After(minStreamTime)
+		assert.Equal(t, b.takeUp(t, "stream 2"), "v1", "after a while")
+		b.setSoftware("v1", "v1", "v2")
+		assert.Equal(t, b.takeUp(t, "stream 3"), "", "while two versions serve")
+		<-time.After(time.Minute)
+		b.setSoftware("v2", "v2")
+		assert.Equal(t, b.takeUp(t, "stream 4"), "", "when one of them has just left")
+		<-time.After(minStreamTime + time.Second)
+		assert.Equal(t, b.takeUp(t, "stream 5"), "v2", "after a while")
+	})
+}
+
+// TestOtherDaemonsKnowTheVersionOfAStream has a daemon that has just started ask others: they have a
+// record, or have seen only one version, or more than this daemon has.
+func TestOtherDaemonsKnowTheVersionOfAStream(t *testing.T) {
+	for _, tc := range []struct {
+		listed []string
+		answer pinner.Origin
+		want   string
+	}{
+		{[]string{"v1", "v2"}, pinner.Origin{Version: "v2", Recorded: true, Serving: []string{"v1", "v2"}}, "v2"},
+		{[]string{"v1", "v1"}, pinner.Origin{Serving: []string{"v1"}, Observed: true}, "v1"},
+		{[]string{"v1", "v1"}, pinner.Origin{Serving: []string{"v1", "v2"}, Observed: true}, ""},
+		{[]string{"v1", "v2"}, pinner.Origin{Serving: []string{"v1"}, Observed: true}, ""},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) { return streamReply(a.LastEventID+1, 8, io.EOF), nil })
+			b.router.options.FindStream = func(_ context.Context, query pinner.Query) pinner.Origin {
+				assert.Equal(t, query, pinner.Query{Key: pinner.Key("", "elsewhere"), Service: "s", Within: minStreamTime})
+				return tc.answer
+			}
+			b.setSoftware(tc.listed...)
+			assert.Equal(t, b.takeUp(t, "elsewhere"), tc.want)
+		})
+	}
+}
+
+// TestStreamsAreRecordedWhenTheyBegin checks what other daemons are told: the version once when the
+// first event is there, under the ID of the request that began the stream, and again while it goes on.
+func TestStreamsAreRecordedWhenTheyBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) {
+			reply := streamReply(a.LastEventID+1, a.LastEventID+3, io.EOF)
+			next := reply.NextEvent
+			reply.NextEvent = func() (Event, error) {
+				<-time.After(pinner.RefreshInterval / 2)
+				return next()
+			}
+			return reply, nil
+		})
+		var records []pinner.Record
+		b.router.options.RecordStream = func(record pinner.Record) { records = append(records, record) }
+		b.setSoftware("v1")
+		for _, resumes := range []string{"", "first"} {
+			request := streamRequest("first", 0)
+			request.Route.Timeout, request.Deadline = time.Hour, request.Arrived.Add(time.Hour)
+			if resumes != "" {
+				request.ID, request.Resumes, request.LastEventID = "second", resumes, 2
+			}
+			ids, err := drainStream(b.router.Begin(request).Stream)
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, len(ids), 3)
+		}
+		record := pinner.Record{Key: pinner.Key("", "first"), Version: "v1"}
+		assert.DeepEqual(t, records, []pinner.Record{record, record, record, record})
+	})
+}
+
+// TestFewReplicasOfAVersionAreFound continues a stream at the only replica of its version among many,
+// of which a choice considers a few at random.
+func TestFewReplicasOfAVersionAreFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) { return streamReply(a.LastEventID+1, 8, io.EOF), nil })
+		versions := make([]string, 1000)
+		for i := range versions {
+			versions[i] = "v2"
+		}
+		versions[617] = "v1"
+		b.setSoftware(versions...)
+		b.router.streams.Add(pinner.Record{Key: pinner.Key("", "elsewhere"), Version: "v1"})
+		assert.Equal(t, b.takeUp(t, "elsewhere"), "v1")
+	})
+}
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -19,6 +19,7 @@
 		return nil, false
 	}
 	d.runAttempts++
+	d.recordStream()
 	if d.request.Route.SameWeights {
 		d.pinnedVersion = d.reply.WeightsVersion
 	}
@@ -54,6 +55,7 @@
 		if event.ID >= 0 {
 			d.lastEventID = event.ID
 		}
+		d.refreshStreamRecord()
 		return event, nil
 	}
 }
