Test fleets listen on loopback addresses of their own

Cause: the ports of a fleet are found by listening on port 0 and closing again; on 127.0.0.1 the system gives such a port to any connection that is opened until the process listens. Each fleet of a test process now has a loopback address of its own, on which nothing else connects or listens.

--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -92,7 +93,17 @@
 	}
 }
 
-// freeAddresses returns n different loopback addresses whose ports are free at present.
+// fleetCount counts the fleets of this process.
+var fleetCount atomic.Uint32
+
+// loopbackHost returns a loopback IP address that no other fleet uses: on 127.0.0.1 the system gives
+// a port that is free now to any connection or program.
+func loopbackHost() string {
+	pid, n := os.Getpid(), fleetCount.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+n%254, pid>>8&0xff, 1+pid%254)
+}
+
+// freeAddresses returns n different loopback addresses whose ports are free.
 func freeAddresses(n int) ([]string, error) {
 	var listeners []net.Listener
 	defer func() {
@@ -100,9 +111,9 @@
 			_ = l.Close()
 		}
 	}()
-	addresses := make([]string, n)
+	addresses, host := make([]string, n), loopbackHost()
 	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			return nil, fmt.Errorf("reserve a loopback port: %w", err)
 		}
