A silent stream is kept until another replica has continued it

Cause: silence was a read deadline, so that its end was the end of the attempt, whether anybody could continue it or not, and the silent replica counted as failed. The class: the old is given up before the new is known to hold.

Now the silent attempt stays open and another replica is asked after the last event; whichever sends the next one goes on and the other is closed at once. If none can, the silent one goes on until its deadline. It does not count as failed.

Looked at for the same order: retries before the first event have no deadline of silence for models; plain services' timeouts end an attempt only if another may follow; recalled attempts are ended because nothing may continue them.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -44,58 +44,73 @@
 	pinnedSoftware *string
 	// excluded replicas have failed or rejected the request and do not get it again.
 	excluded []*Replica
-	// choice, reply and cancelAttempt belong to the current attempt, which was sent at
-	// sentAt to a replica of the software version sentSoftware. streamRecordedAt is when that
-	// was last recorded, zero if it was not.
+	*attemptState
+	// forked is set while the dispatch tries to take a stream over from a silent replica.
+	forked bool
+	// streamRecordedAt is when the software version of the stream was last recorded, zero if it
+	// was not.
+	streamRecordedAt time.Time
+	// callerLeft is set once an attempt was not sent because the caller had left.
+	callerLeft bool
+	// isolationKeys are the isolator's keys of the prompt's shared parts.
+	isolationKeys []uint64
+	// lastEventID is the ID of the last event passed on to the caller, -1 before the
+	// first.
+	lastEventID int64
+	// lastFailure is the most recent failure, which the caller gets if no attempt
+	// succeeds.
+	lastFailure *Failure
+	// fallback is the first server error that a replica answered; the caller gets it if
+	// no retry succeeds.
+	fallback *Result
+}
+
+// attemptState is the state of the current attempt of a dispatch.
+type attemptState struct {
+	// choice is the replica to which the attempt was sent at sentAt, sentSoftware the version of
+	// its software.
 	choice        choice
+	sentAt        time.Time
 	sentSoftware  string
 	reply         *Reply
 	cancelAttempt context.CancelFunc
+	// reading receives the event that a goroutine reads from reply, nil if none does.
+	reading chan eventResult
 	// unwatch stops the cancellation of the attempt when its replica becomes
 	// unreachable; nil if it is not watched.
-	unwatch          func()
-	sentAt           time.Time
-	streamRecordedAt time.Time
-	// headAt is when the head of the current attempt's answer arrived. soundRecorded is set
-	// once that answer was recorded as sound.
+	unwatch func()
+	// headAt is when the head of the answer arrived. soundRecorded is set once the answer
+	// was recorded as sound.
 	headAt        time.Time
 	soundRecorded bool
-	// callerLeft is set once an attempt was not sent because the caller had left.
-	callerLeft bool
-	// timedOut is set once this daemon has ended the current attempt because its replica did not
+	// admitted is set once the transport is about to send the first byte, interrupted once it
+	// was recorded that the stream has broken off.
+	admitted    atomic.Bool
+	interrupted bool
+	// timedOut is set once this daemon has ended the attempt because its replica did not
 	// answer in time, and recalled once it has because the request is isolated.
 	timedOut, recalled atomic.Bool
-	// isolationKeys are the isolator's keys of the prompt's shared parts.
-	isolationKeys []uint64
-	// firstEventDelay is the time from sentAt to the attempt's first event.
+	// firstEventDelay is the time from sentAt to the first event.
 	firstEventDelay time.Duration
 	// inBacklog is set while the attempt counts in its replica's backlogTokens, until
 	// its first event; countedInFlight while it counts in the replica's inFlight, until
 	// it ends.
 	inBacklog, countedInFlight bool
-	// lastEventID is the ID of the last event passed on to the caller, -1 before the
-	// first.
-	lastEventID int64
-	// lastFailure is the most recent failure, which the caller gets if no attempt
-	// succeeds.
-	lastFailure *Failure
-	// fallback is the first server error that a replica answered; the caller gets it if
-	// no retry succeeds.
-	fallback *Result
 }
 
 // newDispatch prepares the dispatch of a request. Its context ends at the deadline or
 // when the caller leaves.
 func newDispatch(router *Router, request *Request) *dispatch {
-	d := &dispatch{router: router, request: request, service: router.serviceState(request.Route.pickService()), isolationKeys: request.Prompt.isolationKeys(), lastEventID: request.LastEventID, renewedAtEvent: request.LastEventID, pinnedVersion: request.WeightsVersion, allowedAttempts: request.Route.MaxAttempts}
-	d.ctx, d.cancel = context.WithDeadline(context.Background(), request.Deadline)
+	d := &dispatch{attemptState: new(attemptState), router: router, request: request, service: router.serviceState(request.Route.pickService()), isolationKeys: request.Prompt.isolationKeys(), lastEventID: request.LastEventID, renewedAtEvent: request.LastEventID, pinnedVersion: request.WeightsVersion, allowedAttempts: request.Route.MaxAttempts}
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	d.ctx, d.cancel = ctx, cancel
 	d.service.budget.Earn()
 	if request.CallerGone != nil {
 		go func() {
 			select {
 			case <-request.CallerGone:
-				d.cancel()
-			case <-d.ctx.Done():
+				cancel()
+			case <-ctx.Done():
 			}
 		}()
 	}
@@ -112,8 +127,7 @@
 // replica's counters.
 func (d *dispatch) closeAttempt() {
 	if d.reply != nil {
-		d.reply.Close()
-		d.reply = nil
+		d.closeReply()
 	}
 	if d.unwatch != nil {
 		d.unwatch()
@@ -130,6 +144,23 @@
 	}
 }
 
+// closeReply ends the exchange with the replica. If its next event is being read, that is aborted
+// and awaited by another goroutine.
+func (d *dispatch) closeReply() {
+	reply, reading := d.reply, d.reading
+	d.reply, d.reading = nil, nil
+	if reading == nil {
+		reply.Close()
+		return
+	}
+	d.cancelAttempt()
+	reply.SetDeadline(time.Unix(1, 0))
+	go func() {
+		<-reading
+		reply.Close()
+	}()
+}
+
 // leaveBacklog stops counting the current attempt as one that waits for its prefill.
 func (d *dispatch) leaveBacklog() {
 	if d.inBacklog {
@@ -236,6 +267,7 @@
 	if remaining <= 0 {
 		return 0, ErrExpired
 	}
+	d.admitted.Store(true)
 	return remaining, nil
 }
 
@@ -287,6 +319,7 @@
 		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
+	d.interrupted = false
 	d.timedOut.Store(false)
 	d.recalled.Store(false)
 	if timeout, hasTimeout := d.replyTimeout(); hasTimeout {
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -194,6 +194,8 @@
 type Transport struct {
 	// Send sends an attempt and reads the head of its answer.
 	Send func(ctx context.Context, attempt *Attempt) (*Reply, error)
+	// Concurrent is set if attempts of one request may be made at the same time.
+	Concurrent bool
 }
 
 // Failure is the outcome of a request that got no answer from a replica.
--- a/internal/routing/router/router_test.go
+++ b/internal/routing/router/router_test.go
@@ -50,7 +50,7 @@
 			return clock.Now().Add(-b.supersededAgo), version < b.newestVersion
 		},
 	}
-	b.router = New(options, b.pool, Transport{Send: func(_ context.Context, a *Attempt) (*Reply, error) {
+	b.router = New(options, b.pool, Transport{Concurrent: true, Send: func(_ context.Context, a *Attempt) (*Reply, error) {
 		b.mu.Lock()
 		b.attempts = append(b.attempts, a)
 		n := len(b.attempts)
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// silenceTimeout is how long a resumable stream may send no event before it is resumed
-// at another replica. Pauses of preempted requests are shorter.
+// silenceTimeout is how long a resumable stream may send no event before another replica is asked to
+// take it over. Pauses of preempted requests are mostly shorter.
 const silenceTimeout = 1200 * time.Millisecond
 
 // startStream waits for the first event and returns the stream. If the replica is lost
@@ -31,8 +31,7 @@
 // the parts that are now cached and the time of the prefill.
 func (d *dispatch) nextEvent() (Event, error) {
 	for {
-		d.reply.SetDeadline(d.silenceDeadline())
-		event, err := d.reply.NextEvent()
+		event, err := d.readEvent()
 		if err != nil {
 			if errors.Is(err, io.EOF) && d.reply.Status < 300 {
 				d.recordSound()
@@ -60,18 +59,6 @@
 	}
 }
 
-// silenceDeadline returns when the current attempt ends if no event arrives before.
-func (d *dispatch) silenceDeadline() time.Time {
-	route := d.request.Route
-	if d.inBacklog || !route.repeatable() || d.runAttempts >= d.allowedAttempts {
-		return d.request.Deadline
-	}
-	if end := d.router.clock.Now().Add(silenceTimeout); end.Before(d.request.Deadline) {
-		return end
-	}
-	return d.request.Deadline
-}
-
 // recordCachedParts records that the replica has the shared parts of the prompt cached,
 // and the cache store too if they are saved there.
 func (d *dispatch) recordCachedParts() {
@@ -135,7 +122,17 @@
 // resume continues the stream after its last event at another replica. It returns the
 // cause of the interruption if that is not possible.
 func (d *dispatch) resume(cause error) error {
-	route := d.request.Route
+	d.recordInterruption(cause)
+	d.closeAttempt()
+	return d.continueElsewhere(cause)
+}
+
+// recordInterruption records that the stream of the current attempt has broken off.
+func (d *dispatch) recordInterruption(cause error) {
+	if d.interrupted {
+		return
+	}
+	d.interrupted = true
 	replica := d.choice.replica
 	d.router.recorder.Count("streams.broken")
 	d.router.logger.Info("route: stream interrupted.", "request", d.request.ID, "content", d.request.ContentKey, "replica", replica.ID(), "last", d.lastEventID, "err", cause)
@@ -144,8 +141,12 @@
 	if d.ctx.Err() == nil {
 		replica.recordFailure(d.router.clock.Now())
 	}
-	d.closeAttempt()
-	if !route.repeatable() || d.lastEventID < 0 || d.checkExpired() != nil {
+}
+
+// continueElsewhere sends attempts after the last event until one continues the stream. It returns
+// cause if none does.
+func (d *dispatch) continueElsewhere(cause error) error {
+	if !d.request.Route.repeatable() || d.lastEventID < 0 || d.checkExpired() != nil {
 		return cause
 	}
 	renewed := d.renewAttempts()
