Bodies of forms reach replicas byte for byte

Cause: the HTTP library parses multipart forms with a length while it reads them, and Body writes a new form from a map: parts in another order, without their other fields. The class: a library between the two sockets interprets what should only be passed on. A form that it could not parse was refused with 400.

Forms are not parsed any more, on both interfaces.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -140,8 +140,10 @@
 		ReadTimeout:        requestReadTimeout,
 		IdleTimeout:        callerIdleTimeout,
 		CloseOnShutdown:    true,
-		Logger:             discardLogger{},
-		ErrorHandler:       e.refuseUnreadable,
+		// A form that is parsed here would be written anew, and differently, for the service.
+		DisablePreParseMultipartForm: true,
+		Logger:                       discardLogger{},
+		ErrorHandler:                 e.refuseUnreadable,
 	}
 	e.publishMetrics()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,14 +90,16 @@
 		MaxRequestBodySize: maxBodyBytes,
 		ReadBufferSize:     maxHeadBytes,
 		// Connections release buffers of that size between requests.
-		ReduceMemoryUsage:     true,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           settings.IdleTimeout,
-		CloseOnShutdown:       true,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		NoDefaultContentType:  true,
-		Logger:                discardLogger{},
+		ReduceMemoryUsage: true,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       settings.IdleTimeout,
+		CloseOnShutdown:   true,
+		// A form that is parsed here would be written anew, and differently, for the replica.
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		Logger:                       discardLogger{},
 	}
 	g.readinessServer = &fasthttp.Server{Handler: g.handleReady, ReadTimeout: readTimeout, IdleTimeout: readTimeout, NoDefaultServerHeader: true, Logger: discardLogger{}}
 	go func() { g.serve(g.callerServer, g.callerListener) }()
