Answers that cannot have a body end with their head; interim ones are skipped

Callers waited until their deadline for answers to HEAD and for 204 and 304, and got 502 where a replica sent 100 or 103 before its answer.

Cause: the client derived the end of a body from the length fields alone, and took each head for the final one.

--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -62,17 +62,16 @@
 // SetDeadline sets the deadline of the reads that follow.
 func (a *Answer) SetDeadline(t time.Time) { _ = a.conn.SetReadDeadline(t) }
 
-// readHead reads the answer's head. It skips up to maxStaleAnswers answers that
-// carry another ID; an answer without an ID counts as the right one.
-func (a *Answer) readHead(idField, id string) error {
+// readHead reads the head of the answer to a request. It skips up to maxStaleAnswers answers
+// that carry another ID; an answer without an ID counts as the right one.
+func (a *Answer) readHead(idField string, request *Request) error {
 	for range maxStaleAnswers + 1 {
-		a.header.Reset()
-		if err := a.header.Read(a.conn.reader); err != nil {
+		if err := a.readFinalHead(); err != nil {
 			return fmt.Errorf("read head: %w", err)
 		}
 		echoedID := a.header.Peek(idField)
-		if len(echoedID) == 0 || string(echoedID) == id {
-			a.selectBodyReader()
+		if len(echoedID) == 0 || string(echoedID) == request.ID {
+			a.selectBodyReader(request.Method)
 			return nil
 		}
 		a.skippedStale = true
@@ -83,9 +82,26 @@
 	return errors.New("only answers to other requests arrived")
 }
 
+// readFinalHead reads a head. It skips up to maxInterimAnswers interim ones, which have no body.
+func (a *Answer) readFinalHead() error {
+	for range maxInterimAnswers + 1 {
+		a.header.Reset()
+		if err := a.header.Read(a.conn.reader); err != nil {
+			return err
+		}
+		if status := a.header.StatusCode(); status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+	return errors.New("only interim answers arrived")
+}
+
 // selectBodyReader sets body according to the framing that the head announces.
-func (a *Answer) selectBodyReader() {
-	switch length := a.header.ContentLength(); {
+func (a *Answer) selectBodyReader(method string) {
+	switch length, status := a.header.ContentLength(), a.header.StatusCode(); {
+	case method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		a.delimited = true
+		a.body = io.LimitReader(a.conn.reader, 0)
 	case length >= 0:
 		a.delimited = true
 		a.body = io.LimitReader(a.conn.reader, int64(length))
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -47,6 +47,8 @@
 	maxIdleConns = 32
 	// maxStaleAnswers bounds the answers to earlier requests that one exchange skips.
 	maxStaleAnswers = 2
+	// maxInterimAnswers bounds the interim answers, such as 100, before one final answer.
+	maxInterimAnswers = 8
 	// maxStaleBodyBytes is the largest body of an answer that is skipped.
 	maxStaleBodyBytes = 64 << 10
 	// maxTrailerBytes is the largest trailer of a chunked answer.
@@ -224,7 +226,7 @@
 		answer.Close()
 		return nil, fmt.Errorf("%w: write: %w", ErrExchangeFailed, err)
 	}
-	if err := answer.readHead(c.idField, request.ID); err != nil {
+	if err := answer.readHead(c.idField, request); err != nil {
 		answer.Close()
 		if n := connection.unacknowledged.Load(); n >= 0 {
 			err = fmt.Errorf("aborted with %d bytes not acknowledged: %w", n, err)
