An answer that names no request is not taken for the answer

Reported by other operators: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told not run for requests that a replica had run (REFUSED), or these ran at a second one (TWICE).

Tried here: an earlier refusal, with its ID or without, behind a whole answer or in front of the next. With its ID it was skipped, behind an answer it makes the connection unfit. Without an ID, in front of the answer, it was taken for the answer: one without an ID counted as the right one. The class: what cannot be attributed is attributed to whoever waits.

Now such an answer ends the exchange as one that may have run.

--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -63,17 +63,20 @@
 func (a *Answer) SetDeadline(t time.Time) { _ = a.conn.SetReadDeadline(t) }
 
 // readHead reads the head of the answer to a request. It skips up to maxStaleAnswers answers
-// that carry another ID; an answer without an ID counts as the right one.
+// that carry another ID. An answer without an ID is not known to be that to this request.
 func (a *Answer) readHead(idField string, request *Request) error {
 	for range maxStaleAnswers + 1 {
 		if err := a.readFinalHead(); err != nil {
 			return fmt.Errorf("read head: %w", err)
 		}
 		echoedID := a.header.Peek(idField)
-		if len(echoedID) == 0 || string(echoedID) == request.ID {
+		if string(echoedID) == request.ID {
 			a.selectBodyReader(request.Method)
 			return nil
 		}
+		if len(echoedID) == 0 {
+			return fmt.Errorf("answer with status %d names no request", a.header.StatusCode())
+		}
 		a.skippedStale = true
 		if err := discardStaleAnswer(&a.header, a.conn.reader); err != nil {
 			return fmt.Errorf("skip answer to another request: %w", err)
