A read of several pages is complete as of its first page

Cause: a table counted as complete up to the newest change in it. A read of several pages shows changes on a later page that are newer than the first page; the watch went on from there, and removals in between on pages that had been read were never seen. Other daemons compare the same revision and did not repair it. The class: what is newest is taken for what is complete.

A table is complete up to the revisions that deltas say, and the newest items count as news.

--- a/internal/state/replicator/table.go
+++ b/internal/state/replicator/table.go
@@ -61,7 +61,8 @@
 	// items holds the items by key, with those removed items that are kept as
 	// tombstones.
 	items map[string]Item
-	// newestRevision is the highest revision of a change that the table contains.
+	// newestRevision is the revision up to which the table has all changes. Single items may
+	// be newer.
 	newestRevision uint64
 	// forgottenUpTo is the revision up to which tombstones may have been forgotten.
 	forgottenUpTo uint64
@@ -125,7 +126,6 @@
 		t.tombstones++
 	}
 	t.items[item.Key] = item
-	t.newestRevision = max(t.newestRevision, item.Revision)
 	if current.versioned() || item.versioned() {
 		t.updateVersion(item)
 	}
