An older copy brings no removed key back

Cause: what a complete read does not have leaves no tombstone, and an item of an unknown key was taken however old it was.

An item at or below the revision up to which the table is complete, whose key the table does not hold, was removed; only a newer complete read shows it again. So nothing more has to be remembered: the bound is the revision itself.

--- a/internal/state/replicator/machine_test.go
+++ b/internal/state/replicator/machine_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
@@ -176,3 +177,18 @@
 		}
 	})
 }
+
+// TestOlderCopyBringsNoRemovedKeyBack has a daemon that is complete get an older copy of another one,
+// which has a key that was removed before this daemon started.
+func TestOlderCopyBringsNoRemovedKeyBack(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		table := replicator.New()
+		table.Apply(replicator.Delta{Revision: 20, Complete: true, Items: []replicator.Item{{Key: "b", Revision: 12}}})
+		table.Apply(replicator.Delta{Revision: 15, Complete: complete, Items: []replicator.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 12}}})
+		_, found := table.Get("a")
+		assert.Check(t, !found, "complete %v", complete)
+		table.Apply(replicator.Delta{Revision: 30, Complete: true, Items: []replicator.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 12}}})
+		_, found = table.Get("a")
+		assert.Check(t, found, "a newer read of the store shows what exists")
+	}
+}
--- a/internal/state/replicator/table.go
+++ b/internal/state/replicator/table.go
@@ -88,7 +88,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	updated := false
+	older := t.filled && (!delta.Complete || delta.Revision < t.newestRevision)
 	for _, item := range delta.Items {
+		if _, found := t.items[item.Key]; older && !found && item.Revision <= t.newestRevision {
+			// All changes up to newestRevision are known: the key was removed since.
+			continue
+		}
 		updated = t.applyItem(item) || updated
 	}
 	if delta.Complete {
