A complete read hides no removal from other daemons

Cause: a complete read names what exists and leaves no tombstones, but changes since any older revision were answered as if all removals were known. Same class: an answer claims more than is known.

The revision of such a read counts like that of forgotten tombstones: whoever is behind it gets complete contents.

--- a/internal/state/replicator/machine_test.go
+++ b/internal/state/replicator/machine_test.go
@@ -192,3 +192,16 @@
 		assert.Check(t, found, "a newer read of the store shows what exists")
 	}
 }
+
+// TestReadHidesNoRemovalFromOthers guards against removals that a daemon cannot pass on because it
+// learned of them by a complete read, which names only what exists: another daemon that is behind
+// that read gets complete contents.
+func TestReadHidesNoRemovalFromOthers(t *testing.T) {
+	behind, restarted := replicator.New(), replicator.New()
+	behind.Apply(replicator.Delta{Revision: 68, Complete: true, Items: []replicator.Item{{Key: "a", Revision: 60}, {Key: "b", Revision: 61}}})
+	restarted.Apply(replicator.Delta{Revision: 69, Complete: true, Items: []replicator.Item{{Key: "b", Revision: 61}}})
+	behind.Apply(restarted.Since(behind.NewestRevision()))
+	_, found := behind.Get("a")
+	assert.Check(t, !found)
+	assert.Check(t, !restarted.Since(69).Complete, "a daemon that is not behind needs none")
+}
--- a/internal/state/replicator/table.go
+++ b/internal/state/replicator/table.go
@@ -100,6 +100,10 @@
 		updated = t.removeMissing(delta) || updated
 		updated = updated || !t.filled
 		t.filled = true
+		if delta.Revision > t.newestRevision {
+			// Keys that were created and removed since newestRevision left no tombstone.
+			t.forgottenUpTo = max(t.forgottenUpTo, delta.Revision)
+		}
 	}
 	t.newestRevision = max(t.newestRevision, delta.Revision)
 	if updated {
@@ -240,7 +244,7 @@
 	if !t.filled {
 		return Delta{}
 	}
-	delta := Delta{Revision: t.newestRevision, Complete: revision <= t.forgottenUpTo}
+	delta := Delta{Revision: t.newestRevision, Complete: revision < t.forgottenUpTo}
 	for _, item := range t.items {
 		if item.Revision > revision || (delta.Complete && !item.Removed) || slices.Contains(keys, item.Key) {
 			delta.Items = append(delta.Items, item)
