The memory of answers is reserved without passing its bound

Cause: reserve added first and took back when that was too much, so the count passed the bound for a moment, and two answers could refuse each other where one fitted. Compare-and-swap never passes it.

--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -48,12 +48,16 @@
 	if added <= 0 {
 		return nil
 	}
-	if a.client.buffered.Add(added) > maxBufferedBytes {
-		a.client.buffered.Add(-added)
-		return fmt.Errorf("%w: answers take more than %d bytes of memory", ErrExchangeFailed, maxBufferedBytes)
+	for {
+		held := a.client.buffered.Load()
+		if held+added > maxBufferedBytes {
+			return fmt.Errorf("%w: answers take more than %d bytes of memory", ErrExchangeFailed, maxBufferedBytes)
+		}
+		if a.client.buffered.CompareAndSwap(held, held+added) {
+			a.reserved += added
+			return nil
+		}
 	}
-	a.reserved += added
-	return nil
 }
 
 // Header returns the status and the header fields of the answer.
