Nothing is sent to a replica that has begun to leave since it was chosen

Another replica is chosen then, and no retry is spent since nothing was sent. TestNothingIsSentToReplicaThatBeganToLeave failed before.

--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -178,7 +178,7 @@
 // openFailed drops the connection to the sidecar and returns the error for the router,
 // which is router.ErrNotSent if nothing was sent.
 func (e *Entry) openFailed(a *router.Attempt, err error) error {
-	if errors.Is(err, router.ErrExpired) {
+	if errors.Is(err, router.ErrExpired) || errors.Is(err, router.ErrOutdated) {
 		return fmt.Errorf("%w: %w", router.ErrNotSent, err)
 	}
 	e.common.Client().DropConnection(a.Address)
--- a/internal/routing/router/departed_test.go
+++ b/internal/routing/router/departed_test.go
@@ -78,3 +78,28 @@
 		assert.Check(t, result.Failure.NotRun)
 	})
 }
+
+// TestNothingIsSentToReplicaThatBeganToLeave guards against requests that reach a replica after it has
+// said that it leaves (DRAIN), because they were about to be sent there: another replica gets them,
+// and no retry is spent.
+func TestNothingIsSentToReplicaThatBeganToLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent []string
+		var b *testBed
+		b = newTestBed(3, func(n int, a *Attempt) (*Reply, error) {
+			<-time.After(300 * time.Millisecond)
+			if n == 1 {
+				b.pool.RecordLeaving(a.Address, b.router.logger)
+			}
+			if _, err := a.Admit(); err != nil {
+				return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+			}
+			sent = append(sent, a.ReplicaID)
+			return answerReply(200, "ok"), nil
+		})
+		result := b.router.Begin(newRequest(route(AtMostOnce, 1, false)))
+		assert.Assert(t, result.Failure == nil)
+		assert.Equal(t, len(sent), 1)
+		assert.Assert(t, sent[0] != b.attempts[0].ReplicaID)
+	})
+}
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -225,6 +225,12 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, ErrOutdated) {
+			d.router.recorder.Count("attempts.outdated")
+			d.excluded = append(d.excluded, c.replica)
+			d.closeAttempt()
+			continue
+		}
 		d.recordAttemptError(err)
 		d.closeAttempt()
 		if failure := d.checkRetryAllowed(); failure != nil {
@@ -267,6 +273,9 @@
 	if remaining <= 0 {
 		return 0, ErrExpired
 	}
+	if replica := d.choice.replica; !d.router.pool.takesRequests(replica, replica.descriptor.Load()) {
+		return 0, ErrOutdated
+	}
 	d.admitted.Store(true)
 	return remaining, nil
 }
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -27,6 +27,8 @@
 	ErrInvalidAnswer = errorNamespace.NewType("invalid").New("invalid answer")
 	// ErrExpired means that the caller has left or that the deadline has passed.
 	ErrExpired = errorNamespace.NewType("expired").New("request has expired")
+	// ErrOutdated means that the replica takes no requests any more.
+	ErrOutdated = errorNamespace.NewType("outdated").New("replica takes no requests any more")
 )
 
 // PromptPart is one part of a prompt, the unit in which prompts are cached and shared.
@@ -117,8 +119,8 @@
 	// Address is the replica's IP address and port.
 	Address string
 	// Admit is called by the transport when it is about to send the first byte. It returns the
-	// time left until the request's deadline. After an error, which is ErrExpired, the transport
-	// sends nothing and returns the error together with ErrNotSent.
+	// time left until the request's deadline. After an error, ErrExpired or ErrOutdated, the
+	// transport sends nothing and returns the error together with ErrNotSent.
 	Admit func() (remaining time.Duration, err error)
 	// WeightsVersion is the required weights version, 0 for any; a replica with another
 	// version must reject the attempt.
