--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -157,11 +157,12 @@
 // newRouterRequest returns the router's request without its route and its message, which
 // depend on the kind of request.
 func (e *Entry) newRouterRequest(ctx *fasthttp.RequestCtx, c *caller, workspace *decoder.Workspace, timeout time.Duration) *router.Request {
-	arrived := listener.ReceivedAt(ctx.Conn(), e.clock.Now())
+	connection := ctx.Conn()
+	arrived := listener.ReceivedAt(connection, e.clock.Now())
 	return &router.Request{
 		ID: c.requestID, Catalog: c.catalog.routing, Workspace: &router.Workspace{Name: workspace.Name, Dedicated: true},
-		Arrived: arrived, Deadline: arrived.Add(timeout), LastEventID: -1, CallerGone: listener.Disconnected(ctx.Conn()),
-		CallerLeft: func() bool { return listener.Left(ctx.Conn()) },
+		Arrived: arrived, Deadline: arrived.Add(timeout), LastEventID: -1, CallerGone: listener.Disconnected(connection),
+		CallerLeft: func() bool { return listener.Left(connection) },
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,8 +135,9 @@
 	if !ok {
 		return
 	}
-	request.CallerGone = listener.Disconnected(ctx.Conn())
-	request.CallerLeft = func() bool { return listener.Left(ctx.Conn()) }
+	connection := ctx.Conn()
+	request.CallerGone = listener.Disconnected(connection)
+	request.CallerLeft = func() bool { return listener.Left(connection) }
 	waited := handled.Sub(arrived)
 	result := g.router.Begin(request)
 	switch {
--- a/internal/routing/router/software.go
+++ b/internal/routing/router/software.go
@@ -122,6 +122,9 @@
 		r.logger.Info("route: stream refused, its software version is not known.", "request", request.ID, "resumes", request.Resumes, "after", request.LastEventID, "serving", origin.Serving)
 		return &Failure{Reason: ReasonUnknownStream, NotRun: true, RetryAfter: minRetryAfter}
 	}
+	if version == "" {
+		return nil
+	}
 	r.recorder.Count("streams.takenUp")
 	r.logger.Info("route: caller takes up a stream.", "request", request.ID, "resumes", request.Resumes, "after", request.LastEventID, "software", version, "source", source)
 	d.pinnedSoftware = &version
@@ -149,10 +152,10 @@
 // first event is about to be passed on, or which goes on.
 func (d *dispatch) recordStream() {
 	version := d.sentSoftware
-	d.pinnedSoftware = &version
 	if !d.request.Route.repeatable() || version == "" {
 		return
 	}
+	d.pinnedSoftware = &version
 	record := pinner.Record{Key: d.request.streamKey(), Version: version}
 	d.streamRecordedAt = d.router.clock.Now()
 	d.router.streams.Add(record)
