--- a/internal/routing/router/software_test.go
+++ b/internal/routing/router/software_test.go
@@ -169,8 +169,8 @@
 	}
 }
 
-// TestStreamsAreRecordedWhenTheyBegin checks what other daemons are told: the version once when the
-// first event is there, under the ID of the request that began the stream, and again while it goes on.
+// TestStreamsAreRecordedWhenTheyBegin checks what is sent to other daemons: the version once when the
+// first event has arrived, under the ID of the request that began the stream, and again while it goes on.
 func TestStreamsAreRecordedWhenTheyBegin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) {
--- a/internal/routing/router/takeover_test.go
+++ b/internal/routing/router/takeover_test.go
@@ -231,8 +231,8 @@
 	})
 }
 
-// TestSilentStreamIsTakenOver has a replica go dark in a stream: another one continues it before the
-// caller gives up, and the dark one is closed.
+// TestSilentStreamIsTakenOver has a replica stop answering in a stream: another one continues it within
+// the caller's timeout, and the exchange with the first is closed.
 func TestSilentStreamIsTakenOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		replicas := &scriptedReplicas{scripts: []streamScript{{pauses: []time.Duration{0, time.Hour}, breakAt: -1}, {headDelay: 100 * time.Millisecond, breakAt: -1}}}
