Streams without a record are taken up after one route timeout of a single version

A caller waits no longer than the timeout, so one timeout, ten seconds at least, is as long as a stream can have run.

TestYoungFleetTakesUpStreams failed before.

--- a/internal/routing/router/software.go
+++ b/internal/routing/router/software.go
@@ -10,11 +10,9 @@
 )
 
 const (
-	// minStreamTime is the shortest time for which a stream may have run when its caller takes
-	// it up, and streamTimeouts that time as a multiple of the route's timeout: callers try
-	// again after it.
-	minStreamTime  = 10 * time.Second
-	streamTimeouts = 2
+	// minStreamTime is the shortest time for which a stream counts as having run when its caller
+	// takes it up. On routes with longer timeouts it is these: callers wait no longer.
+	minStreamTime = 10 * time.Second
 	// softwareMemory is how long a software version that no listed replica has any more is
 	// remembered. Streams on routes with longer timeouts are continued by records only.
 	softwareMemory = 10 * time.Minute
@@ -114,7 +112,7 @@
 	if request.LastEventID < 0 || request.Route.Kind != Streaming {
 		return nil
 	}
-	query := pinner.Query{Key: request.streamKey(), Service: d.service.name, Within: max(minStreamTime, streamTimeouts*request.Route.Timeout)}
+	query := pinner.Query{Key: request.streamKey(), Service: d.service.name, Within: max(minStreamTime, request.Route.Timeout)}
 	origin, source := r.findOrigin(d.ctx, query)
 	version, known := origin.Decide()
 	if !known {
--- a/internal/routing/router/software_test.go
+++ b/internal/routing/router/software_test.go
@@ -215,3 +215,20 @@
 		assert.Equal(t, b.takeUp(t, "elsewhere"), "v1")
 	})
 }
+
+// TestYoungFleetTakesUpStreams guards against streams that are refused though only one version can have
+// begun them (LOST), because the daemons have run for little longer than a route's timeout: callers that
+// name no request take streams up 20 s after the start of all daemons.
+func TestYoungFleetTakesUpStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) { return streamReply(a.LastEventID+1, 8, io.EOF), nil })
+		b.setSoftware("v1", "v1")
+		<-time.After(20 * time.Second)
+		request := streamRequest("q", 0)
+		request.Route.Timeout, request.Deadline, request.LastEventID = 15*time.Second, time.Now().Add(15*time.Second), 3
+		request.Arrived = time.Now()
+		result := b.router.Begin(request)
+		assert.Assert(t, result.Stream != nil, "it is refused")
+		result.Stream.Close()
+	})
+}
