Retries count for a whole window, wherever it begins

Retries piled up beyond what is allowed (BUDGET, reported without logs). Of the suspects this is the one within a single daemon: retries and requests left the window in steps of a second, so one that was sent at the end of a step was forgotten up to a second early. A span of ten seconds that begins just before it had twice what it may have.

Now a retry is allowed only if every span that it lies in allows it, by the requests that count for that span: those in it, and those one window or half a window earlier. Retries are counted for a step longer than the window, requests of a step that a span may hold in part are left out.

Evidence: TestWindowedBudgetCountsRetriesForAWholeWindow failed at once (6 retries within 9.99 s where 5 are allowed in 10) and holds in 2,000 drawn cases. With real processes the fault is hidden so far, since a daemon uses a 24th of the fixed number only.

--- a/limiter/window.go
+++ b/limiter/window.go
@@ -7,13 +7,22 @@
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
 
-// windowSteps is the number of equal steps that a window is divided into. Requests and
-// retries are counted per step and leave the window a whole step at a time.
-const windowSteps = 10
+const (
+	// windowSteps is the number of equal steps that a window is divided into. Requests and
+	// retries are counted per step.
+	windowSteps = 20
+	// retrySteps is the number of steps for which retries are counted. The oldest may lie in
+	// the window in part only.
+	retrySteps = windowSteps + 1
+	// requestSteps is the number of steps for which requests are counted: those of the window
+	// and of the one before it.
+	requestSteps = 2*windowSteps + 1
+)
 
-// WindowedBudget is a retry budget over a sliding window: it bounds the retries of the
-// latest span of time by a share of the requests of the same span, plus a fixed number.
-// It is safe for concurrent use.
+// WindowedBudget is a retry budget over a sliding window. In every span of the window's
+// length it bounds the retries by a share of the requests, plus a fixed number. These are the
+// requests of the same span, of the one before it, or of the one half a window before it,
+// whichever are most: retries follow requests. It is safe for concurrent use.
 type WindowedBudget struct {
 	// ratio is the number of retries allowed per request.
 	ratio float64
@@ -30,10 +39,10 @@
 	mu sync.Mutex
 	// newestStep is the number of the newest step, counted from start.
 	newestStep int64
-	// requests and retries hold the counts of the latest steps; step i is at index
-	// i modulo windowSteps.
-	requests [windowSteps]float64
-	retries  [windowSteps]float64
+	// requests and retries hold the counts of the latest steps; step i is at index i modulo
+	// their length.
+	requests [requestSteps]float64
+	retries  [retrySteps]float64
 }
 
 // NewWindowedBudget returns a budget that allows ratio retries per request and extra more
@@ -42,38 +51,55 @@
 	return &WindowedBudget{ratio: ratio, extra: extra, stepLength: max(span/windowSteps, time.Millisecond), clock: clock, start: clock.Now()}
 }
 
-// advance moves the window to the present, clears the steps that have left it, and
-// returns the index of the newest step. The caller holds mu.
-func (w *WindowedBudget) advance() int64 {
+// advance moves the window to the present and clears the steps that have left it. The caller
+// holds mu.
+func (w *WindowedBudget) advance() {
 	now := int64(w.clock.Now().Sub(w.start) / w.stepLength)
-	for i := max(w.newestStep+1, now-windowSteps+1); i <= now; i++ {
-		w.requests[i%windowSteps], w.retries[i%windowSteps] = 0, 0
+	for i := max(w.newestStep+1, now-requestSteps+1); i <= now; i++ {
+		w.requests[i%requestSteps], w.retries[i%retrySteps] = 0, 0
 	}
 	w.newestStep = max(w.newestStep, now)
-	return w.newestStep % windowSteps
 }
 
 // Earn counts one request.
 func (w *WindowedBudget) Earn() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.requests[w.advance()]++
+	w.advance()
+	w.requests[w.newestStep%requestSteps]++
 }
 
-// Spend counts one retry and returns true if the window allows it; otherwise it counts
-// none and returns false.
+// Spend counts one retry and returns true if all spans that the retry lies in allow it;
+// otherwise it counts none and returns false.
 func (w *WindowedBudget) Spend() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	newest := w.advance()
-	requests, retries := 0.0, 0.0
-	for i := range windowSteps {
-		requests += w.requests[i]
-		retries += w.retries[i]
-	}
-	if retries+1 > w.ratio*requests+w.extra {
-		return false
+	w.advance()
+	retries := 1.0
+	for first := w.newestStep; first >= max(0, w.newestStep-windowSteps); first-- {
+		retries += w.retries[first%retrySteps]
+		if retries > w.ratio*w.requestsFor(first)+w.extra {
+			return false
+		}
 	}
-	w.retries[newest]++
+	w.retries[w.newestStep%retrySteps]++
 	return true
 }
+
+// requestsFor returns how many requests count for a span that begins within a step, at least.
+// The caller holds mu.
+func (w *WindowedBudget) requestsFor(first int64) float64 {
+	return max(
+		w.countRequests(first+1, w.newestStep),
+		w.countRequests(first-windowSteps/2+1, first+windowSteps/2-1),
+		w.countRequests(first-windowSteps+1, first-1),
+	)
+}
+
+// countRequests returns the number of requests from one step to another. The caller holds mu.
+func (w *WindowedBudget) countRequests(from, to int64) (count float64) {
+	for i := max(0, from, w.newestStep-requestSteps+1); i <= min(to, w.newestStep); i++ {
+		count += w.requests[i%requestSteps]
+	}
+	return count
+}
--- a/limiter/window_test.go
+++ b/limiter/window_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,3 +51,54 @@
 		})
 	})
 }
+
+// TestWindowedBudgetCountsRetriesForAWholeWindow guards against retries that pile up beyond the
+// budget (BUDGET): one at the end of a step left the window up to a step early, so that a span
+// of its length had twice what it may have. Spans begin at any moment.
+func TestWindowedBudgetCountsRetriesForAWholeWindow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pauses := rapid.SliceOfN(rapid.IntRange(1, 1100), 8, 24).Draw(rt, "pauses")
+		arrivals := rapid.SliceOfN(rapid.IntRange(0, 60), len(pauses), len(pauses)).Draw(rt, "arrivals")
+		var requests, retries []time.Duration
+		synctest.Test(t, func(*testing.T) {
+			budget := limiter.NewWindowedBudget(testRatio, testExtra, testWindow, timekeeper.System{})
+			start := time.Now()
+			for i, pause := range pauses {
+				<-time.After(time.Duration(pause) * 10 * time.Millisecond)
+				for range arrivals[i] {
+					budget.Earn()
+					requests = append(requests, time.Since(start))
+				}
+				for budget.Spend() {
+					retries = append(retries, time.Since(start))
+				}
+			}
+		})
+		if share, from := worstSpan(requests, retries); share > 1 {
+			rt.Fatalf("%.2f of what the span from %v may have", share, from)
+		}
+	})
+}
+
+const (
+	testRatio  = 0.2
+	testExtra  = 5
+	testWindow = 10 * time.Second
+)
+
+// worstSpan returns the largest number of retries in any span of the window's length, as a multiple
+// of what it may have, and where the span begins. Both lists are sorted.
+func worstSpan(requests, retries []time.Duration) (worst float64, begin time.Duration) {
+	count := func(times []time.Duration, from time.Duration) float64 {
+		first, _ := slices.BinarySearch(times, from)
+		end, _ := slices.BinarySearch(times, from+testWindow)
+		return float64(end - first)
+	}
+	for _, from := range retries {
+		requestCount := max(count(requests, from), count(requests, from-testWindow/2), count(requests, from-testWindow))
+		if share := count(retries, from) / (testRatio*requestCount + testExtra); share > worst {
+			worst, begin = share, from
+		}
+	}
+	return worst, begin
+}
