A daemon that starts uses a small part of the retry budget for a window

Cause: a budget is memory of one process. Each start brought a daemon's whole extra anew, and forgot the retries that its predecessor on the host had sent in the window. The class: a bound over time that is kept by something shorter-lived than the time.

Now a daemon that has run for less than a window uses a fifth of what its own requests and its age earn; one that has run for longer uses three quarters. Whatever ran on the host before, the two together stay within the bound. Weighed: telling others what was spent (a message a retry, and the last ones are lost with the process), token buckets for all (half the burst in normal operation).

The log and metrics tell retries from those that were denied.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -165,7 +165,7 @@
 	identity := e.common.Identity()
 	return router.New(router.Options{
 		Zone: identity.AvailabilityZone, Region: identity.Region, PrefillTokensPerSecond: defaultPrefillRate, DelayPerRunningRequest: delayPerRunningRequest, PlainRequestTime: plainRequestTime,
-		RetryBudgetRatio: retryBudgetRatio, RetryBudgetExtra: retryBudgetExtra, RetryBudgetWindow: retryBudgetWindow,
+		RetryBudget: limiter.BudgetLimits{Ratio: retryBudgetRatio, Extra: retryBudgetExtra, Window: retryBudgetWindow}, StartedAt: e.clock.Now(),
 		// Replicas with old weights serve until they have loaded the new ones.
 		SupersededAt: func(string, int) (time.Time, bool) { return time.Time{}, false },
 	}, e.pool, e.transport(), e.clock, e.logger, e.recorder)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/cyclamenward/cyclamenward/internal/gateway"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
+	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
@@ -51,7 +52,7 @@
 	pool := router.NewPool(clock)
 	pool.SetReplicas([]router.Descriptor{{ID: "i", Service: "s", Address: "10.0.0.1:80", Slots: 4}})
 	options := router.Options{
-		PrefillTokensPerSecond: 60_000, RetryBudgetRatio: 0.2, RetryBudgetExtra: 10, RetryBudgetWindow: 10 * time.Second, OldWeightsTimeout: time.Minute,
+		PrefillTokensPerSecond: 60_000, RetryBudget: limiter.BudgetLimits{Ratio: 0.2, Extra: 10, Window: 10 * time.Second}, OldWeightsTimeout: time.Minute,
 		SupersededAt: func(string, int) (time.Time, bool) { return time.Time{}, false },
 	}
 	r := router.New(options, pool, router.Transport{Send: f.send}, clock, log.New(io.Discard), recorder.New())
--- a/internal/prober/probes.go
+++ b/internal/prober/probes.go
@@ -22,6 +22,7 @@
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/internal/standin/keyvalue"
+	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 	"github.com/cyclamenward/cyclamenward/spreader"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
@@ -46,7 +47,7 @@
 // newRouter returns a router with a transport that answers every attempt at once.
 func newRouter(pool *router.Pool) *router.Router {
 	options := router.Options{
-		Zone: "zone-0", Region: "region-0", PrefillTokensPerSecond: 8000, DelayPerRunningRequest: time.Millisecond, RetryBudgetRatio: 0.1, RetryBudgetExtra: 20, RetryBudgetWindow: 10 * time.Second,
+		Zone: "zone-0", Region: "region-0", PrefillTokensPerSecond: 8000, DelayPerRunningRequest: time.Millisecond, RetryBudget: limiter.BudgetLimits{Ratio: 0.1, Extra: 20, Window: 10 * time.Second},
 		SupersededAt: func(string, int) (time.Time, bool) { return time.Time{}, false },
 	}
 	send := func(context.Context, *router.Attempt) (*router.Reply, error) {
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -405,12 +405,23 @@
 	if route.MaxRejections > 0 {
 		maxRejections = route.MaxRejections
 	}
-	if d.rejectedAttempts > maxRejections || !d.service.budget.Spend() {
+	if d.rejectedAttempts > maxRejections || !d.spendRetry() {
 		return d.lastFailure
 	}
 	return nil
 }
 
+// spendRetry takes one retry from the budget and reports whether one was available.
+func (d *dispatch) spendRetry() bool {
+	if d.service.budget.Spend() {
+		d.router.recorder.Count("retries")
+		return true
+	}
+	d.router.recorder.Count("retries.denied")
+	d.router.logger.Info("route: not repeated, the retry budget is spent.", "request", d.request.ID, "service", d.service.name, "ran", d.runAttempts, "rejected", d.rejectedAttempts, "share", d.router.options.RetryShare())
+	return false
+}
+
 // evaluateReply evaluates the head of an answer and reads the body, or the first event
 // of a stream. It returns false if another attempt is due; lastFailure is then set.
 func (d *dispatch) evaluateReply() (*Result, bool) {
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -26,11 +26,13 @@
 	// PlainRequestTime is how long a plain server, one without a model, works on a
 	// typical request.
 	PlainRequestTime time.Duration
-	// RetryBudgetRatio, RetryBudgetExtra and RetryBudgetWindow bound the retries to
-	// each service: in any window at most RetryBudgetRatio retries for each request,
-	// plus RetryBudgetExtra. They are this daemon's share of what all daemons may send.
-	RetryBudgetRatio, RetryBudgetExtra float64
-	RetryBudgetWindow                  time.Duration
+	// RetryBudget bounds the retries to each service that all daemons send.
+	RetryBudget limiter.BudgetLimits
+	// RetryShare returns the part of the budget's extra retries that is this daemon's; nil
+	// means all of it.
+	RetryShare func() float64
+	// StartedAt is when the daemon started, zero if nothing ran on its host before.
+	StartedAt time.Time
 	// OldWeightsTimeout is how long after a newer version was first named requests may
 	// still start on older weights.
 	OldWeightsTimeout time.Duration
@@ -72,6 +74,9 @@
 
 // New returns a router for the replicas of the pool.
 func New(options Options, pool *Pool, transport Transport, clock timekeeper.Clock, logger *log.Logger, metrics *recorder.Recorder) *Router {
+	if options.RetryShare == nil {
+		options.RetryShare = func() float64 { return 1 }
+	}
 	r := &Router{
 		options:   options,
 		pool:      pool,
@@ -103,7 +108,7 @@
 	defer r.mu.Unlock()
 	s := r.services[name]
 	if s == nil {
-		s = newServiceState(name, limiter.NewWindowedBudget(r.options.RetryBudgetRatio, r.options.RetryBudgetExtra, r.options.RetryBudgetWindow, r.clock))
+		s = newServiceState(name, limiter.NewWindowedBudget(r.options.RetryBudget, r.options.RetryShare, r.options.StartedAt, r.clock))
 		r.services[name] = s
 	}
 	return s
--- a/internal/routing/router/router_test.go
+++ b/internal/routing/router/router_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
@@ -45,7 +46,7 @@
 	b.pool.SetReplicas(list)
 	options := Options{
 		Zone: "z0", Region: "r", PrefillTokensPerSecond: 60_000, DelayPerRunningRequest: time.Millisecond, PlainRequestTime: 15 * time.Millisecond,
-		RetryBudgetRatio: 0.2, RetryBudgetExtra: 20, RetryBudgetWindow: 10 * time.Second, OldWeightsTimeout: 5 * time.Second,
+		RetryBudget: limiter.BudgetLimits{Ratio: 0.2, Extra: 20, Window: 10 * time.Second}, OldWeightsTimeout: 5 * time.Second,
 		SupersededAt: func(_ string, version int) (time.Time, bool) {
 			return clock.Now().Add(-b.supersededAgo), version < b.newestVersion
 		},
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -150,7 +150,7 @@
 		return cause
 	}
 	renewed := d.renewAttempts()
-	if d.runAttempts >= d.allowedAttempts || (!renewed && !d.service.budget.Spend()) {
+	if d.runAttempts >= d.allowedAttempts || (!renewed && !d.spendRetry()) {
 		return cause
 	}
 	d.lastFailure = &Failure{Reason: ReasonReplicaFailed}
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -17,23 +17,39 @@
 	// requestSteps is the number of steps for which requests are counted: those of the window
 	// and of the one before it.
 	requestSteps = 2*windowSteps + 1
+	// establishedPart is the part of the limits that a daemon uses which has run for a window.
+	// Before that it uses startingPart: what its predecessor on the host has spent in the window
+	// is not known. The sum is below 1 for retries that are in transit for different times.
+	establishedPart = 0.75
+	startingPart    = 0.2
 )
 
-// WindowedBudget is a retry budget over a sliding window. In every span of the window's
-// length it bounds the retries by a share of the requests, plus a fixed number. These are the
-// requests of the same span, of the one before it, or of the one half a window before it,
-// whichever are most: retries follow requests. It is safe for concurrent use.
+// BudgetLimits bound the retries that all daemons of a fleet send to a service.
+type BudgetLimits struct {
+	// Ratio is the number of retries allowed per request, Extra the number allowed in addition,
+	// however few requests there are.
+	Ratio, Extra float64
+	// Window is the length of the spans in which they are allowed.
+	Window time.Duration
+}
+
+// WindowedBudget is one daemon's retry budget over a sliding window. In every span of the
+// window's length it bounds the retries by a ratio of this daemon's requests, plus its share of
+// a fixed number. The requests are those of the same span, of the one before it, or of the one
+// half a window before it, whichever are most: retries follow requests. The bound holds also
+// for the daemons that run on a host one after the other. It is safe for concurrent use.
 type WindowedBudget struct {
-	// ratio is the number of retries allowed per request.
-	ratio float64
-	// extra is the number of retries allowed in addition, however few requests there
-	// are.
-	extra float64
+	limits BudgetLimits
+	// share returns the part of the extra retries that is this daemon's.
+	share func() float64
 	// stepLength is the length of one step of the window, at least a millisecond.
 	stepLength time.Duration
 	clock      timekeeper.Clock
 	// start is when the first step began.
 	start time.Time
+	// daemonStart is when the daemon started, establishedAt when nothing that its predecessor
+	// sent is in the window any more.
+	daemonStart, establishedAt time.Time
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -45,10 +61,12 @@
 	retries  [retrySteps]float64
 }
 
-// NewWindowedBudget returns a budget that allows ratio retries per request and extra more
-// over a sliding window of the given span.
-func NewWindowedBudget(ratio, extra float64, span time.Duration, clock timekeeper.Clock) *WindowedBudget {
-	return &WindowedBudget{ratio: ratio, extra: extra, stepLength: max(span/windowSteps, time.Millisecond), clock: clock, start: clock.Now()}
+// NewWindowedBudget returns the budget of a daemon that started at daemonStart; the zero time
+// means that nothing ran on its host before. share returns the part of the extra retries that
+// is this daemon's; the shares of all daemons add up to at most 1.
+func NewWindowedBudget(limits BudgetLimits, share func() float64, daemonStart time.Time, clock timekeeper.Clock) *WindowedBudget {
+	stepLength := max(limits.Window/windowSteps, time.Millisecond)
+	return &WindowedBudget{limits: limits, share: share, stepLength: stepLength, clock: clock, start: clock.Now(), daemonStart: daemonStart, establishedAt: daemonStart.Add(limits.Window + stepLength)}
 }
 
 // advance moves the window to the present and clears the steps that have left it. The caller
@@ -72,17 +90,34 @@
 // Spend counts one retry and returns true if all spans that the retry lies in allow it;
 // otherwise it counts none and returns false.
 func (w *WindowedBudget) Spend() bool {
+	share := w.share()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	retries := 1.0
+	if !w.allowed(share) {
+		return false
+	}
+	w.retries[w.newestStep%retrySteps]++
+	return true
+}
+
+// allowed reports whether one more retry is allowed. The caller holds mu.
+func (w *WindowedBudget) allowed(share float64) bool {
+	retries, extra := 1.0, w.limits.Extra*share
+	now := w.clock.Now()
+	if now.Before(w.establishedAt) {
+		for _, count := range w.retries {
+			retries += count
+		}
+		age := now.Sub(w.daemonStart).Seconds() / w.limits.Window.Seconds()
+		return retries <= startingPart*(w.limits.Ratio*w.countRequests(0, w.newestStep)+extra*min(1, age))
+	}
 	for first := w.newestStep; first >= max(0, w.newestStep-windowSteps); first-- {
 		retries += w.retries[first%retrySteps]
-		if retries > w.ratio*w.requestsFor(first)+w.extra {
+		if retries > establishedPart*(w.limits.Ratio*w.requestsFor(first)+extra) {
 			return false
 		}
 	}
-	w.retries[w.newestStep%retrySteps]++
 	return true
 }
 
--- a/limiter/window_test.go
+++ b/limiter/window_test.go
@@ -20,7 +20,7 @@
 		rates := rapid.SliceOfN(rapid.IntRange(0, 40), 8, 8).Draw(rt, "rates")
 		synctest.Test(t, func(*testing.T) {
 			const span = 10 * time.Second
-			budget := limiter.NewWindowedBudget(0.2, 5, span, timekeeper.System{})
+			budget := newBudget(time.Time{})
 			var requests, retries []time.Duration
 			start := time.Now()
 			for _, rate := range rates {
@@ -61,7 +61,7 @@
 		arrivals := rapid.SliceOfN(rapid.IntRange(0, 60), len(pauses), len(pauses)).Draw(rt, "arrivals")
 		var requests, retries []time.Duration
 		synctest.Test(t, func(*testing.T) {
-			budget := limiter.NewWindowedBudget(testRatio, testExtra, testWindow, timekeeper.System{})
+			budget := newBudget(time.Time{})
 			start := time.Now()
 			for i, pause := range pauses {
 				<-time.After(time.Duration(pause) * 10 * time.Millisecond)
@@ -80,6 +80,11 @@
 	})
 }
 
+// newBudget returns the budget of the only daemon of a fleet.
+func newBudget(daemonStart time.Time) *limiter.WindowedBudget {
+	return limiter.NewWindowedBudget(limiter.BudgetLimits{Ratio: testRatio, Extra: testExtra, Window: testWindow}, func() float64 { return 1 }, daemonStart, timekeeper.System{})
+}
+
 const (
 	testRatio  = 0.2
 	testExtra  = 5
--- a/listener/departed_test.go
+++ b/listener/departed_test.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamenward/cyclamenward/internal/gateway"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
+	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/listener"
 	"github.com/cyclamenward/cyclamenward/peer/replica"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
@@ -94,7 +95,7 @@
 	}
 	pool := router.NewPool(clock)
 	pool.SetReplicas([]router.Descriptor{{ID: "i", Service: "s", Address: b.replicaAddress, Slots: 4}})
-	options := router.Options{RetryBudgetRatio: 0.2, RetryBudgetExtra: 10, RetryBudgetWindow: 10 * time.Second}
+	options := router.Options{RetryBudget: limiter.BudgetLimits{Ratio: 0.2, Extra: 10, Window: 10 * time.Second}}
 	r := router.New(options, pool, router.Transport{Send: b.send}, clock, log.New(io.Discard), recorder.New())
 	return b, serveGateway(t, r, gateway.Protocol{
 		Parse:        b.parse,
