Each daemon's part of the extra retries follows from the number of daemons

The retries of all daemons were beyond what is allowed to them together (BUDGET) with more than 24 daemons: each took a fixed 24th of the extra, 15 times as many as allowed with 360, and a fifth of them with 5.

Cause: a constant in place of the number of daemons, which sidecars list already for the limits that replicas name. Now the part is one by the number of daemons listed in the last ten minutes, since regions lose each other for minutes and list their own daemons only; 1/360, as in the largest fleet, while none is known or for two seconds after the first list, which may be short.

Evidence: TestFleetSharesAddUpToOne at 3, 23 and 359 daemons, with and without sidecars, with regions apart, daemons that come, go and start. Left: a daemon that starts while its region is cut off for longer than a window counts its own region only; fleets without sidecars use a 360th each.

--- a/internal/routing/divider/divide.go
+++ b/internal/routing/divider/divide.go
@@ -91,11 +91,15 @@
 	membership uint64
 	// membersCheckedAt is when members that are no longer listed were last removed.
 	membersCheckedAt time.Time
+	// fleet holds when each daemon was last listed, by its ID, for fleetMemory. firstListedAt is
+	// when this daemon had its first list, zero before that.
+	fleet         map[uint64]time.Time
+	firstListedAt time.Time
 }
 
 // New returns a divider without limits.
 func New(clock timekeeper.Clock) *Divider {
-	return &Divider{clock: clock, states: make(map[string]*state), members: make(map[Member]time.Time), lists: make(map[any][]Member), membership: 1}
+	return &Divider{clock: clock, states: make(map[string]*state), members: make(map[Member]time.Time), lists: make(map[any][]Member), fleet: make(map[uint64]time.Time), membership: 1}
 }
 
 // Observe records the limit that an answer of a replica names, nil for none, in requests a
--- /dev/null
+++ b/internal/routing/divider/fleet_test.go
@@ -0,0 +1,108 @@
+package divider_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"gotest.tools/v3/assert"
+)
+
+// fleet is a number of daemons of two regions.
+type fleet struct {
+	members  []divider.Member
+	dividers []*divider.Divider
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{}
+	for i := range size {
+		f.start(divider.Member{ID: uint64(i + 1), Region: fmt.Sprint("r", i%2)})
+	}
+	return f
+}
+
+// start starts a daemon.
+func (f *fleet) start(member divider.Member) {
+	d := divider.New(timekeeper.System{})
+	d.SetSelf(member)
+	f.members, f.dividers = append(f.members, member), append(f.dividers, d)
+}
+
+// list has the sidecars of each region list the daemons that are selected.
+func (f *fleet) list(selected func(from, listed divider.Member) bool) {
+	for i, d := range f.dividers {
+		members := []divider.Member{}
+		for _, member := range f.members {
+			if selected(f.members[i], member) {
+				members = append(members, member)
+			}
+		}
+		d.SetMembers("sidecar", members)
+	}
+}
+
+// sum returns the sum of all shares.
+func (f *fleet) sum() (sum float64) {
+	for _, d := range f.dividers {
+		sum += d.FleetShare()
+	}
+	return sum
+}
+
+func all(divider.Member, divider.Member) bool { return true }
+
+func ofOwnRegion(from, listed divider.Member) bool { return from.Region == listed.Region }
+
+func none(divider.Member, divider.Member) bool { return false }
+
+// TestFleetSharesAddUpToOne guards against daemons that together use more than what is allowed to
+// all (BUDGET): each took a fixed 24th of the extra retries, 15 times as many as allowed with
+// 360 daemons. They add up to one from the start on, with and without sidecars, while
+// regions have lost each other, and when daemons come and go; one more joins each fleet.
+func TestFleetSharesAddUpToOne(t *testing.T) {
+	for _, size := range []int{3, 23, 359} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(size)
+				check := func(when string, least float64) {
+					t.Helper()
+					sum := f.sum()
+					assert.Check(t, sum <= 1+1e-9 && sum >= least, "%s: %v", when, sum)
+				}
+				check("without sidecars", 0)
+				f.list(func(from, listed divider.Member) bool { return from == listed })
+				check("as the first is listed", 0)
+				<-time.After(time.Second)
+				f.list(all)
+				<-time.After(time.Second)
+				check("all are listed", 0.99)
+				<-time.After(time.Hour)
+				check("an hour later", 0.99)
+				f.list(ofOwnRegion)
+				<-time.After(5 * time.Minute)
+				check("regions have lost each other", 0.99)
+				f.list(none)
+				<-time.After(time.Minute)
+				check("no daemon is listed", 0.99)
+				f.list(all)
+				f.start(divider.Member{ID: uint64(size + 1), Region: "r0"})
+				f.list(all)
+				check("a daemon has started", 0)
+				<-time.After(settle)
+				check("it is known", 0.99)
+				f.dividers, f.members = f.dividers[1:], f.members[1:]
+				f.list(all)
+				check("a daemon has ended", 0)
+				<-time.After(11 * time.Minute)
+				check("it is forgotten", 0.99)
+			})
+		})
+	}
+}
+
+// settle is how long a daemon that has started takes to rely on the list.
+const settle = 2 * time.Second
--- a/internal/routing/divider/member.go
+++ b/internal/routing/divider/member.go
@@ -18,6 +18,15 @@
 	// memberMemory is how long a daemon that is no longer listed keeps its share: it may be cut
 	// off from those that list it, but not from replicas.
 	memberMemory = 10 * time.Second
+	// maxFleet is the number of daemons of the largest fleet. So many are assumed to share what
+	// is bounded for all while it is not known how many do.
+	maxFleet = 360
+	// settleTime is how long after its first list a daemon relies on the number that is listed:
+	// sidecars that have just started list the daemons that have connected so far.
+	settleTime = 2 * time.Second
+	// fleetMemory is how long a daemon that is no longer listed counts in the fleet. Regions lose
+	// each other for minutes, and in each the daemons of the others are not listed.
+	fleetMemory = 10 * time.Minute
 )
 
 // Member is a daemon that sends requests.
@@ -57,8 +66,27 @@
 				d.membership++
 			}
 			d.members[member] = now
+			d.fleet[member.ID] = now
 		}
 	}
+	if d.firstListedAt.IsZero() && len(d.fleet) > 0 {
+		d.firstListedAt = now
+	}
+}
+
+// FleetShare returns this daemon's part of what is bounded for all daemons together and needs no
+// exact division. The parts of all daemons add up to at most 1, also if some are cut off.
+func (d *Divider) FleetShare() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordListed()
+	now := d.clock.Now()
+	if d.firstListedAt.IsZero() || now.Sub(d.firstListedAt) < settleTime {
+		return 1.0 / maxFleet
+	}
+	maps.DeleteFunc(d.fleet, func(_ uint64, at time.Time) bool { return now.Sub(at) >= fleetMemory })
+	d.fleet[d.self.ID] = now
+	return 1 / float64(len(d.fleet))
 }
 
 // removeMembers removes members that have not been listed for memberMemory. The caller holds
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -108,3 +109,47 @@
 	share, _ = worstSpan(play.run(t))
 	assert.Assert(t, share <= 1, "%.2f", share)
 }
+
+// stepClock is a clock that a benchmark sets.
+type stepClock struct {
+	timekeeper.System
+	now time.Time
+}
+
+func (c *stepClock) Now() time.Time { return c.now }
+
+// BenchmarkRetriesAfterRestart measures which part of the wanted retries is allowed in the first ten
+// seconds after all daemons have started at once: one request in ten wants one.
+func BenchmarkRetriesAfterRestart(b *testing.B) {
+	for _, fleet := range []struct{ daemons, requestsPerSecond, extra int }{{3, 160, 52}, {23, 640, 88}, {360, 23_000, 400}} {
+		for _, established := range []bool{false, true} {
+			b.Run(fmt.Sprintf("daemons=%d/established=%v", fleet.daemons, established), func(b *testing.B) {
+				for b.Loop() {
+					began := time.Unix(0, 0)
+					clock, daemonStart := &stepClock{now: began}, began
+					if established {
+						daemonStart = time.Time{}
+					}
+					limits := limiter.BudgetLimits{Ratio: testRatio, Extra: float64(fleet.extra), Window: testWindow}
+					budgets := make([]*limiter.WindowedBudget, fleet.daemons)
+					for i := range budgets {
+						budgets[i] = limiter.NewWindowedBudget(limits, func() float64 { return 1 / float64(fleet.daemons) }, daemonStart, clock)
+					}
+					wanted, allowed := 0, 0
+					for i := range 10 * fleet.requestsPerSecond {
+						clock.now = began.Add(time.Duration(i) * time.Second / time.Duration(fleet.requestsPerSecond))
+						budget := budgets[i%fleet.daemons]
+						budget.Earn()
+						if i/fleet.daemons%10 != 0 {
+							continue
+						}
+						if wanted++; budget.Spend() {
+							allowed++
+						}
+					}
+					b.ReportMetric(float64(allowed)/float64(wanted), "allowed")
+				}
+			})
+		}
+	}
+}
