All attempts of a take-up count that its silent replica cut short

If the silent one went on, one attempt was counted for the other, however many it had made; what it rejected and which replicas it had tried was forgotten; and it could still send between the count and its end.

Cause: the count was taken from a flag while the attempts were still under way. Now they are ended first, which takes no longer than a cancelled exchange, and then all that they have done counts: runs, rejections, replicas. A dispatch whose context has ended sends nothing.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -83,9 +83,7 @@
 	// was recorded as sound.
 	headAt        time.Time
 	soundRecorded bool
-	// admitted is set once the transport is about to send the first byte, interrupted once it
-	// was recorded that the stream has broken off.
-	admitted    atomic.Bool
+	// interrupted is set once it was recorded that the stream has broken off.
 	interrupted bool
 	// timedOut is set once this daemon has ended the attempt because its replica did not
 	// answer in time, and recalled once it has because the request is isolated.
@@ -253,8 +251,12 @@
 	if d.callerLeft {
 		return &Failure{Reason: ReasonCallerGone, NotRun: d.runAttempts == 0}
 	}
-	if d.timeLeft() < minTimeLeft {
+	switch {
+	case d.timeLeft() < minTimeLeft:
 		return &Failure{Reason: ReasonDeadline, NotRun: d.runAttempts == 0, RetryAfter: minRetryAfter}
+	case d.ctx.Err() != nil:
+		// Another attempt of the request has gone on.
+		return &Failure{Reason: ReasonReplicaFailed}
 	}
 	return nil
 }
@@ -270,13 +272,12 @@
 		return 0, ErrExpired
 	}
 	remaining := d.timeLeft()
-	if remaining <= 0 {
+	if remaining <= 0 || d.ctx.Err() != nil {
 		return 0, ErrExpired
 	}
 	if replica := d.choice.replica; !d.router.pool.takesRequests(replica, replica.descriptor.Load()) {
 		return 0, ErrOutdated
 	}
-	d.admitted.Store(true)
 	return remaining, nil
 }
 
--- a/internal/routing/router/takeover.go
+++ b/internal/routing/router/takeover.go
@@ -84,14 +84,11 @@
 				d.closeReply()
 				continue
 			}
-			if other.admitted.Load() {
-				d.runAttempts++
-			}
+			// The wait is short, and what the other has sent is known only then.
 			cancel()
-			go func() {
-				<-taken
-				other.release()
-			}()
+			<-taken
+			d.countAttemptsOf(other)
+			other.release()
 			return result, true
 		case result := <-taken:
 			if !result.ended() {
@@ -99,7 +96,7 @@
 				d.adopt(other)
 				return result, true
 			}
-			d.runAttempts, d.rejectedAttempts, d.allowedAttempts = other.runAttempts, other.rejectedAttempts, other.allowedAttempts
+			d.countAttemptsOf(other)
 			other.release()
 			if broken != nil {
 				return *broken, true
@@ -122,6 +119,11 @@
 	return &other
 }
 
+// countAttemptsOf counts the attempts of a fork that has ended as those of the request.
+func (d *dispatch) countAttemptsOf(other *dispatch) {
+	d.runAttempts, d.rejectedAttempts, d.allowedAttempts, d.excluded = other.runAttempts, other.rejectedAttempts, other.allowedAttempts, other.excluded
+}
+
 // adopt continues with the attempt of a fork, whose event is not passed on yet.
 func (d *dispatch) adopt(other *dispatch) {
 	cancel, lastEventID := d.cancel, d.lastEventID
--- a/internal/routing/router/takeover_test.go
+++ b/internal/routing/router/takeover_test.go
@@ -14,7 +14,10 @@
 	"pgregory.net/rapid"
 )
 
-const scriptedEvents = 12
+const (
+	scriptedEvents      = 12
+	scriptedMaxAttempts = 3
+)
 
 // streamScript says how a replica behaves in one attempt.
 type streamScript struct {
@@ -24,6 +27,8 @@
 	// breakAt is the number of events after which the replica is lost, -1 if it is not.
 	breakAt  int
 	rejected bool
+	// lost is set if the replica is lost before the head of its answer.
+	lost bool
 }
 
 // scriptedReplicas plays scripts and records what breaks the promises of a stream.
@@ -38,6 +43,8 @@
 	// open holds all attempts, in the order in which they began.
 	open       []*scriptedStream
 	violations []string
+	// runs is the number of attempts that may have run.
+	runs int
 }
 
 // scriptedStream is one attempt at a replica.
@@ -61,10 +68,17 @@
 	}
 	stream := &scriptedStream{closed: make(chan struct{}), sent: a.LastEventID}
 	s.open = append(s.open, stream)
+	if !script.rejected {
+		s.runs++
+	}
 	s.mu.Unlock()
-	if script.rejected {
+	switch {
+	case script.rejected:
 		stream.ended = true
 		return rejectionReply(), nil
+	case script.lost:
+		stream.ended = true
+		return nil, errLost
 	}
 	reply := answerReply(200, "")
 	wait := func(d time.Duration) error {
@@ -136,9 +150,9 @@
 func playSilence(t *testing.T, scripts []streamScript, timeout time.Duration) (violations []string) {
 	synctest.Test(t, func(*testing.T) {
 		replicas := &scriptedReplicas{scripts: scripts, timeout: timeout}
-		b := newTestBed(4, nil)
+		b := newTestBed(6, nil)
 		b.router.transport = Transport{Send: replicas.begin, Concurrent: timeout == 0}
-		request := modelRequest(route(Streaming, 4, true), PromptPart{"a", 100})
+		request := modelRequest(route(Streaming, scriptedMaxAttempts, true), PromptPart{"a", 100})
 		request.Route.Timeout = time.Hour
 		request.Deadline = request.Arrived.Add(time.Hour)
 		result := b.router.Begin(request)
@@ -159,13 +173,14 @@
 			}
 			expected = event.ID + 1
 		}
-		replicas.mu.Lock()
-		violations = append(violations, replicas.violations...)
-		replicas.mu.Unlock()
 		result.Stream.Close()
 		synctest.Wait()
 		replicas.mu.Lock()
 		defer replicas.mu.Unlock()
+		violations = append(violations, replicas.violations...)
+		if replicas.runs > scriptedMaxAttempts {
+			violations = append(violations, fmt.Sprintf("the request runs %d times", replicas.runs))
+		}
 		for i, stream := range replicas.open {
 			select {
 			case <-stream.closed:
@@ -183,11 +198,12 @@
 // after which another replica is asked, losses at any event, and rejections.
 func drawScripts(t *rapid.T) []streamScript {
 	pause := rapid.SampledFrom([]time.Duration{0, 10 * time.Millisecond, silenceTimeout - time.Millisecond, silenceTimeout + time.Millisecond, 1800 * time.Millisecond, 4 * time.Second})
-	scripts := make([]streamScript, rapid.IntRange(1, 4).Draw(t, "attempts"))
+	scripts := make([]streamScript, rapid.IntRange(1, 6).Draw(t, "attempts"))
 	for i := range scripts {
 		scripts[i] = streamScript{
 			headDelay: pause.Draw(t, "head"), pauses: rapid.SliceOfN(pause, 0, scriptedEvents).Draw(t, "pauses"),
 			breakAt: rapid.IntRange(-1, scriptedEvents).Draw(t, "break"), rejected: i > 0 && rapid.IntRange(0, 5).Draw(t, "rejected") == 0,
+			lost: i > 0 && rapid.IntRange(0, 3).Draw(t, "lost") == 0,
 		}
 	}
 	return scripts
@@ -247,3 +263,11 @@
 		<-replicas.open[0].closed
 	})
 }
+
+// TestRunsOfATakeUpThatIsCutShortCount guards against a request that runs at more replicas than its route
+// allows (BUDGET): of a take-up that the silent replica ended by going on, one attempt counted,
+// however many it had made.
+func TestRunsOfATakeUpThatIsCutShortCount(t *testing.T) {
+	silent := streamScript{pauses: []time.Duration{0, 4 * time.Second, time.Second}, breakAt: 3}
+	assert.DeepEqual(t, playSilence(t, []streamScript{silent, {lost: true}, {headDelay: time.Hour}, {breakAt: -1}}, 0), []string(nil))
+}
