Only its next piece continues a stream that has broken off

Reported by another operator: a stream broke off, the next replica answered with an error, and clients found its text in their stream, or the stream ended as if it were complete (ORDER, MIXED). Here answers with another status or type were refused, and the stream ended as broken, although attempts were left. But a 200 with events without an ID was passed on, one without any event ended the stream as complete, and one that began with a later piece left a gap.

Cause: whatever the next replica sent as a stream was taken for the rest of the stream. Now an attempt that continues one has to begin with an event that has an ID behind the last one passed on, and the very next ID if IDs have counted the events so far. What comes before has no ID and is left out; an end before it, another status or type is a failed attempt, and the next replica is asked while the route and the budget allow.

--- a/internal/routing/router/answer_test.go
+++ b/internal/routing/router/answer_test.go
@@ -215,3 +215,78 @@
 		assert.DeepEqual(t, *b.pool.ReplicaByAddress(address).State(), State{Running: 3, Queued: 1, ReceivedAt: time.Now()})
 	})
 }
+
+// streamOf returns an answer with the given events and the given end.
+func streamOf(end error, events ...Event) *Reply {
+	reply := answerReply(200, "")
+	reply.NextEvent = func() (Event, error) {
+		if len(events) == 0 {
+			return Event{}, end
+		}
+		event := events[0]
+		events = events[1:]
+		return event, nil
+	}
+	return reply
+}
+
+// TestOnlyTheNextPieceContinuesAStream guards against streams that go on with what is no piece of them,
+// or end as if they were complete (ORDER, MIXED): the replica that was to continue one
+// answered with an error. Another replica continues it after the last event.
+func TestOnlyTheNextPieceContinuesAStream(t *testing.T) {
+	piece := func(id int64) Event { return Event{Raw: []byte(fmt.Sprint(id)), ID: id} }
+	message := Event{Raw: []byte("data: overload"), ID: -1}
+	text := func(status int) *Reply {
+		reply := answerReply(status, "overload")
+		reply.NextEvent = nil
+		return reply
+	}
+	for _, tc := range []struct {
+		name  string
+		reply *Reply
+	}{
+		{"server error", text(500)},
+		{"not found", text(404)},
+		{"text", text(200)},
+		{"events without an ID", streamOf(io.EOF, message, message)},
+		{"nothing", streamOf(io.EOF)},
+		{"nothing, cut", streamOf(errLost)},
+		{"a later piece", streamOf(io.EOF, piece(6), piece(7), piece(8))},
+		{"a message, then a later piece", streamOf(io.EOF, message, piece(6))},
+		{"earlier pieces only", streamOf(io.EOF, piece(1), piece(2))},
+		{"its next piece behind a comment", streamOf(errLost, Event{Raw: []byte(": hello"), ID: -1}, piece(4))},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestBed(4, func(n int, a *Attempt) (*Reply, error) {
+					switch n {
+					case 1:
+						return streamReply(1, 3, errLost), nil
+					case 2:
+						return tc.reply, nil
+					}
+					return streamReply(a.LastEventID+1, 8, io.EOF), nil
+				})
+				ids, err := drainStream(b.router.Begin(modelRequest(route(Streaming, 3, true), PromptPart{"own", 100})).Stream)
+				assert.ErrorIs(t, err, io.EOF)
+				assert.DeepEqual(t, ids, []int64{1, 2, 3, 4, 5, 6, 7, 8})
+			})
+		})
+	}
+}
+
+// TestStreamWithGapsInItsIDsGoesOn has IDs that do not count pieces: the next one is not known.
+func TestStreamWithGapsInItsIDsGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		piece := func(id int64) Event { return Event{Raw: []byte(fmt.Sprint(id)), ID: id} }
+		b := newTestBed(4, func(n int, _ *Attempt) (*Reply, error) {
+			if n == 1 {
+				return streamOf(errLost, piece(10), piece(11), piece(20)), nil
+			}
+			return streamOf(io.EOF, piece(30), piece(40)), nil
+		})
+		ids, err := drainStream(b.router.Begin(modelRequest(route(Streaming, 2, true), PromptPart{"own", 100})).Stream)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.DeepEqual(t, ids, []int64{10, 11, 20, 30, 40})
+	})
+}
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -57,6 +57,8 @@
 	// lastEventID is the ID of the last event passed on to the caller, -1 before the
 	// first.
 	lastEventID int64
+	// idOrder says how the IDs of the events increase that were passed on.
+	idOrder idOrder
 	// lastFailure is the most recent failure, which the caller gets if no attempt
 	// succeeds.
 	lastFailure *Failure
@@ -83,6 +85,8 @@
 	// was recorded as sound.
 	headAt        time.Time
 	soundRecorded bool
+	// continued is set once the attempt has sent an event that was passed on.
+	continued bool
 	// interrupted is set once it was recorded that the stream has broken off.
 	interrupted bool
 	// timedOut is set once this daemon has ended the attempt because its replica did not
@@ -329,7 +333,7 @@
 		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
-	d.interrupted = false
+	d.interrupted, d.continued = false, false
 	d.timedOut.Store(false)
 	d.recalled.Store(false)
 	if timeout, hasTimeout := d.replyTimeout(); hasTimeout {
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"time"
 )
@@ -10,6 +11,16 @@
 // take it over. Pauses of preempted requests are mostly shorter.
 const silenceTimeout = 1200 * time.Millisecond
 
+// idOrder says how the IDs of a stream's events increase.
+type idOrder int
+
+// The orders of IDs. They are unknown before the second event.
+const (
+	unknownIDs idOrder = iota
+	consecutiveIDs
+	sparseIDs
+)
+
 // startStream waits for the first event and returns the stream. If the replica is lost
 // before that, it returns false and another attempt is due.
 func (d *dispatch) startStream() (*Result, bool) {
@@ -33,6 +44,9 @@
 	for {
 		event, err := d.readEvent()
 		if err != nil {
+			if errors.Is(err, io.EOF) && d.continues() {
+				return Event{}, fmt.Errorf("%w: the stream ends before its next piece", ErrInvalidAnswer)
+			}
 			if errors.Is(err, io.EOF) && d.reply.Status < 300 {
 				d.recordSound()
 			}
@@ -48,17 +62,44 @@
 			d.firstEventDelay = d.router.clock.Now().Sub(d.sentAt)
 			d.service.updatePace(d.choice.prefillTime, d.choice.wait, d.firstEventDelay)
 		}
-		if event.ID >= 0 && event.ID <= d.lastEventID {
+		if event.ID >= 0 && event.ID <= d.lastEventID || event.ID < 0 && d.continues() {
 			continue
 		}
-		if event.ID >= 0 {
-			d.lastEventID = event.ID
+		if err := d.checkNextPiece(event); err != nil {
+			return Event{}, err
 		}
 		d.refreshStreamRecord()
 		return event, nil
 	}
 }
 
+// continues reports whether the current attempt is to continue the stream and has not done so yet.
+func (d *dispatch) continues() bool {
+	return !d.continued && d.lastEventID > d.request.LastEventID
+}
+
+// checkNextPiece records the ID of an event that is about to be passed on. If the IDs of the stream have
+// counted its events so far, an attempt that continues it must begin with the next one.
+func (d *dispatch) checkNextPiece(event Event) error {
+	if event.ID < 0 {
+		return nil
+	}
+	follows := event.ID == d.lastEventID+1
+	if !follows && d.continues() && d.idOrder == consecutiveIDs {
+		return fmt.Errorf("%w: event %d instead of %d continues the stream", ErrInvalidAnswer, event.ID, d.lastEventID+1)
+	}
+	if d.lastEventID > d.request.LastEventID {
+		switch {
+		case !follows:
+			d.idOrder = sparseIDs
+		case d.idOrder == unknownIDs:
+			d.idOrder = consecutiveIDs
+		}
+	}
+	d.lastEventID, d.continued = event.ID, true
+	return nil
+}
+
 // recordCachedParts records that the replica has the shared parts of the prompt cached,
 // and the cache store too if they are saved there.
 func (d *dispatch) recordCachedParts() {
@@ -159,18 +200,19 @@
 			return cause
 		}
 		d.recordReport(d.reply)
-		if !d.reply.NotRun {
+		if !d.reply.NotRun && d.reply.NextEvent != nil && d.reply.Status < 300 {
 			break
 		}
-		d.handleRejection()
+		if d.reply.NotRun {
+			d.handleRejection()
+		} else {
+			d.recordAttemptError(fmt.Errorf("%w: status %d instead of the rest of a stream", ErrInvalidAnswer, d.reply.Status))
+		}
 		d.closeAttempt()
 		if failure := d.checkRetryAllowed(); failure != nil {
 			return cause
 		}
 	}
-	if d.reply.NextEvent == nil || d.reply.Status >= 300 {
-		return cause
-	}
 	d.runAttempts++
 	d.router.recorder.Count("streams.resumed")
 	d.router.logger.Info("route: stream resumed.", "request", d.request.ID, "replica", d.choice.replica.ID(), "after", d.lastEventID)
