A head behind the last chunk is no trailer

Reported by another operator: replicas that stop in the middle of their head, and answers that look whole.

One fault of the kind was found: after the last chunk any lines were skipped up to an empty one as a trailer, so that a stream whose replica began another answer there ended as complete (ORDER). Cause: the trailer was the one part of an answer that was not read by the HTTP library. Now it is, and what is no list of fields is an error.

--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -144,17 +144,11 @@
 	if limited, ok := a.body.(*io.LimitedReader); ok && limited.N > 0 {
 		return io.ErrUnexpectedEOF
 	}
-	for trailerBytes := 0; a.chunked; {
-		line, err := a.conn.reader.ReadSlice('\n')
-		if err != nil {
+	if a.chunked {
+		var trailer fasthttp.ResponseHeader
+		if err := trailer.ReadTrailer(a.conn.reader); err != nil {
 			return fmt.Errorf("read trailer: %w", err)
 		}
-		if trailerBytes += len(line); trailerBytes > maxTrailerBytes {
-			return errors.New("trailer is too large")
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			break
-		}
 	}
 	a.complete = true
 	return nil
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -51,8 +51,6 @@
 	maxInterimAnswers = 8
 	// maxStaleBodyBytes is the largest body of an answer that is skipped.
 	maxStaleBodyBytes = 64 << 10
-	// maxTrailerBytes is the largest trailer of a chunked answer.
-	maxTrailerBytes = 8 << 10
 	// maxBufferedBytes bounds the bytes of all answers together that are held in memory,
 	// except for freeBufferBytes of each answer, which ordinary ones stay within. Servers
 	// in trouble may send bytes without end.
