Daemons that start use more of the retry budget, established ones less

The bound is on the sum of the two parts, so the starting one gets 0.35 in place of 0.2 and the established one 0.6 in place of 0.75.

--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -31,7 +31,8 @@
 	// RetryShare returns the part of the budget's extra retries that is this daemon's; nil
 	// means all of it.
 	RetryShare func() float64
-	// StartedAt is when the daemon started, zero if nothing ran on its host before.
+	// StartedAt is when the daemon started, zero if no daemon that ran on its host before has
+	// used the same budget.
 	StartedAt time.Time
 	// OldWeightsTimeout is how long after a newer version was first named requests may
 	// still start on older weights.
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -20,8 +20,8 @@
 	// establishedPart is the part of the limits that a daemon uses which has run for a window.
 	// Before that it uses startingPart: what its predecessor on the host has spent in the window
 	// is not known. The sum is below 1 for retries that are in transit for different times.
-	establishedPart = 0.75
-	startingPart    = 0.2
+	establishedPart = 0.6
+	startingPart    = 0.35
 )
 
 // BudgetLimits bound the retries that all daemons of a fleet send to a service.
@@ -62,7 +62,7 @@
 }
 
 // NewWindowedBudget returns the budget of a daemon that started at daemonStart; the zero time
-// means that nothing ran on its host before. share returns the part of the extra retries that
+// means that no daemon before it on its host has used the budget. share returns the part of the extra retries that
 // is this daemon's; the shares of all daemons add up to at most 1.
 func NewWindowedBudget(limits BudgetLimits, share func() float64, daemonStart time.Time, clock timekeeper.Clock) *WindowedBudget {
 	stepLength := max(limits.Window/windowSteps, time.Millisecond)
