Paths of calls reach plain services as their callers sent them

Entries decoded and normalized paths, so that an escaped question mark became that of a query, and an escaped line end stood in the path; the client of plain services normalized them again.

Now the target is taken and sent as it stands. A call may be repeated only if both readings of its path allow it: /look/../book is a booking to some services.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 
@@ -15,11 +16,41 @@
 // service. No other field of the request is passed on.
 var forwardedHeaders = []string{fasthttp.HeaderContentType, fasthttp.HeaderAccept, fasthttp.HeaderAcceptLanguage}
 
+// callTarget is what a caller's request names under /services/.
+type callTarget struct {
+	// service is the name of the service, path the path that follows, and query the rest of the
+	// target from the question mark on; all as the caller sent them.
+	service, path, query string
+	// normalizedPath is the path with its escapes decoded and without its dot segments. A
+	// service may take it for the path.
+	normalizedPath string
+}
+
+// parseCallTarget returns what a request names under /services/, and false if that is nothing.
+func parseCallTarget(request *fasthttp.Request) (callTarget, bool) {
+	uri := request.URI()
+	rest, found := strings.CutPrefix(string(uri.PathOriginal()), pathServices)
+	if !found {
+		return callTarget{}, false
+	}
+	var t callTarget
+	t.service, t.path, _ = strings.Cut(rest, "/")
+	t.path = "/" + t.path
+	t.normalizedPath = "/" + strings.TrimPrefix(strings.TrimPrefix(string(uri.Path()), pathServices+t.service), "/")
+	if sent := request.Header.RequestURI(); bytes.IndexByte(sent, '?') >= 0 {
+		t.query = string(sent[bytes.IndexByte(sent, '?'):])
+	}
+	return t, true
+}
+
+// mayRepeat reports whether a call may be sent more than once, however the service reads its path.
+func (t callTarget) mayRepeat(document *decoder.Document, method string) bool {
+	return document.MayRepeat(method, t.path) && document.MayRepeat(method, t.normalizedPath)
+}
+
 // forwardPlain sends a caller's request to a plain service and writes the service's answer.
-// servicePath is the part of the request path after /services/.
-func (e *Entry) forwardPlain(ctx *fasthttp.RequestCtx, c *caller, servicePath string) *problem {
-	name, path, _ := strings.Cut(servicePath, "/")
-	s := c.catalog.byName[name]
+func (e *Entry) forwardPlain(ctx *fasthttp.RequestCtx, c *caller, target callTarget) *problem {
+	s := c.catalog.byName[target.service]
 	if s == nil || s.document.Kind != decoder.PlainService || s.workspaceByKeyHash[c.keyHash] == nil {
 		return notRunProblem(fasthttp.StatusNotFound, codeNotFound, "no such service for this key")
 	}
@@ -37,16 +68,15 @@
 		return p
 	}
 	defer release()
-	path = "/" + path
 	request := e.newRouterRequest(ctx, c, workspace, timeout)
 	request.Route = s.onceRoute
 	call := &link.PlainCall{
 		Method:         string(ctx.Method()),
-		Path:           withQuery(ctx, path),
+		Path:           target.path + target.query,
 		Headers:        requestHeaders(ctx),
 		Body:           ctx.PostBody(),
 		IdempotencyKey: key,
-		Repeatable:     s.document.MayRepeat(string(ctx.Method()), path),
+		Repeatable:     target.mayRepeat(s.document, string(ctx.Method())),
 	}
 	if call.Repeatable {
 		request.Route = s.repeatableRoute
@@ -79,13 +109,6 @@
 	return string(values[0]), nil
 }
 
-func withQuery(ctx *fasthttp.RequestCtx, path string) string {
-	if query := ctx.URI().QueryString(); len(query) > 0 {
-		return path + "?" + string(query)
-	}
-	return path
-}
-
 func requestHeaders(ctx *fasthttp.RequestCtx) []link.Header {
 	var headers []link.Header
 	for _, name := range forwardedHeaders {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -88,8 +88,9 @@
 		return e.serveCompletion(ctx, c, true)
 	case path == "/v1/completions" && ctx.IsPost():
 		return e.serveCompletion(ctx, c, false)
-	case strings.HasPrefix(path, pathServices):
-		return e.forwardPlain(ctx, c, strings.TrimPrefix(path, pathServices))
+	}
+	if target, found := parseCallTarget(&ctx.Request); found {
+		return e.forwardPlain(ctx, c, target)
 	}
 	return notRunProblem(fasthttp.StatusNotFound, codeNotFound, "no such path")
 }
--- a/peer/plainservice/client.go
+++ b/peer/plainservice/client.go
@@ -71,6 +71,8 @@
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           maxConnections,
 		MaxResponseBodySize:       maxAnswerBytes,
+		// Paths are sent as they are, with the query that follows.
+		DisablePathNormalizing: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 			return false, false
 		},
@@ -83,7 +85,10 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + c.address + call.Path)
+	uri := request.URI()
+	uri.SetScheme("http")
+	uri.SetHost(c.address)
+	uri.SetPath(call.Path)
 	request.Header.SetMethod(call.Method)
 	for _, header := range call.Headers {
 		request.Header.Set(header.Name, header.Value)
