A list of replicas decides about a stream only if it is current

Reported by another operator: while replicas of a new software version joined, an entry was out of step for some seconds, cut off or standing still; streams that had begun at these replicas through other entries were taken up there and went on at another version (ORDER). It can happen here: 'observed' counted from the first list that a daemon had seen, not from how current the list has been since, and a daemon that gets no answer from others decided from its own list.

Cause: knowledge without its age. Now a list counts as seen without a break only if the store, or a daemon that watches it, has confirmed it each 3.5 s; and before a list decides about a stream without a record, the store is asked for what the table lacks and the list is looked at again.

Evidence: TestListOutOfStepTakesUpNoStreams (with the list as it was, the stream went on at the old version), TestUpdateBringsTheTableUpToDate. Not proved: the suspended host, as virtual time has one clock only.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -348,6 +348,14 @@
 	return a.storeWatchedSince, a.deps.Clock.Now().Sub(a.storeWatchedAt) < validity
 }
 
+// StoreWatchedAt returns when a connected daemon last reported that it or a peer of its own watches
+// the store, zero if none has.
+func (a *Announcer) StoreWatchedAt() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.storeWatchedAt
+}
+
 // reportValidity returns how long what a peer reports in regular messages is valid. A peer
 // without changes sends one each idleInterval.
 func (a *Announcer) reportValidity() time.Duration {
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -236,6 +236,8 @@
 	removed map[string]removedReplica
 	// software holds the software versions of each service's replicas. It is guarded by mu.
 	software map[string]*softwareLog
+	// currentAt is when the list of replicas was last known to be current. It is guarded by mu.
+	currentAt time.Time
 }
 
 // removedReplica is a replica that was removed from the list at a time.
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -44,6 +44,9 @@
 	// asks them. They may be nil.
 	RecordStream func(pinner.Record)
 	FindStream   func(context.Context, pinner.Query) pinner.Origin
+	// UpdateList brings the list of replicas up to the moment of the call and reports whether that
+	// was possible; nil means that the list is always current.
+	UpdateList func(context.Context) bool
 }
 
 // Router chooses replicas for the requests of one daemon and sends the requests to
--- a/internal/routing/router/software.go
+++ b/internal/routing/router/software.go
@@ -16,11 +16,17 @@
 	// softwareMemory is how long a software version that no listed replica has any more is
 	// remembered. Streams on routes with longer timeouts are continued by records only.
 	softwareMemory = 10 * time.Minute
+	// maxListGap is the longest time for which the list of replicas may not be known to be current
+	// without being regarded as interrupted. It exceeds the interval at which a watch without
+	// changes is answered, and is too short for a replica to come and go unnoticed: an entry
+	// lapses after three heartbeats.
+	maxListGap = 3500 * time.Millisecond
 )
 
 // softwareLog holds which software versions the replicas of a service have had.
 type softwareLog struct {
-	// since is when the first replica was listed.
+	// since is when the first replica was listed, or since when the list has not been
+	// interrupted.
 	since time.Time
 	// endedAt holds when the last replica of each version left the list, zero for versions
 	// that are listed.
@@ -54,6 +60,24 @@
 	}
 }
 
+// RecordCurrent records that the list of replicas was current at a time. A daemon that was cut off,
+// or stood still, may have missed replicas that have come and gone since the last time.
+func (p *Pool) RecordCurrent(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The steady clock does not count the time in which the host is suspended.
+	gap := max(at.Sub(p.currentAt), at.Round(0).Sub(p.currentAt.Round(0)))
+	if gap > maxListGap {
+		now := p.clock.Now()
+		for _, log := range p.software {
+			log.since = now
+		}
+	}
+	if at.After(p.currentAt) {
+		p.currentAt = at
+	}
+}
+
 // Origin returns what this daemon knows from its list of replicas about the version that began
 // the stream of a query.
 func (p *Pool) Origin(query pinner.Query) pinner.Origin {
@@ -64,7 +88,7 @@
 		return pinner.Origin{}
 	}
 	now := p.clock.Now()
-	origin := pinner.Origin{Observed: now.Sub(log.since) >= query.Within && query.Within <= softwareMemory}
+	origin := pinner.Origin{Observed: now.Sub(log.since) >= query.Within && query.Within <= softwareMemory && now.Sub(p.currentAt) <= maxListGap}
 	for version, endedAt := range log.endedAt {
 		if endedAt.IsZero() || now.Sub(endedAt) <= query.Within {
 			origin.Serving = append(origin.Serving, version)
@@ -115,6 +139,15 @@
 	query := pinner.Query{Key: request.streamKey(), Service: d.service.name, Within: max(minStreamTime, request.Route.Timeout)}
 	origin, source := r.findOrigin(d.ctx, query)
 	version, known := origin.Decide()
+	if update := r.options.UpdateList; known && version != "" && !origin.Recorded && update != nil {
+		if !update(d.ctx) {
+			r.recorder.Count("streams.unconfirmed")
+			r.logger.Info("route: stream refused, the list of replicas is not known to be current.", "request", request.ID, "resumes", request.Resumes, "after", request.LastEventID, "serving", origin.Serving)
+			return &Failure{Reason: ReasonUnknownStream, NotRun: true, RetryAfter: minRetryAfter}
+		}
+		origin.Merge(r.pool.Origin(query))
+		version, known = origin.Decide()
+	}
 	if !known {
 		r.recorder.Count("streams.unknown")
 		r.logger.Info("route: stream refused, its software version is not known.", "request", request.ID, "resumes", request.Resumes, "after", request.LastEventID, "serving", origin.Serving)
--- a/internal/routing/router/software_test.go
+++ b/internal/routing/router/software_test.go
@@ -24,6 +24,15 @@
 	b.pool.SetReplicas(list)
 }
 
+// follow lets time pass in which the list of replicas stays current.
+func (b *testBed) follow(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		b.pool.RecordCurrent(time.Now())
+		<-time.After(min(time.Second, time.Until(end)))
+	}
+	b.pool.RecordCurrent(time.Now())
+}
+
 // softwareOf returns the software version of the replica of an attempt.
 func (b *testBed) softwareOf(a *Attempt) string {
 	return b.pool.ReplicaByID(a.ReplicaID).descriptor.Load().SoftwareVersion
@@ -97,7 +106,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			b := newTestBed(0, func(int, *Attempt) (*Reply, error) { return streamReply(4, 8, io.EOF), nil })
 			b.setSoftware("v1", "v2")
-			<-time.After(time.Minute)
+			b.follow(time.Minute)
 			request := streamRequest("q", 0)
 			request.Resumes, request.LastEventID = resumes, 3
 			result := b.router.Begin(request)
@@ -132,14 +141,14 @@
 		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) { return streamReply(a.LastEventID+1, 8, io.EOF), nil })
 		b.setSoftware("v1", "v1")
 		assert.Equal(t, b.takeUp(t, "stream 1"), "", "just after the start")
-		<-time.After(minStreamTime)
+		b.follow(minStreamTime)
 		assert.Equal(t, b.takeUp(t, "stream 2"), "v1", "after a while")
 		b.setSoftware("v1", "v1", "v2")
 		assert.Equal(t, b.takeUp(t, "stream 3"), "", "while two versions serve")
-		<-time.After(time.Minute)
+		b.follow(time.Minute)
 		b.setSoftware("v2", "v2")
 		assert.Equal(t, b.takeUp(t, "stream 4"), "", "when one of them has just left")
-		<-time.After(minStreamTime + time.Second)
+		b.follow(minStreamTime + time.Second)
 		assert.Equal(t, b.takeUp(t, "stream 5"), "v2", "after a while")
 	})
 }
@@ -223,7 +232,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) { return streamReply(a.LastEventID+1, 8, io.EOF), nil })
 		b.setSoftware("v1", "v1")
-		<-time.After(20 * time.Second)
+		b.follow(20 * time.Second)
 		request := streamRequest("q", 0)
 		request.Route.Timeout, request.Deadline, request.LastEventID = 15*time.Second, time.Now().Add(15*time.Second), 3
 		request.Arrived = time.Now()
@@ -232,3 +241,38 @@
 		result.Stream.Close()
 	})
 }
+
+// TestListOutOfStepTakesUpNoStreams guards against streams that go on at another software version (ORDER):
+// a daemon that was cut off, or stood still, while replicas of a new version joined took the only
+// version in its old list for the only one there was. It refuses streams that nobody has a record
+// of until its list has been current for as long as a stream can have run.
+func TestListOutOfStepTakesUpNoStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) { return streamReply(a.LastEventID+1, 8, io.EOF), nil })
+		answers, joined := true, false
+		b.router.options.UpdateList = func(context.Context) bool {
+			if joined {
+				b.setSoftware("v1", "v1", "v2")
+			}
+			return answers
+		}
+		b.setSoftware("v1", "v1")
+		b.follow(time.Minute)
+		assert.Equal(t, b.takeUp(t, "stream 1"), "v1")
+		answers = false
+		assert.Equal(t, b.takeUp(t, "stream 2"), "", "the store does not answer")
+		answers, joined = true, true
+		assert.Equal(t, b.takeUp(t, "stream 2"), "", "the list lacks a replica that has joined")
+		joined = false
+		b.setSoftware("v1", "v1")
+		b.follow(time.Minute)
+		b.router.streams.Add(pinner.Record{Key: pinner.Key("", "recorded"), Version: "v1"})
+		<-time.After(maxListGap + time.Millisecond)
+		assert.Equal(t, b.takeUp(t, "stream 3"), "", "the store has not answered for a while")
+		assert.Equal(t, b.takeUp(t, "recorded"), "v1")
+		b.follow(minStreamTime - time.Second)
+		assert.Equal(t, b.takeUp(t, "stream 4"), "", "a stream may have begun in the meantime")
+		b.follow(time.Second)
+		assert.Equal(t, b.takeUp(t, "stream 5"), "v1")
+	})
+}
--- a/internal/state/watcher/watch.go
+++ b/internal/state/watcher/watch.go
@@ -45,6 +45,8 @@
 	// Watch waits for changes after a revision. It returns them with the revision
 	// from which to continue, or ErrHistoryDropped.
 	Watch func(ctx context.Context, after uint64) ([]replicator.Item, uint64, error)
+	// Poll returns the changes after a revision, as Watch does, without waiting for any.
+	Poll func(ctx context.Context, after uint64) ([]replicator.Item, uint64, error)
 }
 
 // Outage describes the store's current or last outage.
@@ -83,9 +85,21 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 
-	// mu guards outage.
+	// mu guards the fields below.
 	mu     sync.Mutex
 	outage Outage
+	// currentAt is when the store last answered with all changes, zero if it has not.
+	currentAt time.Time
+	// polling is the poll that is under way, and nextPoll the one that follows it, for those who
+	// ask meanwhile. They are nil without any.
+	polling, nextPoll *poll
+}
+
+// poll is a call of Source.Poll that several goroutines may await.
+type poll struct {
+	// done is closed once succeeded is set.
+	done      chan struct{}
+	succeeded bool
 }
 
 // New starts a watcher that fills the table. Once the table is filled, it makes no calls
@@ -113,6 +127,80 @@
 	return w.outage
 }
 
+// CurrentAt returns when the store last answered this daemon with all changes, zero if it has not.
+func (w *Watcher) CurrentAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.currentAt
+}
+
+// Update brings the table up to the moment of the call. It returns false if the store does not answer
+// or has dropped the changes that the table lacks. Concurrent calls share one call of the store.
+func (w *Watcher) Update(ctx context.Context) bool {
+	p := w.joinPoll()
+	select {
+	case <-p.done:
+		return p.succeeded
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// joinPoll returns a poll that begins after the call.
+func (w *Watcher) joinPoll() *poll {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.polling == nil {
+		w.polling = &poll{done: make(chan struct{})}
+		go w.runPolls(w.polling)
+		return w.polling
+	}
+	if w.nextPoll == nil {
+		w.nextPoll = &poll{done: make(chan struct{})}
+	}
+	return w.nextPoll
+}
+
+// runPolls makes a poll and those that are asked for meanwhile.
+func (w *Watcher) runPolls(current *poll) {
+	for current != nil {
+		current.succeeded = w.pollOnce()
+		close(current.done)
+		w.mu.Lock()
+		w.polling, w.nextPoll = w.nextPoll, nil
+		current = w.polling
+		w.mu.Unlock()
+	}
+}
+
+// pollOnce asks the store for the changes that the table lacks and applies them.
+func (w *Watcher) pollOnce() bool {
+	if !w.table.Filled() {
+		return false
+	}
+	items, _, err := w.source.Poll(context.Background(), w.table.NewestRevision())
+	if err != nil {
+		w.logger.Info("store: the table cannot be brought up to date.", "err", err)
+		return false
+	}
+	w.apply(items)
+	return true
+}
+
+// apply applies changes to the table and records that the store has answered with all.
+func (w *Watcher) apply(items []replicator.Item) {
+	if len(items) > 0 {
+		newest := uint64(0)
+		for _, item := range items {
+			newest = max(newest, item.Revision)
+		}
+		w.table.Apply(replicator.Delta{Revision: newest, Items: items})
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.currentAt = w.clock.Now()
+}
+
 // run reads the store completely, unless other daemons have filled the table, and then
 // watches it, until ctx ends. It reads again if the store has dropped the history.
 func (w *Watcher) run(ctx context.Context) {
@@ -202,13 +290,7 @@
 	if err != nil {
 		return after, fmt.Errorf("watch store: %w", err)
 	}
-	if len(items) > 0 {
-		newest := uint64(0)
-		for _, item := range items {
-			newest = max(newest, item.Revision)
-		}
-		w.table.Apply(replicator.Delta{Revision: newest, Items: items})
-	}
+	w.apply(items)
 	return max(after, revision), nil
 }
 
--- a/internal/state/watcher/watch_test.go
+++ b/internal/state/watcher/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -213,3 +214,63 @@
 		assert.Assert(t, calls.Load() < daemons*pages*2/3, "%d pages", calls.Load())
 	})
 }
+
+// TestUpdateBringsTheTableUpToDate guards against decisions on a list that is out of step (ORDER): in a
+// daemon whose watch is silent a change is in the table once Update has returned, and Update
+// fails if that is not possible. Those who ask at the same time share calls of the store, which
+// begin after they have asked.
+func TestUpdateBringsTheTableUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		store.revision.Store(7)
+		source, polls := store.source(), atomic.Int64{}
+		source.Poll = func(_ context.Context, after uint64) ([]replicator.Item, uint64, error) {
+			polls.Add(1)
+			revision := store.revision.Load()
+			<-time.After(10 * time.Millisecond)
+			switch {
+			case store.failing.Load():
+				return nil, 0, errDown
+			case store.historyDropped.Load():
+				return nil, 0, watcher.ErrHistoryDropped
+			case revision > after:
+				return []replicator.Item{{Key: "k", Value: []byte("v"), Revision: revision}}, revision, nil
+			}
+			return nil, revision, nil
+		}
+		source.Watch = func(ctx context.Context, _ uint64) ([]replicator.Item, uint64, error) {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		table := replicator.New()
+		w := watcher.New(source, table, watcher.Options{Paused: func() bool { return false }}, timekeeper.System{}, log.New(io.Discard))
+		defer w.Close()
+		assert.Check(t, !w.Update(t.Context()), "the table is empty")
+		<-time.After(time.Second)
+		assert.Check(t, w.Update(t.Context()))
+		store.revision.Store(8)
+		assert.Check(t, w.Update(t.Context()))
+		assert.Equal(t, table.NewestRevision(), uint64(8))
+		store.failing.Store(true)
+		assert.Check(t, !w.Update(t.Context()), "the store is down")
+		store.failing.Store(false)
+		store.historyDropped.Store(true)
+		assert.Check(t, !w.Update(t.Context()), "the history is gone")
+		store.historyDropped.Store(false)
+
+		before := polls.Load()
+		var tasks sync.WaitGroup
+		for n := range uint64(4) {
+			for range 50 {
+				tasks.Go(func() {
+					assert.Check(t, w.Update(t.Context()) && table.NewestRevision() >= 8+n, "the table lacks a change from before the call")
+				})
+			}
+			synctest.Wait()
+			<-time.After(time.Millisecond)
+			store.revision.Add(1)
+		}
+		tasks.Wait()
+		assert.Equal(t, polls.Load()-before, int64(2))
+	})
+}
