A silent replica of a plain service is kept until another can have the request

Callers of plain services got a failure although their replica would have answered: it was given up after three latency targets, and only then another replica and a retry were looked for.

Now an attempt that is late is ended once there is another replica for the request and the retry is taken from the budget; until then both are looked for again each time.

Evidence: two of three cases of TestSlowPlainReplicaIsKeptWithoutAnother failed before: with one replica, and with the budget spent; with another replica the request still moves on.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -50,6 +51,8 @@
 	// streamRecordedAt is when the software version of the stream was last recorded, zero if it
 	// was not.
 	streamRecordedAt time.Time
+	// retryReserved is set while a retry was taken from the budget for an attempt that is to follow.
+	retryReserved bool
 	// callerLeft is set once an attempt was not sent because the caller had left.
 	callerLeft bool
 	// isolationKeys are the isolator's keys of the prompt's shared parts.
@@ -336,18 +339,11 @@
 	d.interrupted, d.continued = false, false
 	d.timedOut.Store(false)
 	d.recalled.Store(false)
-	if timeout, hasTimeout := d.replyTimeout(); hasTimeout {
-		timer := time.AfterFunc(timeout, func() {
-			d.timedOut.Store(true)
-			cancel()
-		})
-		defer timer.Stop()
-	}
 	if d.canFailOver() {
 		d.unwatch = c.replica.registerFailover(d, cancel)
 	}
 	defer r.registerWaiting(d)()
-	reply, err := r.transport.Send(ctx, attempt)
+	reply, err := d.awaitHead(ctx, attempt)
 	if err != nil {
 		return err
 	}
@@ -355,6 +351,50 @@
 	return nil
 }
 
+// awaitHead sends an attempt and returns the head of its answer. An attempt that is not answered in
+// time is ended if another replica can have the request: its place in the retry budget is then
+// taken already.
+func (d *dispatch) awaitHead(ctx context.Context, attempt *Attempt) (*Reply, error) {
+	timeout, hasTimeout := d.replyTimeout()
+	if !hasTimeout {
+		return d.router.transport.Send(ctx, attempt)
+	}
+	type head struct {
+		reply *Reply
+		err   error
+	}
+	answered := make(chan head, 1)
+	go func() {
+		reply, err := d.router.transport.Send(ctx, attempt)
+		answered <- head{reply, err}
+	}()
+	timer := d.router.clock.After(timeout)
+	for {
+		select {
+		case h := <-answered:
+			return h.reply, h.err
+		case <-timer:
+		}
+		if d.reserveRetry() {
+			d.timedOut.Store(true)
+			d.cancelAttempt()
+			timer = nil
+			continue
+		}
+		timer = d.router.clock.After(timeout)
+	}
+}
+
+// reserveRetry takes a retry from the budget if there is another replica for the request.
+func (d *dispatch) reserveRetry() bool {
+	others := append(slices.Clone(d.excluded), d.choice.replica)
+	if _, found := d.router.choose(d.request, d.service, others, d.pins()); !found {
+		return false
+	}
+	d.retryReserved = d.spendRetry()
+	return d.retryReserved
+}
+
 // canFailOver reports whether another replica could take over the request from one that
 // may be running it.
 func (d *dispatch) canFailOver() bool {
@@ -416,8 +456,13 @@
 	return nil
 }
 
-// spendRetry takes one retry from the budget and reports whether one was available.
+// spendRetry takes one retry from the budget, or the one that is reserved, and reports whether one
+// was available.
 func (d *dispatch) spendRetry() bool {
+	if d.retryReserved {
+		d.retryReserved = false
+		return true
+	}
 	if d.service.budget.Spend() {
 		d.router.recorder.Count("retries")
 		return true
--- /dev/null
+++ b/internal/routing/router/silence_test.go
@@ -0,0 +1,51 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSlowPlainReplicaIsKeptWithoutAnother guards against requests that fail although their replica would
+// have answered (LOST, as for streams): a silent replica was given up before it was known
+// whether another one could have the request.
+func TestSlowPlainReplicaIsKeptWithoutAnother(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		replicas int
+		spent    bool
+		attempts int
+	}{{"the only replica", 1, false, 1}, {"the retry budget is spent", 3, true, 1}, {"another replica", 3, false, 2}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestBed(tc.replicas, nil)
+				attempts := 0
+				b.router.transport = Transport{Send: func(ctx context.Context, a *Attempt) (*Reply, error) {
+					if _, err := a.Admit(); err != nil {
+						return nil, err
+					}
+					work := 10 * time.Millisecond
+					if attempts++; attempts == 1 {
+						work = 2 * time.Second
+					}
+					select {
+					case <-ctx.Done():
+						return nil, ctx.Err()
+					case <-time.After(work):
+						return answerReply(200, "ok"), nil
+					}
+				}}
+				budget := b.router.serviceState("s").budget
+				for tc.spent && budget.Spend() {
+				}
+				result := b.router.Begin(newRequest(route(Repeatable, 2, false)))
+				assert.Assert(t, result.Failure == nil)
+				assert.Equal(t, string(result.Body), "ok")
+				assert.Equal(t, attempts, tc.attempts)
+			})
+		})
+	}
+}
