Clients that send ahead are read at the pace of the server

Now a connection with more than 128 KB that the server has not read is taken off the event loop: its socket goes on under a descriptor of its own and is read no further than that, so that the rest waits in the kernel. A detached connection that is closed is read on for two seconds, as a reset could take its answer away. A client that floods is held back in place of being cut off; it is cut off only while its last answer is not taken yet, as gnet's buffer cannot be handed over.

--- a/listener/export_test.go
+++ b/listener/export_test.go
@@ -28,3 +28,13 @@
 	n, _, err := unix.Recvfrom(c.(*conn).raw.Fd(), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
 }
+
+// Detached returns the number of connections that are off the event loop.
+func Detached(l *Listener) int {
+	count := 0
+	l.detached.Range(func(any, any) bool {
+		count++
+		return true
+	})
+	return count
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -2,8 +2,9 @@
 //
 // gnet accepts, reads and writes; each connection is handed to the HTTP library
 // as a net.Conn. Buffers are bounded in both directions: a client that sends more than
-// maxInboundBytes ahead of what the server has read is disconnected, and a write waits
-// while a slow client has more than maxOutboundBytes outstanding.
+// maxAheadBytes ahead of what the server has read is taken off gnet's event loop and read
+// at the pace of the server, and a write waits while a slow client has more than
+// maxOutboundBytes outstanding.
 package listener
 
 import (
@@ -55,10 +56,12 @@
 	// stopped is closed once gnet has stopped and runErr is set.
 	stopped chan struct{}
 	runErr  error
+	// detached holds the connections that were taken off the event loop.
+	detached sync.Map
 }
 
-// New listens on a TCP address. A client is disconnected when more than maxInboundBytes
-// wait to be read, so that number must exceed the size of the largest request.
+// New listens on a TCP address. A client that sends ahead while its last answer is not taken yet is
+// disconnected when more than maxInboundBytes wait to be read.
 func New(address string, maxInboundBytes int) (*Listener, error) {
 	resolved, err := resolveAddress(address)
 	if err != nil {
@@ -130,12 +133,16 @@
 	if err != nil || !c.appendInbound(data) {
 		return gnet.Close
 	}
+	if c.unread() > maxAheadBytes && l.detach(raw, c) {
+		// This closes the descriptor of the event loop only.
+		return gnet.Close
+	}
 	return gnet.None
 }
 
 // OnClose implements gnet.EventHandler.
 func (l *Listener) OnClose(raw gnet.Conn, _ error) gnet.Action {
-	if c, ok := raw.Context().(*conn); ok {
+	if c, ok := raw.Context().(*conn); ok && !c.isDetached() {
 		c.markEnded()
 	}
 	return gnet.None
@@ -160,6 +167,10 @@
 // Stop stops gnet and closes every connection.
 func (l *Listener) Stop(ctx context.Context) error {
 	_ = l.Close()
+	l.detached.Range(func(c, _ any) bool {
+		_ = c.(*conn).direct.Close()
+		return true
+	})
 	if err := l.engine.Stop(ctx); err != nil {
 		return fmt.Errorf("stop listener: %w", err)
 	}
@@ -172,10 +183,7 @@
 
 // conn implements net.Conn for one gnet connection.
 type conn struct {
-	raw gnet.Conn
-	// fd is the socket's file descriptor. It may belong to another file once the connection
-	// has ended.
-	fd              int
+	raw             gnet.Conn
 	local, remote   net.Addr
 	maxInboundBytes int
 	// disconnected is closed when ended is set.
@@ -185,6 +193,11 @@
 	// reader or writer may wait, and when a deadline passes.
 	mu      sync.Mutex
 	changed *sync.Cond
+	// fd is the socket's file descriptor. It may belong to another file once the connection
+	// has ended.
+	fd int
+	// direct is the connection itself once it was taken off the event loop, else nil.
+	direct *net.TCPConn
 	// inbound holds received bytes that were not read yet.
 	inbound []byte
 	// receivedAt is when bytes were last added to inbound.
@@ -217,6 +230,20 @@
 	return true
 }
 
+// unread returns the number of received bytes that wait to be read.
+func (c *conn) unread() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.inbound)
+}
+
+// isDetached reports whether the connection was taken off the event loop.
+func (c *conn) isDetached() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.direct != nil
+}
+
 // markEnded records that the connection has ended and wakes all waiters.
 func (c *conn) markEnded() {
 	c.mu.Lock()
@@ -252,8 +279,11 @@
 		return true
 	default:
 	}
+	c.mu.Lock()
+	fd := c.fd
+	c.mu.Unlock()
 	var peeked [1]byte
-	n, _, err := unix.Recvfrom(c.fd, peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, _, err := unix.Recvfrom(fd, peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	switch {
 	case n > 0, errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
 		return false
@@ -296,6 +326,9 @@
 	if len(c.inbound) == 0 {
 		c.inbound = nil
 	}
+	if c.direct != nil {
+		c.changed.Broadcast()
+	}
 	return n, nil
 }
 
@@ -319,6 +352,11 @@
 		c.mu.Unlock()
 		return 0, os.ErrDeadlineExceeded
 	}
+	if c.direct != nil {
+		deadline := c.writeDeadline
+		c.mu.Unlock()
+		return c.writeDirect(p, deadline)
+	}
 	c.queuedBytes += len(p)
 	c.mu.Unlock()
 	data := append([]byte(nil), p...)
@@ -377,8 +415,12 @@
 	}
 	c.setTimer(&c.readTimer, time.Time{})
 	c.setTimer(&c.writeTimer, time.Time{})
+	direct := c.direct
 	c.mu.Unlock()
 	c.markEnded()
+	if direct != nil {
+		return c.closeDirect()
+	}
 	if err := c.raw.Close(); err != nil {
 		return fmt.Errorf("close: %w", err)
 	}
