Room for bodies is reserved before they are read

After two causes were left: the HTTP library makes room for a whole body when it has the head, whatever there is, and platform/ held it a second time.

Now the head decides. Callers without a key, on no route or with too much are refused by it. Then room is reserved, on both interfaces; a body waits for it, unread in the kernel, for a second at most, and is refused as not run after that.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/daemon"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/limiter"
@@ -30,6 +31,11 @@
 const (
 	// maxRequestBody bounds the body of a caller's request, in bytes.
 	maxRequestBody = 4 << 20
+	// maxBodyBytes bounds the memory of the bodies of all requests together. A model request
+	// takes some three times its body while it is parsed.
+	maxBodyBytes = 16 << 20
+	// bodyRetryAfter is when a caller may come back whose body found no room.
+	bodyRetryAfter = time.Second
 	// requestReadTimeout bounds the time in which a whole request must arrive.
 	requestReadTimeout = 10 * time.Second
 	// callerIdleTimeout is how long a caller's connection is kept open between requests.
@@ -89,6 +95,7 @@
 	router         *router.Router
 	recorder       *recorder.Recorder
 	inFlight       *limiter.InFlight
+	bodies         *reserver.Reserver
 	// incarnations maps the address of a sidecar to its last known incarnation.
 	incarnations sync.Map
 	metrics      metrics
@@ -118,6 +125,7 @@
 		pool:       router.NewPool(d.Clock),
 		recorder:   recorder.New(),
 		inFlight:   limiter.NewInFlight(),
+		bodies:     reserver.New(maxBodyBytes, d.Clock),
 		serverDone: make(chan struct{}),
 		pushDone:   make(chan struct{}),
 	}
@@ -137,6 +145,7 @@
 	e.callerServer = &fasthttp.Server{
 		Name:               "cyclamenward",
 		Handler:            e.handleCaller,
+		HeaderReceived:     e.admitBody,
 		MaxRequestBodySize: maxRequestBody,
 		ReadTimeout:        requestReadTimeout,
 		IdleTimeout:        callerIdleTimeout,
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"regexp"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"github.com/cyclamenward/cyclamenward/admitter"
 	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/listener"
 	"github.com/google/uuid"
@@ -38,6 +40,10 @@
 	requestID string
 	keyHash   string
 	catalog   *catalog
+	// releaseBody releases the memory of the request's body. It is called when the request has been
+	// handled, or at the end of its stream if streaming is set.
+	releaseBody func()
+	streaming   bool
 }
 
 // handleCaller answers one request of a caller.
@@ -46,7 +52,12 @@
 	if e.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	c := &caller{requestID: string(ctx.Request.Header.Peek(headerRequestID)), catalog: e.currentCatalog()}
+	c := &caller{requestID: string(ctx.Request.Header.Peek(headerRequestID)), catalog: e.currentCatalog(), releaseBody: e.bodies.Claim(&ctx.Request.Header, cap(ctx.Request.Body()))}
+	defer func() {
+		if !c.streaming {
+			c.releaseBody()
+		}
+	}()
 	if !requestIDPattern.MatchString(c.requestID) {
 		c.requestID = uuid.NewString()
 	}
@@ -64,19 +75,38 @@
 	p.write(ctx)
 }
 
-// refuseUnreadable answers requests that the HTTP library could not parse.
+// admitBody decides how much of the body of a request is read. It may wait for room. Of the body of a
+// caller without a valid key little is read, since that is going to be refused.
+func (e *Entry) admitBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	maxBytes := maxRequestBody
+	if authenticate(header, &caller{catalog: e.currentCatalog()}) != nil {
+		maxBytes = reserver.FreeBytes
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: e.bodies.Admit(header, maxBytes)}
+}
+
+// refuseUnreadable answers requests that could not be read.
 func (e *Entry) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	if strings.Contains(err.Error(), "body size exceeds") {
-		status = fasthttp.StatusRequestEntityTooLarge
+	header := &ctx.Request.Header
+	tooLarge := e.bodies.Refuse(header, maxRequestBody)
+	p := notRunProblem(fasthttp.StatusBadRequest, codeBadRequest, err.Error())
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		p = authenticate(header, &caller{catalog: e.currentCatalog()})
+		switch {
+		case p != nil:
+		case tooLarge:
+			p = notRunProblem(fasthttp.StatusRequestEntityTooLarge, codeBadRequest, err.Error())
+		default:
+			p = notRunProblem(fasthttp.StatusServiceUnavailable, codeOverloaded, "there is no room for the body").withRetryAfter(bodyRetryAfter)
+		}
 	}
-	notRunProblem(status, codeBadRequest, err.Error()).write(ctx)
+	p.write(ctx)
 	ctx.SetConnectionClose()
 }
 
 // dispatch authenticates the caller and handles the request by its method and path.
 func (e *Entry) dispatch(ctx *fasthttp.RequestCtx, c *caller) *problem {
-	if p := authenticate(ctx, c); p != nil {
+	if p := authenticate(&ctx.Request.Header, c); p != nil {
 		return p
 	}
 	path := string(ctx.Path())
@@ -97,8 +127,8 @@
 
 // authenticate sets the caller's key hash, or returns a problem if no service accepts the
 // key.
-func authenticate(ctx *fasthttp.RequestCtx, c *caller) *problem {
-	headers := ctx.Request.Header.PeekAll(fasthttp.HeaderAuthorization)
+func authenticate(header *fasthttp.RequestHeader, c *caller) *problem {
+	headers := header.PeekAll(fasthttp.HeaderAuthorization)
 	if len(headers) != 1 {
 		return notRunProblem(fasthttp.StatusUnauthorized, codeUnauthorized, "exactly one Authorization header with a bearer key is needed")
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -64,7 +64,11 @@
 	}
 	answer.events = result.Stream
 	if request.stream {
-		e.writeStreamedAnswer(ctx, answer, release)
+		c.streaming = true
+		e.writeStreamedAnswer(ctx, answer, func() {
+			release()
+			c.releaseBody()
+		})
 		return nil
 	}
 	defer release()
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -31,6 +31,7 @@
 	codeUnauthorized      = "unauthorized"
 	codeNotFound          = "notFound"
 	codeWorkspaceLimit    = "workspaceLimit"
+	codeOverloaded        = "overloaded"
 	codeNoBackendServer   = "noBackendServer"
 	codeDeadlineExceeded  = "deadlineExceeded"
 	codeStreamInterrupted = "streamInterrupted"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/listener"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
@@ -22,6 +24,9 @@
 	readTimeout = 10 * time.Second
 	// maxBodyBytes bounds the body of a request, even if the configuration allows more.
 	maxBodyBytes = 16 << 20
+	// bodyRetryAfter is when a caller may come back whose body found no room: bodies are held for
+	// as long as their requests take.
+	bodyRetryAfter = time.Second
 	// maxHeadBytes bounds the request line and header fields of a request. Operators may
 	// allow callers 16 KB of them, and the HTTP library adds no margin of its own.
 	maxHeadBytes = 20 << 10
@@ -35,6 +40,9 @@
 
 // Protocol defines how requests and answers are encoded.
 type Protocol struct {
+	// MaxBody returns how many bytes the body of a request may have, by its head; for one that is
+	// going to be refused at most those that are read without a reservation.
+	MaxBody func(header *fasthttp.RequestHeader) int
 	// Parse reads a request whose last bytes were received at arrived. It returns false if
 	// it has already answered the request, for instance with an error.
 	Parse func(ctx *fasthttp.RequestCtx, arrived time.Time) (*router.Request, bool)
@@ -57,6 +65,8 @@
 	ShutdownDelay time.Duration
 	// Grace is the grace period: the time from SIGTERM to the end of the process.
 	Grace time.Duration
+	// BodyBytes bounds the memory of the bodies of all requests together.
+	BodyBytes int
 }
 
 // Gateway is an HTTP server for callers, with a second server for readiness checks.
@@ -71,13 +81,14 @@
 	readinessListener *listener.Listener
 	callerServer      *fasthttp.Server
 	readinessServer   *fasthttp.Server
+	bodies            *reserver.Reserver
 	draining          atomic.Bool
 }
 
 // New starts a gateway, which serves until Drain is called. canServe reports whether
 // requests can be served apart from draining; Ready depends on it.
 func New(settings Settings, protocol Protocol, r *router.Router, canServe func() bool, clock timekeeper.Clock, logger *log.Logger) (*Gateway, error) {
-	g := &Gateway{settings: settings, protocol: protocol, router: r, canServe: canServe, clock: clock, logger: logger}
+	g := &Gateway{settings: settings, protocol: protocol, router: r, canServe: canServe, bodies: reserver.New(settings.BodyBytes, clock), clock: clock, logger: logger}
 	var err error
 	if g.callerListener, err = listener.New(settings.Address, maxInboundBytes); err != nil {
 		return nil, fmt.Errorf("caller address: %w", err)
@@ -87,6 +98,8 @@
 	}
 	g.callerServer = &fasthttp.Server{
 		Handler:            g.handle,
+		HeaderReceived:     g.admitBody,
+		ErrorHandler:       g.refuseUnread,
 		MaxRequestBodySize: maxBodyBytes,
 		ReadBufferSize:     maxHeadBytes,
 		// Connections release buffers of that size between requests.
@@ -124,9 +137,60 @@
 	}
 }
 
+// admitBody decides how much of the body of a request is read. It may wait for room.
+func (g *Gateway) admitBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{MaxRequestBodySize: max(1, g.bodies.Admit(header, g.maxBody(header)))}
+}
+
+// maxBody returns how many bytes the body of a request may have.
+func (g *Gateway) maxBody(header *fasthttp.RequestHeader) int {
+	if length := header.ContentLength(); length >= 0 && length <= reserver.FreeBytes || length < -1 {
+		return reserver.FreeBytes
+	}
+	return min(maxBodyBytes, g.protocol.MaxBody(header))
+}
+
+// refuseUnread answers a request that could not be read. Its connection is closed then.
+func (g *Gateway) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	header := &ctx.Request.Header
+	tooLarge := g.bodies.Refuse(header, g.maxBody(header))
+	var timeout net.Error
+	switch {
+	case !errors.Is(err, fasthttp.ErrBodyTooLarge):
+		switch small := new(fasthttp.ErrSmallBuffer); {
+		case errors.As(err, &small):
+			ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
+		case errors.As(err, &timeout) && timeout.Timeout():
+			ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		}
+	case !g.parses(ctx):
+	case tooLarge:
+		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+	default:
+		g.logger.Info("gateway: body refused, there is no room for it.", "bytes", header.ContentLength(), "reserved", g.bodies.Reserved())
+		g.protocol.WriteFailure(ctx, &router.Failure{Reason: router.ReasonOverload, NotRun: true, RetryAfter: bodyRetryAfter})
+	}
+}
+
+// parses reports whether a request would be taken but for its body, else answers it.
+func (g *Gateway) parses(ctx *fasthttp.RequestCtx) bool {
+	ctx.Request.ResetBody()
+	_, ok := g.protocol.Parse(ctx, g.clock.Now())
+	return ok
+}
+
 // handle answers one request of a caller.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	handled := g.clock.Now()
+	release := g.bodies.Claim(&ctx.Request.Header, cap(ctx.Request.Body()))
+	streaming := false
+	defer func() {
+		if !streaming {
+			release()
+		}
+	}()
 	arrived := listener.ReceivedAt(ctx.Conn(), handled)
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
@@ -147,7 +211,8 @@
 		g.protocol.WriteFailure(ctx, result.Failure)
 	case result.Stream != nil:
 		g.protocol.WriteHead(ctx, result.Reply)
-		ctx.SetBodyStream(&streamBody{gateway: g, request: request, stream: result.Stream, waited: waited}, -1)
+		streaming = true
+		ctx.SetBodyStream(&streamBody{gateway: g, request: request, stream: result.Stream, waited: waited, release: release}, -1)
 	default:
 		g.protocol.WriteHead(ctx, result.Reply)
 		ctx.SetBody(result.Body)
@@ -167,6 +232,8 @@
 	unread     []byte
 	eventCount int
 	err        error
+	// release releases the memory of the request's body.
+	release func()
 }
 
 // Read implements io.Reader. It waits for the next event once the current one has been
@@ -189,6 +256,7 @@
 // Close implements io.Closer. It closes the stream and logs how it ended.
 func (s *streamBody) Close() error {
 	s.stream.Close()
+	s.release()
 	complete := errors.Is(s.err, io.EOF)
 	fields := append(s.stream.LogFields(), "request", s.request.ID, "route", s.request.Route.Name, "whole", complete, "events", s.eventCount, "waited", s.waited, "took", s.gateway.clock.Now().Sub(s.request.Arrived))
 	if s.err != nil && !complete {
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -576,3 +576,26 @@
 		return true
 	}))
 }
+
+// TestLargeBodiesOfCallersWaitForRoom guards against entries that are killed for their memory (LOST): as
+// many large bodies come at once as would take several times what there is for them. Each is
+// answered, or refused as not run; half of one without a key is refused by its head.
+func TestLargeBodiesOfCallersWaitForRoom(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	address := f.Address("entry-0/caller")
+	validKey := "Authorization: Bearer " + fleet.MeetsKey + "\r\n"
+	const clients, size = 24, 3 << 20
+	body := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	var tasks sync.WaitGroup
+	for range clients {
+		tasks.Go(func() {
+			status, problem := sendRaw(t, address, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"+validKey+body)
+			assert.Check(t, status == 400 || status == 503 && problem.RetryAfterSeconds > 0, "status %d %+v", status, problem)
+			assert.Check(t, problem.Outcome == "notRun", "%+v", problem)
+		})
+	}
+	tasks.Wait()
+	status, problem := sendRaw(t, address, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 3000000\r\n\r\nhalf of it")
+	assert.Check(t, status == 401, "status %d %+v", status, problem)
+	assert.Check(t, checkStream(t.Context(), t, chatOf(f, 0, 1, 3), "v1"))
+}
