A watch that is cut is no outage of the store

Cause: each cut counted as an outage, and items that go missing during or soon after an outage are kept, since the store may have lost them. What one call says of its connection was taken for what the store does. Now a call that does not wait follows a watch that fails; if the store answers it, nothing has happened. The end of an outage is found by the same call.

During an outage the store gets polls in place of watches, as often as before, and one more call at its start.

--- a/internal/state/watcher/watch.go
+++ b/internal/state/watcher/watch.go
@@ -284,9 +284,23 @@
 }
 
 // watch applies the changes after a revision to the table and returns the revision from
-// which to continue.
+// which to continue. A watch that is cut says nothing of the store: whether it answers is known
+// from a call that does not wait, and so is the end of an outage.
 func (w *Watcher) watch(ctx context.Context, after uint64) (uint64, error) {
-	items, revision, err := w.source.Watch(ctx, after)
+	if !w.Outage().Failing {
+		revision, err := w.applyChanges(ctx, w.source.Watch, after)
+		if err == nil || errors.Is(err, ErrHistoryDropped) {
+			return revision, err
+		}
+		w.logger.Debug("store: watch was cut.", "err", err)
+	}
+	return w.applyChanges(ctx, w.source.Poll, after)
+}
+
+// applyChanges applies the changes after a revision that a call of the store returns, and returns the
+// revision from which to continue.
+func (w *Watcher) applyChanges(ctx context.Context, call func(context.Context, uint64) ([]replicator.Item, uint64, error), after uint64) (uint64, error) {
+	items, revision, err := call(ctx, after)
 	if err != nil {
 		return after, fmt.Errorf("watch store: %w", err)
 	}
--- a/internal/state/watcher/watch_test.go
+++ b/internal/state/watcher/watch_test.go
@@ -61,6 +61,19 @@
 			}
 			return nil, after, nil
 		},
+		Poll: func(_ context.Context, after uint64) ([]replicator.Item, uint64, error) {
+			s.watches.Add(1)
+			if s.failing.Load() {
+				return nil, 0, errDown
+			}
+			if s.historyDropped.CompareAndSwap(true, false) {
+				return nil, 0, watcher.ErrHistoryDropped
+			}
+			if revision := s.revision.Load(); revision > after {
+				return answer(revision)
+			}
+			return nil, after, nil
+		},
 	}
 }
 
@@ -184,6 +197,7 @@
 				<-ctx.Done()
 				return nil, 0, ctx.Err()
 			},
+			Poll: func(ctx context.Context, _ uint64) ([]replicator.Item, uint64, error) { return nil, 0, ctx.Err() },
 		}
 		var tables []*replicator.Table
 		for i := range daemons {
@@ -274,3 +288,36 @@
 		assert.Equal(t, polls.Load()-before, int64(2))
 	})
 }
+
+// TestCutWatchIsNoOutage guards against removed replicas that stay in use (DRAIN): the store cuts each watch
+// that has waited for a second, which is no outage, and yet what was removed meanwhile was kept for
+// as long as the cuts went on. Changes arrive, and an outage is still noticed.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		store.revision.Store(7)
+		source := store.source()
+		var cuts atomic.Int64
+		source.Watch = func(context.Context, uint64) ([]replicator.Item, uint64, error) {
+			<-time.After(time.Second)
+			cuts.Add(1)
+			return nil, 0, errors.New("connection was closed")
+		}
+		table := replicator.New()
+		w := watcher.New(source, table, watcher.Options{Paused: func() bool { return false }}, timekeeper.System{}, log.New(io.Discard))
+		defer w.Close()
+		for n := range uint64(20) {
+			<-time.After(1300 * time.Millisecond)
+			assert.Check(t, !w.Outage().Failing && w.Outage().Began.IsZero(), "an outage after %d cuts", cuts.Load())
+			assert.Check(t, table.NewestRevision() >= 7+n-min(n, 1), "the table is %d changes behind", 7+n-table.NewestRevision())
+			store.revision.Add(1)
+		}
+		assert.Check(t, cuts.Load() >= 10)
+		store.failing.Store(true)
+		<-time.After(3 * time.Second)
+		assert.Check(t, w.Outage().Failing)
+		store.failing.Store(false)
+		<-time.After(3 * time.Second)
+		assert.Check(t, !w.Outage().Failing)
+	})
+}
