A ticket ends when the store has lost its lease

Cause: on ErrLeaseLost the renewal ended, but the ticket stayed valid until the time that the last renewal had granted. Now it ends at once.

Evidence: TestLostLeaseEndsItsTicket failed before.

--- a/leaser/ticket.go
+++ b/leaser/ticket.go
@@ -132,10 +132,15 @@
 func (t *Ticket) Release(ctx context.Context) {
 	t.stopRenewal()
 	<-t.renewalStopped
+	t.expire()
+	_, _ = t.store.Swap(ctx, keeper.Swap{Key: t.key, Expected: t.fencingToken})
+}
+
+// expire makes the ticket invalid.
+func (t *Ticket) expire() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.validUntil = time.Time{}
-	t.mu.Unlock()
-	_, _ = t.store.Swap(ctx, keeper.Swap{Key: t.key, Expected: t.fencingToken})
 }
 
 // renew renews the lease until ctx ends or the lease is lost. A ticket that has expired
@@ -150,6 +155,7 @@
 		sentAt := t.clock.Now()
 		err := t.store.Renew(ctx, t.lease)
 		if errors.Is(err, keeper.ErrLeaseLost) {
+			t.expire()
 			return
 		}
 		if err == nil && t.Valid() {
--- a/leaser/ticket_test.go
+++ b/leaser/ticket_test.go
@@ -184,3 +184,28 @@
 		}
 	})
 }
+
+// TestLostLeaseEndsItsTicket guards against two holders at a time (ONE): the store has lost the lease, as it
+// may while it is down, another process takes the ticket, and the first holds it for valid until
+// the time has passed for which it was granted.
+func TestLostLeaseEndsItsTicket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := keyvalue.New(timekeeper.System{}, 1).Store()
+		lost := false
+		renew := store.Renew
+		store.Renew = func(ctx context.Context, lease string) error {
+			if lost {
+				return keeper.ErrLeaseLost
+			}
+			return renew(ctx, lease)
+		}
+		ticket, err := leaser.Acquire(t.Context(), store, timekeeper.System{}, "tickets/pool", "first", 1, leaser.DefaultOptions)
+		assert.NilError(t, err)
+		<-time.After(leaser.DefaultOptions.TTL)
+		assert.Check(t, ticket.Valid())
+		lost = true
+		<-time.After(leaser.DefaultOptions.TTL/3 + time.Millisecond)
+		assert.Check(t, !ticket.Valid())
+		ticket.Release(t.Context())
+	})
+}
