The test of lost leases has no race

The race detector named the variable by which the test loses the lease: it is read by the goroutine that renews. An atomic one; the product is not touched.

--- a/leaser/ticket_test.go
+++ b/leaser/ticket_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,10 +192,10 @@
 func TestLostLeaseEndsItsTicket(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := keyvalue.New(timekeeper.System{}, 1).Store()
-		lost := false
+		var lost atomic.Bool
 		renew := store.Renew
 		store.Renew = func(ctx context.Context, lease string) error {
-			if lost {
+			if lost.Load() {
 				return keeper.ErrLeaseLost
 			}
 			return renew(ctx, lease)
@@ -203,7 +204,7 @@
 		assert.NilError(t, err)
 		<-time.After(leaser.DefaultOptions.TTL)
 		assert.Check(t, ticket.Valid())
-		lost = true
+		lost.Store(true)
 		<-time.After(leaser.DefaultOptions.TTL/3 + time.Millisecond)
 		assert.Check(t, !ticket.Valid())
 		ticket.Release(t.Context())
