--- a/internal/routing/router/silence_test.go
+++ b/internal/routing/router/silence_test.go
@@ -38,8 +38,8 @@
 						return answerReply(200, "ok"), nil
 					}
 				}}
-				budget := b.router.serviceState("s").budget
-				for tc.spent && budget.Spend() {
+				for spent := tc.spent; spent; {
+					spent = b.router.serviceState("s").budget.Spend()
 				}
 				result := b.router.Begin(newRequest(route(Repeatable, 2, false)))
 				assert.Assert(t, result.Failure == nil)
