A marked end completes a stream that has nothing left

On the platform nothing marks the end, and a stream without its next piece stays broken. A body that never fits the memory for bodies is refused without a wait.

Evidence: TestMarkedEndCompletesAStream failed before; TestBodiesWaitForRoom asks for the other.

--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -268,7 +268,8 @@
 	reply := x.entry.newReply(x.attempt)
 	reply.Status = 200
 	reply.WeightsVersion = x.payload.service.weightsVersions.Number(x.payload.sequence.WeightsVersion())
-	reply.NextEvent = x.nextEvent
+	// A frame marks the end, and the sequence tells which token is next.
+	reply.NextEvent, reply.EndMarked = x.nextEvent, true
 	reply.Close = func() { x.stream.Cancel() }
 	reply.SetDeadline = func(deadline time.Time) {
 		x.deadline = deadline
--- a/internal/gateway/reserver/reserve.go
+++ b/internal/gateway/reserver/reserve.go
@@ -83,8 +83,11 @@
 // roundUp returns the size of the buffer into which the HTTP library reads a body.
 func roundUp(length int) int { return 1 << bits.Len(uint(length-1)) }
 
-// await reserves bytes within maxWait.
+// await reserves bytes within maxWait. There is never room for more than the limit.
 func (r *Reserver) await(header *fasthttp.RequestHeader, bytes int) bool {
+	if bytes > r.limit {
+		return false
+	}
 	var timeout <-chan time.Time
 	for {
 		r.mu.Lock()
--- a/internal/gateway/reserver/reserve_test.go
+++ b/internal/gateway/reserver/reserve_test.go
@@ -49,6 +49,8 @@
 		assert.Equal(t, time.Since(began), 1500*time.Millisecond)
 		assert.Check(t, !r.Refuse(fourth, maxBody))
 		assert.Equal(t, r.Admit(head(100), maxBody), maxBody, "a small body needs no room")
+		assert.Equal(t, r.Admit(head(2*limit), 4*limit), reserver.FreeBytes, "one that never fits does not wait")
+		assert.Equal(t, time.Since(began), 1500*time.Millisecond)
 		assert.Equal(t, r.Reserved(), limit)
 	})
 }
--- a/internal/routing/router/answer_test.go
+++ b/internal/routing/router/answer_test.go
@@ -290,3 +290,21 @@
 		assert.DeepEqual(t, ids, []int64{10, 11, 20, 30, 40})
 	})
 }
+
+// TestMarkedEndCompletesAStream has a stream lose its replica between its last event and its end: the next
+// one has nothing left to send and says so.
+func TestMarkedEndCompletesAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(4, func(n int, _ *Attempt) (*Reply, error) {
+			if n == 1 {
+				return streamReply(1, 8, errLost), nil
+			}
+			reply := streamOf(io.EOF)
+			reply.EndMarked = true
+			return reply, nil
+		})
+		ids, err := drainStream(b.router.Begin(modelRequest(route(Streaming, 2, true), PromptPart{"own", 100})).Stream)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.Equal(t, len(ids), 8)
+	})
+}
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -175,6 +175,9 @@
 	// NextEvent returns the next event of a stream, io.EOF at its end. It is nil for an
 	// answer that is not a stream.
 	NextEvent func() (Event, error)
+	// EndMarked is set if the end of the stream is marked, so that one without further events is
+	// complete. Else the end of a stream that is continued may be that of another answer.
+	EndMarked bool
 	// ReadBody reads the whole body of an answer that is not a stream.
 	ReadBody func() ([]byte, error)
 	// Close ends the exchange.
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -44,7 +44,7 @@
 	for {
 		event, err := d.readEvent()
 		if err != nil {
-			if errors.Is(err, io.EOF) && d.continues() {
+			if errors.Is(err, io.EOF) && d.continues() && !d.reply.EndMarked {
 				return Event{}, fmt.Errorf("%w: the stream ends before its next piece", ErrInvalidAnswer)
 			}
 			if errors.Is(err, io.EOF) && d.reply.Status < 300 {
