--- a/internal/gateway/reserver/reserve.go
+++ b/internal/gateway/reserver/reserve.go
@@ -20,8 +20,8 @@
 	FreeBytes = 16 << 10
 	// maxWait is how long a body waits for room.
 	maxWait = time.Second
-	// maxReadTime is how long a body may take to arrive. A reservation that nobody has claimed
-	// by then is that of a connection that has ended.
+	// maxReadTime is how long a body may take to arrive. A reservation that is unclaimed after that
+	// belongs to a connection that has ended.
 	maxReadTime = 12 * time.Second
 	// chunkedFactor is how many times its size a body in chunks may take while it is read: its
 	// buffer is copied into one of twice the size.
--- a/internal/gateway/reserver/reserve_test.go
+++ b/internal/gateway/reserver/reserve_test.go
@@ -56,7 +56,7 @@
 }
 
 // TestReservationsOfLostConnectionsEnd guards against memory that stays reserved: the connection of a body
-// ended while it was read, and nobody said so.
+// ended while it was read, without a call to the reserver.
 func TestReservationsOfLostConnectionsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := reserver.New(limit, timekeeper.System{})
--- a/internal/routing/router/software_test.go
+++ b/internal/routing/router/software_test.go
@@ -244,8 +244,8 @@
 
 // TestListOutOfStepTakesUpNoStreams guards against streams that go on at another software version (ORDER):
 // a daemon that was cut off, or stood still, while replicas of a new version joined took the only
-// version in its old list for the only one there was. It refuses streams that nobody has a record
-// of until its list has been current for as long as a stream can have run.
+// version in its old list for the only one there was. It refuses streams without a record until its
+// list has been current for as long as a stream can have run.
 func TestListOutOfStepTakesUpNoStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBed(0, func(_ int, a *Attempt) (*Reply, error) { return streamReply(a.LastEventID+1, 8, io.EOF), nil })
