--- a/internal/state/watcher/watch_test.go
+++ b/internal/state/watcher/watch_test.go
@@ -257,9 +257,15 @@
 			return nil, 0, ctx.Err()
 		}
 		table := replicator.New()
+		read, filled := source.Read, make(chan struct{})
+		source.Read = func(ctx context.Context, onPage func([]replicator.Item) bool) ([]replicator.Item, uint64, error) {
+			<-filled
+			return read(ctx, onPage)
+		}
 		w := watcher.New(source, table, watcher.Options{Paused: func() bool { return false }}, timekeeper.System{}, log.New(io.Discard))
 		defer w.Close()
 		assert.Check(t, !w.Update(t.Context()), "the table is empty")
+		close(filled)
 		<-time.After(time.Second)
 		assert.Check(t, w.Update(t.Context()))
 		store.revision.Store(8)
