Connections that are open when the listener closes are accepted

What callers saw: in a planned stop, connections that the event loop had opened but that the HTTP server had not accepted yet stayed open, their requests were read, and nobody answered them until the process ended.

Cause: Accept chose at random between a pending connection and the close of the listener, and a connection could be added to the pending ones after the last Accept. Now Accept returns all pending connections before it reports the close, and none is added after that.

Ruled out: a limit of pending connections (50 of 1,024 here).

--- a/listener/export_test.go
+++ b/listener/export_test.go
@@ -38,3 +38,6 @@
 	})
 	return count
 }
+
+// Pending returns the number of open connections that wait for Accept.
+func Pending(l *Listener) int { return len(l.pending) }
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -50,9 +50,11 @@
 	// booted is closed once gnet listens and engine is set.
 	booted chan struct{}
 	engine gnet.Engine
+	// openMu is held while a connection is added to pending or closed is closed, so that none is
+	// added after that.
+	openMu sync.Mutex
 	// closed is closed by Close.
-	closed    chan struct{}
-	closeOnce sync.Once
+	closed chan struct{}
 	// stopped is closed once gnet has stopped and runErr is set.
 	stopped chan struct{}
 	runErr  error
@@ -110,10 +112,10 @@
 	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, disconnected: make(chan struct{})}
 	c.changed = sync.NewCond(&c.mu)
 	raw.SetContext(c)
-	select {
-	case <-l.closed:
+	l.openMu.Lock()
+	defer l.openMu.Unlock()
+	if l.isClosed() {
 		return nil, gnet.Close
-	default:
 	}
 	select {
 	case l.pending <- c:
@@ -123,6 +125,15 @@
 	}
 }
 
+func (l *Listener) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // OnTraffic implements gnet.EventHandler.
 func (l *Listener) OnTraffic(raw gnet.Conn) gnet.Action {
 	c, ok := raw.Context().(*conn)
@@ -148,19 +159,29 @@
 	return gnet.None
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After Close it still returns the connections that were opened
+// before.
 func (l *Listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.pending:
 		return c, nil
 	case <-l.closed:
+	}
+	select {
+	case c := <-l.pending:
+		return c, nil
+	default:
 		return nil, net.ErrClosed
 	}
 }
 
-// Close stops accepting; open connections continue until Stop.
+// Close stops opening connections; open ones continue until Stop.
 func (l *Listener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
+	l.openMu.Lock()
+	defer l.openMu.Unlock()
+	if !l.isClosed() {
+		close(l.closed)
+	}
 	return nil
 }
 
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -225,3 +225,33 @@
 		assert.NilError(t, connection.Close())
 	}
 }
+
+// TestOpenConnectionsAreAcceptedAfterClose guards against requests that end without an answer
+// because their connections were open, but not accepted yet, when the listener was closed (LOST).
+func TestOpenConnectionsAreAcceptedAfterClose(t *testing.T) {
+	const clients = 50
+	l, err := listener.New("127.0.0.1:0", 1<<20)
+	assert.NilError(t, err)
+	for range clients {
+		connection, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = connection.Close() }()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if listener.Pending(l) < clients {
+			return poll.Continue("not all connections are open")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+	assert.NilError(t, l.Close())
+	accepted := 0
+	for {
+		if _, err := l.Accept(); err != nil {
+			assert.ErrorIs(t, err, net.ErrClosed)
+			break
+		}
+		accepted++
+	}
+	assert.Equal(t, accepted, clients)
+	assert.NilError(t, l.Stop(context.Background()))
+}
