The end of the process is known to every request

What callers saw: in a planned stop of one daemon, in calm, requests that came late in the grace period were passed on and cut off at its end without an answer, among them requests that may not be repeated (LOST).

Cause: nothing between the caller and the replica knew that the process ends. The handler added Connection: close and passed on as before; attempts, retries, resumptions and take-overs began until the last moment, with the caller's deadline as their only limit. The class: a limit of the process that only its outermost part knows.

Router.Stop gives the router the end. An attempt begins only if it is expected to be over by then: by its deadline, or by twice the longest of at least 50 remembered runs of the route and of those that still run. Else the request is refused ("not run", 50 ms to return), or ends as failed if an earlier attempt may have run. What is unanswered at the end gets 502 in place of a closed connection. stopper serves on as long as requests run or arrive, also on new connections, since all daemons may stop at once; both front ends use it. A retry is not begun after which the request could not end ("end, then look").

TestNewConnectionsAreAnsweredWhileRequestsRun failed before (EOF).

Ruled out: refusing by deadlines only (nothing with a deadline over the grace period would be served from the signal on); closing the listener earlier (callers get neither answer nor refusal).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/daemon"
 	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/stopper"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/limiter"
@@ -96,15 +97,13 @@
 	recorder       *recorder.Recorder
 	inFlight       *limiter.InFlight
 	bodies         *reserver.Reserver
+	stopper        *stopper.Stopper
 	// incarnations maps the address of a sidecar to its last known incarnation.
 	incarnations sync.Map
 	metrics      metrics
 	// serverDone is closed when callerServer has stopped, pushDone when pushLoop has ended.
 	serverDone, pushDone chan struct{}
 	cancel               context.CancelFunc
-	// draining is set by Drain. It makes responses close their connections, so that callers
-	// connect elsewhere.
-	draining atomic.Bool
 
 	// catalog is the current catalog. It is replaced as a whole.
 	catalog atomic.Pointer[catalog]
@@ -155,6 +154,7 @@
 		Logger:                       discardLogger{},
 		ErrorHandler:                 e.refuseUnreadable,
 	}
+	e.stopper = stopper.New(e.callerServer, e.callerListener, e.router.Stop, d.Clock)
 	e.publishMetrics()
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
@@ -187,28 +187,21 @@
 // Ready reports whether the entry can serve: it has a configuration and is not
 // draining.
 func (e *Entry) Ready() bool {
-	return !e.draining.Load() && len(e.common.RevisionTable().Snapshot().Services()) > 0
+	return !e.stopper.Stopping() && len(e.common.RevisionTable().Snapshot().Services()) > 0
 }
 
-// Drain keeps serving for the shutdown delay, while Ready is false. It then stops
-// accepting requests and returns once all requests have ended or ctx is done.
+// Drain keeps serving for the shutdown delay, and then for as long as requests run or arrive,
+// while Ready is false. It returns once all requests have ended or ctx is done. What cannot end
+// before the deadline of ctx is refused.
 func (e *Entry) Drain(ctx context.Context) error {
-	e.draining.Store(true)
 	e.logger.Info("entry: draining.")
 	e.cancel()
 	<-e.pushDone
-	select {
-	case <-e.clock.After(e.settings.ShutdownDelay):
-	case <-ctx.Done():
-	}
-	err := e.callerServer.ShutdownWithContext(ctx)
+	err := e.stopper.Stop(ctx, e.settings.ShutdownDelay)
 	if waitErr := e.linkServer.Wait(ctx); err == nil {
 		err = waitErr
 	}
 	e.linkServer.Close()
-	if stopErr := e.callerListener.Stop(context.WithoutCancel(ctx)); err == nil {
-		err = stopErr
-	}
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -40,22 +40,23 @@
 	requestID string
 	keyHash   string
 	catalog   *catalog
-	// releaseBody releases the memory of the request's body. It is called when the request has been
-	// handled, or at the end of its stream if streaming is set.
-	releaseBody func()
-	streaming   bool
+	// release releases the memory of the request's body and ends the request. It is called when the
+	// request has been handled, or at the end of its stream if streaming is set.
+	release   func()
+	streaming bool
 }
 
 // handleCaller answers one request of a caller.
 func (e *Entry) handleCaller(ctx *fasthttp.RequestCtx) {
 	e.metrics.requests.Add(1)
-	if e.draining.Load() {
-		ctx.SetConnectionClose()
-	}
-	c := &caller{requestID: string(ctx.Request.Header.Peek(headerRequestID)), catalog: e.currentCatalog(), releaseBody: e.bodies.Claim(&ctx.Request.Header, cap(ctx.Request.Body()))}
+	ended, releaseBody := e.stopper.Begin(ctx), e.bodies.Claim(&ctx.Request.Header, cap(ctx.Request.Body()))
+	c := &caller{requestID: string(ctx.Request.Header.Peek(headerRequestID)), catalog: e.currentCatalog(), release: func() {
+		releaseBody()
+		ended()
+	}}
 	defer func() {
 		if !c.streaming {
-			c.releaseBody()
+			c.release()
 		}
 	}()
 	if !requestIDPattern.MatchString(c.requestID) {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -67,7 +67,7 @@
 		c.streaming = true
 		e.writeStreamedAnswer(ctx, answer, func() {
 			release()
-			c.releaseBody()
+			c.release()
 		})
 		return nil
 	}
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -111,6 +111,10 @@
 		if !f.NotRun {
 			return newProblem(fasthttp.StatusBadGateway, codeStreamInterrupted, "the backend server was lost", outcome).withRetryAfter(time.Second)
 		}
+	case router.ReasonStopping:
+		if !f.NotRun {
+			return newProblem(fasthttp.StatusBadGateway, codeStreamInterrupted, "this entry stops", outcome).withRetryAfter(time.Second)
+		}
 	}
 	return newProblem(fasthttp.StatusServiceUnavailable, codeNoBackendServer, "no backend server can take the request", outcome).withRetryAfter(max(time.Second, f.RetryAfter))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,11 +8,11 @@
 	"fmt"
 	"io"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/stopper"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/listener"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
@@ -82,7 +82,7 @@
 	callerServer      *fasthttp.Server
 	readinessServer   *fasthttp.Server
 	bodies            *reserver.Reserver
-	draining          atomic.Bool
+	stopper           *stopper.Stopper
 }
 
 // New starts a gateway, which serves until Drain is called. canServe reports whether
@@ -115,6 +115,7 @@
 		Logger:                       discardLogger{},
 	}
 	g.readinessServer = &fasthttp.Server{Handler: g.handleReady, ReadTimeout: readTimeout, IdleTimeout: readTimeout, NoDefaultServerHeader: true, Logger: discardLogger{}}
+	g.stopper = stopper.New(g.callerServer, g.callerListener, r.Stop, clock)
 	go func() { g.serve(g.callerServer, g.callerListener) }()
 	go func() { g.serve(g.readinessServer, g.readinessListener) }()
 	return g, nil
@@ -122,13 +123,13 @@
 
 // serve runs a server until it ends, and logs its error if the gateway is not draining.
 func (g *Gateway) serve(server *fasthttp.Server, l *listener.Listener) {
-	if err := server.Serve(l); err != nil && !g.draining.Load() {
+	if err := server.Serve(l); err != nil && !g.stopper.Stopping() {
 		g.logger.Error("gateway: server ended.", "address", l.Addr(), "err", err)
 	}
 }
 
 // Ready reports whether the gateway can serve requests and is not draining.
-func (g *Gateway) Ready() bool { return !g.draining.Load() && g.canServe() }
+func (g *Gateway) Ready() bool { return !g.stopper.Stopping() && g.canServe() }
 
 // handleReady answers a readiness check.
 func (g *Gateway) handleReady(ctx *fasthttp.RequestCtx) {
@@ -184,7 +185,11 @@
 // handle answers one request of a caller.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	handled := g.clock.Now()
-	release := g.bodies.Claim(&ctx.Request.Header, cap(ctx.Request.Body()))
+	ended, releaseBody := g.stopper.Begin(ctx), g.bodies.Claim(&ctx.Request.Header, cap(ctx.Request.Body()))
+	release := func() {
+		releaseBody()
+		ended()
+	}
 	streaming := false
 	defer func() {
 		if !streaming {
@@ -192,9 +197,6 @@
 		}
 	}()
 	arrived := listener.ReceivedAt(ctx.Conn(), handled)
-	if g.draining.Load() {
-		ctx.SetConnectionClose()
-	}
 	request, ok := g.protocol.Parse(ctx, arrived)
 	if !ok {
 		return
@@ -232,7 +234,7 @@
 	unread     []byte
 	eventCount int
 	err        error
-	// release releases the memory of the request's body.
+	// release releases the memory of the request's body and ends the request.
 	release func()
 }
 
@@ -266,21 +268,15 @@
 	return nil
 }
 
-// Drain stops the gateway. It makes the gateway not ready at once but lets it serve for
-// the shutdown delay. Then it waits for running requests until shutdownMargin before the
-// end of the grace period, when it cuts off the rest.
+// Drain stops the gateway. It makes the gateway not ready at once but lets it serve for the
+// shutdown delay, and then for as long as requests run or arrive. What cannot end within the
+// grace period is refused, so that another daemon can serve it.
 func (g *Gateway) Drain() {
-	deadline := g.clock.Now().Add(g.settings.Grace - shutdownMargin)
-	g.draining.Store(true)
-	g.logger.Info("gateway: stopping.")
-	<-g.clock.After(g.settings.ShutdownDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), g.clock.Now().Add(g.settings.Grace-shutdownMargin))
 	defer cancel()
-	if err := g.callerServer.ShutdownWithContext(ctx); err != nil {
-		g.logger.Warn("gateway: requests were cut off by the end of the grace time.", "err", err)
-	}
-	if err := g.callerListener.Stop(ctx); err != nil {
-		g.logger.Warn("gateway: callers' connections were cut off.", "err", err)
+	g.logger.Info("gateway: stopping.")
+	if err := g.stopper.Stop(ctx, g.settings.ShutdownDelay); err != nil {
+		g.logger.Warn("gateway: callers were cut off by the end of the grace period.", "err", err)
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,10 +64,14 @@
 }
 
 func parse(ctx *fasthttp.RequestCtx, arrived time.Time) (*router.Request, bool) {
-	route := &router.Route{Name: "r", Kind: router.Streaming, MaxAttempts: 1, Shares: []router.Share{{Service: "s", Weight: 1}}}
+	name, path := "r", string(ctx.Path())
+	if rest, found := strings.CutPrefix(path, "/new"); found {
+		name, path = "new", rest
+	}
+	route := &router.Route{Name: name, Kind: router.Streaming, MaxAttempts: 1, Shares: []router.Share{{Service: "s", Weight: 1}}}
 	catalog := router.NewCatalog(1, router.Limits{}, []*router.Route{route}, nil, nil)
 	return &router.Request{
-		ID: "q", Catalog: catalog, Route: route, Arrived: arrived, Deadline: arrived.Add(20 * time.Second), LastEventID: -1, Message: string(ctx.Path()),
+		ID: "q", Catalog: catalog, Route: route, Arrived: arrived, Deadline: arrived.Add(20 * time.Second), LastEventID: -1, Message: path,
 	}, true
 }
 
@@ -248,3 +252,38 @@
 		return true
 	})
 }
+
+// TestNewConnectionsAreAnsweredWhileRequestsRun guards against callers who get neither an answer
+// nor a refusal in a planned stop: all daemons may stop at once, and the balancer then sends them
+// new connections. What can be served in time is, the rest is refused.
+func TestNewConnectionsAreAnsweredWhileRequestsRun(t *testing.T) {
+	f := newFixture(t)
+	for i := range 60 {
+		assert.Equal(t, get(t, f.callerAddress, fmt.Sprintf("/load/first/%d", i)).StatusCode, http.StatusOK)
+	}
+	response := get(t, f.callerAddress, "/whole")
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		f.gateway.Drain()
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.gateway.Ready() {
+			return poll.Continue("still ready")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+	for i := range 20 {
+		answer := get(t, f.callerAddress, fmt.Sprintf("/load/%d", i))
+		assert.Equal(t, answer.StatusCode, http.StatusOK)
+		assert.Check(t, answer.Close)
+		// The route of these has no run yet, and their deadline lies behind the end.
+		assert.Equal(t, get(t, f.callerAddress, "/new/whole").StatusCode, http.StatusServiceUnavailable)
+		<-time.After(25 * time.Millisecond)
+	}
+	close(f.release)
+	rest, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(rest), "id: 1\n\nid: 2\n\nid: 3\n\n")
+	<-drained
+}
--- /dev/null
+++ b/internal/gateway/stopper/stop.go
@@ -0,0 +1,123 @@
+// Package stopper ends an HTTP server without cutting off requests.
+//
+// Load balancers notice late that a daemon stops, and other daemons may stop at the same time.
+// The server therefore goes on accepting connections until no request runs and none arrives.
+package stopper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/listener"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// answerMargin is the time before the limit at which requests that have not ended are told so.
+	answerMargin = 200 * time.Millisecond
+	// quietTime is how long no request may have arrived before the listener is closed.
+	quietTime = 300 * time.Millisecond
+	// maxServingTime is how long requests that arrive after the delay keep the server accepting
+	// connections.
+	maxServingTime = 10 * time.Second
+	// checkInterval is the interval at which it is checked whether requests run.
+	checkInterval = 50 * time.Millisecond
+)
+
+// Stopper counts the requests of a server and stops it. It is safe for concurrent use.
+type Stopper struct {
+	server   *fasthttp.Server
+	listener *listener.Listener
+	// announce is called with a context that ends when requests must have ended.
+	announce func(context.Context)
+	clock    timekeeper.Clock
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// stopping is set once Stop was called and is never cleared.
+	stopping bool
+	// running counts the requests between Begin and its result; the last of all arrived at
+	// lastAt.
+	running int
+	lastAt  time.Time
+}
+
+// New returns the stopper of a server on a listener. announce is called at the begin of a stop
+// with a context that ends when requests must have ended.
+func New(server *fasthttp.Server, l *listener.Listener, announce func(context.Context), clock timekeeper.Clock) *Stopper {
+	return &Stopper{server: server, listener: l, announce: announce, clock: clock}
+}
+
+// Stopping reports whether the server is going to stop.
+func (s *Stopper) Stopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// Begin counts a request that was read. If the server is going to stop, its answer closes the
+// connection, so that the caller connects elsewhere. The returned function is called at its end.
+func (s *Stopper) Begin(ctx *fasthttp.RequestCtx) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.lastAt = s.clock.Now()
+	if s.stopping {
+		ctx.SetConnectionClose()
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.running--
+	}
+}
+
+// Stop stops the server. It serves for the delay, and then until no request runs and none
+// arrives. Requests that are being read or answered then have until the end of ctx. An error
+// means that some were cut off.
+func (s *Stopper) Stop(ctx context.Context, delay time.Duration) error {
+	end, cancel := context.WithCancel(ctx)
+	if limit, found := ctx.Deadline(); found {
+		end, cancel = context.WithDeadline(ctx, limit.Add(-answerMargin))
+	}
+	defer cancel()
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	s.announce(end)
+	select {
+	case <-s.clock.After(delay):
+	case <-end.Done():
+	}
+	s.serveUntilQuiet(end)
+	err := s.server.ShutdownWithContext(ctx)
+	if err != nil {
+		err = fmt.Errorf("requests were cut off: %w", err)
+	}
+	if stopErr := s.listener.Stop(context.WithoutCancel(ctx)); stopErr != nil {
+		err = errors.Join(err, stopErr)
+	}
+	return err
+}
+
+// serveUntilQuiet returns once no request runs and none has arrived for quietTime, or no further
+// ones are to be awaited.
+func (s *Stopper) serveUntilQuiet(ctx context.Context) {
+	until := s.clock.Now().Add(maxServingTime)
+	for ctx.Err() == nil && s.clock.Now().Before(until) && !s.quiet() {
+		select {
+		case <-s.clock.After(checkInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Stopper) quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running == 0 && s.clock.Now().Sub(s.lastAt) >= quietTime
+}
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -33,6 +33,8 @@
 	service *serviceState
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// run is the request in the router's runTimes.
+	run *run
 
 	// runAttempts counts the attempts that may have run, rejectedAttempts those that
 	// certainly have not. At most allowedAttempts may run. renewedAtEvent is the ID of
@@ -106,8 +108,8 @@
 // newDispatch prepares the dispatch of a request. Its context ends at the deadline or
 // when the caller leaves.
 func newDispatch(router *Router, request *Request) *dispatch {
-	d := &dispatch{attemptState: new(attemptState), router: router, request: request, service: router.serviceState(request.Route.pickService()), isolationKeys: request.Prompt.isolationKeys(), lastEventID: request.LastEventID, renewedAtEvent: request.LastEventID, pinnedVersion: request.WeightsVersion, allowedAttempts: request.Route.MaxAttempts}
-	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	d := &dispatch{attemptState: new(attemptState), router: router, request: request, run: router.runTimes.begin(request.Route.Name), service: router.serviceState(request.Route.pickService()), isolationKeys: request.Prompt.isolationKeys(), lastEventID: request.LastEventID, renewedAtEvent: request.LastEventID, pinnedVersion: request.WeightsVersion, allowedAttempts: request.Route.MaxAttempts}
+	ctx, cancel := context.WithDeadline(router.shutdown.ended, request.Deadline)
 	d.ctx, d.cancel = ctx, cancel
 	d.service.budget.Earn()
 	if request.CallerGone != nil {
@@ -126,6 +128,9 @@
 func (d *dispatch) release() {
 	d.closeAttempt()
 	d.cancel()
+	if !d.forked {
+		d.router.runTimes.end(d.run, d.runAttempts > 0)
+	}
 }
 
 // closeAttempt ends the current attempt, if there is one, and takes it out of its
@@ -247,8 +252,8 @@
 // pins returns the versions that must produce the answer.
 func (d *dispatch) pins() pins { return pins{weights: d.pinnedVersion, software: d.pinnedSoftware} }
 
-// checkExpired returns a final failure if the caller has left or too little time
-// remains.
+// checkExpired returns a final failure if the caller has left, or too little time remains until
+// the deadline or the end of the daemon.
 func (d *dispatch) checkExpired() *Failure {
 	select {
 	case <-d.request.CallerGone:
@@ -261,6 +266,8 @@
 	switch {
 	case d.timeLeft() < minTimeLeft:
 		return &Failure{Reason: ReasonDeadline, NotRun: d.runAttempts == 0, RetryAfter: minRetryAfter}
+	case !d.endsInTime():
+		return d.stoppingFailure()
 	case d.ctx.Err() != nil:
 		// Another attempt of the request has gone on.
 		return &Failure{Reason: ReasonReplicaFailed}
@@ -282,6 +289,9 @@
 	if remaining <= 0 || d.ctx.Err() != nil {
 		return 0, ErrExpired
 	}
+	if !d.endsInTime() {
+		return 0, ErrStopping
+	}
 	if replica := d.choice.replica; !d.router.pool.takesRequests(replica, replica.descriptor.Load()) {
 		return 0, ErrOutdated
 	}
@@ -385,8 +395,12 @@
 	}
 }
 
-// reserveRetry takes a retry from the budget if there is another replica for the request.
+// reserveRetry takes a retry from the budget if there is another replica for the request, and time
+// until the daemon stops.
 func (d *dispatch) reserveRetry() bool {
+	if !d.endsInTime() {
+		return false
+	}
 	others := append(slices.Clone(d.excluded), d.choice.replica)
 	if _, found := d.router.choose(d.request, d.service, others, d.pins()); !found {
 		return false
@@ -414,9 +428,9 @@
 // recordAttemptError records that the current attempt got no usable answer.
 func (d *dispatch) recordAttemptError(err error) {
 	replica := d.choice.replica
-	if errors.Is(err, ErrExpired) {
+	if errors.Is(err, ErrExpired) || errors.Is(err, ErrStopping) {
 		d.router.recorder.Count("attempts.expired")
-		d.router.logger.Info("route: not sent, the request has expired.", "request", d.request.ID, "replica", replica.ID(), "left", d.callerLeft)
+		d.router.logger.Info("route: not sent, the request has expired.", "request", d.request.ID, "replica", replica.ID(), "left", d.callerLeft, "stopping", errors.Is(err, ErrStopping))
 		return
 	}
 	notSent := errors.Is(err, ErrNotSent)
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -27,6 +27,8 @@
 	ErrInvalidAnswer = errorNamespace.NewType("invalid").New("invalid answer")
 	// ErrExpired means that the caller has left or that the deadline has passed.
 	ErrExpired = errorNamespace.NewType("expired").New("request has expired")
+	// ErrStopping means that this daemon stops before the request would be answered.
+	ErrStopping = errorNamespace.NewType("stopping").New("daemon stops before the request would be answered")
 	// ErrOutdated means that the replica takes no requests any more.
 	ErrOutdated = errorNamespace.NewType("outdated").New("replica takes no requests any more")
 )
@@ -119,8 +121,8 @@
 	// Address is the replica's IP address and port.
 	Address string
 	// Admit is called by the transport when it is about to send the first byte. It returns the
-	// time left until the request's deadline. After an error, ErrExpired or ErrOutdated, the
-	// transport sends nothing and returns the error together with ErrNotSent.
+	// time left until the request's deadline. After an error, ErrExpired, ErrStopping or
+	// ErrOutdated, the transport sends nothing and returns the error together with ErrNotSent.
 	Admit func() (remaining time.Duration, err error)
 	// WeightsVersion is the required weights version, 0 for any; a replica with another
 	// version must reject the attempt.
@@ -233,6 +235,8 @@
 	// ReasonUnknownStream means that the stream cannot go on because it is not known which
 	// software version began it.
 	ReasonUnknownStream Reason = "unknownStream"
+	// ReasonStopping means that this daemon stops before the request would be answered.
+	ReasonStopping Reason = "stopping"
 	// ReasonCallerGone means that the caller has left.
 	ReasonCallerGone Reason = "gone"
 )
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -66,6 +66,9 @@
 	isolator *isolator.Isolator
 	// streams holds which software version began the streams of this daemon.
 	streams *pinner.Registry
+	// shutdown is the planned end of the daemon, runTimes how long requests take.
+	shutdown *shutdown
+	runTimes *runTimes
 
 	// mu guards services.
 	mu       sync.Mutex
@@ -92,6 +95,8 @@
 		stored:    newStoredParts(),
 		isolator:  isolator.New(clock),
 		streams:   pinner.New(clock),
+		shutdown:  newShutdown(),
+		runTimes:  newRunTimes(clock),
 		services:  make(map[string]*serviceState),
 		waiting:   make(map[*dispatch]bool),
 	}
