A slow replica of a plain service is kept until another has answered

What callers saw: a request that may be repeated and whose replica took longer than three latency targets was ended there as soon as the retry budget allowed another attempt, however near its answer was; the second attempt began from nothing, could last as long, and was cut off by a planned stop or the deadline (LOST). The sound replica counted as failed, and while all replicas were slow each daemon spent its whole retry budget (BUDGET).

Now the first attempt stays open while another replica is asked, and the first usable answer counts: a whole body that is no failure of the server. The loser is closed at once, and awaited, since a body that is still written is the caller's memory. Streams and plain answers share one mechanism (race, fork, join, adopt). Attempts of a fork count as those of the request; the open one counts as run for the fork.

Another replica is asked only if it can be sooner: the median of the route's last 32 answers must be below the median of what was left for those that took longer than this one has waited, and below the time to the deadline. A replica that was passed over does not count as failed; if it has answered nothing since, others are preferred, and one request at a time finds out whether it still is slow.

Unchanged: transports with one attempt at a time, and streams without a prompt that are being resumed, end the first attempt before.

TestStreamOfTheSecondReplicaGoesOn is for what the change itself could break.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -18,11 +17,6 @@
 	// minTimeLeft is the shortest time before the deadline at which another attempt is
 	// still sent.
 	minTimeLeft = 20 * time.Millisecond
-	// replyTimeoutTargets is the timeout for the head of a plain server's answer, as a
-	// multiple of the route's latency target, while the request can still fail over.
-	replyTimeoutTargets = 3
-	// minReplyTimeout is the lower bound of that timeout.
-	minReplyTimeout = 400 * time.Millisecond
 )
 
 // dispatch carries one request through its attempts until it is answered or fails. It
@@ -48,13 +42,16 @@
 	*attemptState
 	// forked is set while the dispatch tries to take a stream over from a silent replica.
 	forked bool
+	// forkedRuns and forkedRejections are runAttempts and rejectedAttempts as they were when the
+	// dispatch was forked.
+	forkedRuns, forkedRejections int
+	// result is a result that has not been returned yet, of a fork or of an attempt beside one.
+	result *Result
 	// streamRecordedAt is when the software version of the stream was last recorded, zero if it
 	// was not.
 	streamRecordedAt time.Time
 	// retryReserved is set while a retry was taken from the budget for an attempt that is to follow.
 	retryReserved bool
-	// callerLeft is set once an attempt was not sent because the caller had left.
-	callerLeft bool
 	// isolationKeys are the isolator's keys of the prompt's shared parts.
 	isolationKeys []uint64
 	// lastEventID is the ID of the last event passed on to the caller, -1 before the
@@ -81,6 +78,12 @@
 	cancelAttempt context.CancelFunc
 	// reading receives the event that a goroutine reads from reply, nil if none does.
 	reading chan eventResult
+	// sending receives the answer of an attempt whose head is awaited, nil if none is.
+	sending <-chan answer
+	// unregister removes the attempt from those that wait for a head; nil if it is not registered.
+	unregister func()
+	// callerLeft is set once an attempt was not sent because the caller had left.
+	callerLeft bool
 	// unwatch stops the cancellation of the attempt when its replica becomes
 	// unreachable; nil if it is not watched.
 	unwatch func()
@@ -131,6 +134,7 @@
 // closeAttempt ends the current attempt, if there is one, and takes it out of its
 // replica's counters.
 func (d *dispatch) closeAttempt() {
+	d.endWaiting()
 	if d.reply != nil {
 		d.closeReply()
 	}
@@ -142,6 +146,7 @@
 		d.cancelAttempt()
 		d.cancelAttempt = nil
 	}
+	d.closeSending()
 	d.leaveBacklog()
 	if d.countedInFlight {
 		d.countedInFlight = false
@@ -236,7 +241,9 @@
 			d.closeAttempt()
 			continue
 		}
-		d.recordAttemptError(err)
+		if !errors.Is(err, errRecorded) {
+			d.recordAttemptError(err)
+		}
 		d.closeAttempt()
 		if failure := d.checkRetryAllowed(); failure != nil {
 			return failure
@@ -342,75 +349,22 @@
 	if d.canFailOver() {
 		d.unwatch = c.replica.registerFailover(d, cancel)
 	}
-	defer r.registerWaiting(d)()
+	d.unregister = r.registerWaiting(d)
 	reply, err := d.awaitHead(ctx, attempt)
-	if err != nil {
+	d.endWaiting()
+	if err != nil || d.result != nil {
 		return err
 	}
 	d.reply, d.headAt, d.soundRecorded = reply, r.clock.Now(), false
 	return nil
 }
 
-// awaitHead sends an attempt and returns the head of its answer. An attempt that is not answered in
-// time is ended if another replica can have the request: its place in the retry budget is then
-// taken already.
-func (d *dispatch) awaitHead(ctx context.Context, attempt *Attempt) (*Reply, error) {
-	timeout, hasTimeout := d.replyTimeout()
-	if !hasTimeout {
-		return d.router.transport.Send(ctx, attempt)
-	}
-	type head struct {
-		reply *Reply
-		err   error
-	}
-	answered := make(chan head, 1)
-	go func() {
-		reply, err := d.router.transport.Send(ctx, attempt)
-		answered <- head{reply, err}
-	}()
-	timer := d.router.clock.After(timeout)
-	for {
-		select {
-		case h := <-answered:
-			return h.reply, h.err
-		case <-timer:
-		}
-		if d.reserveRetry() {
-			d.timedOut.Store(true)
-			d.cancelAttempt()
-			timer = nil
-			continue
-		}
-		timer = d.router.clock.After(timeout)
-	}
-}
-
-// reserveRetry takes a retry from the budget if there is another replica for the request.
-func (d *dispatch) reserveRetry() bool {
-	others := append(slices.Clone(d.excluded), d.choice.replica)
-	if _, found := d.router.choose(d.request, d.service, others, d.pins()); !found {
-		return false
-	}
-	d.retryReserved = d.spendRetry()
-	return d.retryReserved
-}
-
 // canFailOver reports whether another replica could take over the request from one that
 // may be running it.
 func (d *dispatch) canFailOver() bool {
 	return d.request.Route.repeatable() && d.runAttempts+1 < d.allowedAttempts
 }
 
-// replyTimeout returns the timeout for the head of a plain server's answer, and false
-// if there is none because the request cannot fail over. Model replicas have no such
-// timeout: a slow one is just busy, and another attempt would double the work.
-func (d *dispatch) replyTimeout() (time.Duration, bool) {
-	if !d.canFailOver() || d.request.Prompt != nil {
-		return 0, false
-	}
-	return max(minReplyTimeout, replyTimeoutTargets*d.request.Route.LatencyTarget), true
-}
-
 // recordAttemptError records that the current attempt got no usable answer.
 func (d *dispatch) recordAttemptError(err error) {
 	replica := d.choice.replica
@@ -475,12 +429,16 @@
 // evaluateReply evaluates the head of an answer and reads the body, or the first event
 // of a stream. It returns false if another attempt is due; lastFailure is then set.
 func (d *dispatch) evaluateReply() (*Result, bool) {
+	if result := d.result; result != nil {
+		d.result = nil
+		return result, true
+	}
 	r, reply, replica := d.router, d.reply, d.choice.replica
 	d.recordReport(reply)
 	if reply.NotRun {
 		return nil, d.handleRejection()
 	}
-	replica.recordSuccess()
+	replica.recordSuccess(r.clock.Now())
 	if reply.NextEvent != nil {
 		return d.startStream()
 	}
@@ -498,6 +456,7 @@
 		return nil, false
 	}
 	d.leaveBacklog()
+	d.recordAnswerTime()
 	if reply.Status < 300 {
 		d.recordSound()
 	}
--- a/internal/routing/router/pace.go
+++ b/internal/routing/router/pace.go
@@ -28,6 +28,8 @@
 	// PrefillTokensPerSecond says replicas take for a prefill, at the median of recent
 	// answers. Of concurrent updates one may be lost.
 	pace atomic.Uint64
+	// answerTimes holds how long plain servers of the service take.
+	answerTimes answerTimes
 }
 
 func newServiceState(name string, budget *limiter.WindowedBudget) *serviceState {
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -141,6 +141,12 @@
 	// failures.
 	backoffUntil        time.Time
 	consecutiveFailures int
+	// answeredAt is when the replica last answered a request. passedOver counts the slow
+	// attempts since then that another replica has answered first: until passedOverUntil, and
+	// while a request is in flight, a new one is expected to wait for passedOverWait.
+	answeredAt, passedOverUntil time.Time
+	passedOverWait              time.Duration
+	passedOver                  int
 	// failureRate is a moving average of the share of failed requests.
 	failureRate float64
 	// answeredVersions is the newest version of each model's weights that the replica's
@@ -202,14 +208,39 @@
 }
 
 // recordSuccess ends the backoff.
-func (r *Replica) recordSuccess() {
+func (r *Replica) recordSuccess(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.answeredAt, r.passedOverUntil, r.passedOver = now, time.Time{}, 0
 	r.consecutiveFailures = 0
 	r.failureRate -= failureRateWeight * r.failureRate
 	r.backoffUntil = time.Time{}
 }
 
+// recordPassedOver records that another replica has answered a request first that was sent at
+// sentAt. A replica that has answered others since then is sound: that request takes long.
+func (r *Replica) recordPassedOver(now, sentAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answeredAt.After(sentAt) {
+		return
+	}
+	r.passedOverWait = now.Sub(sentAt)
+	r.passedOverUntil = now.Add(min(minBackoff<<min(r.passedOver, 4), maxBackoff))
+	r.passedOver++
+}
+
+// slowness returns how much longer than others the replica is expected to take for an answer. Of a
+// replica that was passed over, one request at a time finds out whether it still is slow.
+func (r *Replica) slowness(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.passedOverUntil) || r.passedOver > 0 && r.inFlight.Load() > 0 {
+		return r.passedOverWait
+	}
+	return 0
+}
+
 // inBackoff reports whether the replica is in a backoff, and returns its failure rate.
 func (r *Replica) inBackoff(now time.Time) (bool, float64) {
 	r.mu.Lock()
--- a/internal/routing/router/takeover.go
+++ b/internal/routing/router/takeover.go
@@ -1,10 +1,8 @@
 package router
 
 import (
-	"context"
 	"errors"
 	"io"
-	"slices"
 )
 
 // eventResult is the result of reading an event.
@@ -16,6 +14,9 @@
 // ended reports whether no more events come from a replica that has not finished the stream.
 func (r eventResult) ended() bool { return r.err != nil && !errors.Is(r.err, io.EOF) }
 
+// usable implements outcome.
+func (r eventResult) usable() bool { return !r.ended() }
+
 // readEvent reads the next event of the current attempt. If the replica is silent and another
 // may take the stream over, that is asked to: whichever continues first goes on.
 func (d *dispatch) readEvent() (Event, error) {
@@ -63,74 +64,23 @@
 func (d *dispatch) takeOver() (eventResult, bool) {
 	d.router.recorder.Count("streams.silent")
 	d.router.logger.Info("route: stream is silent, another replica is asked.", "request", d.request.ID, "replica", d.choice.replica.ID(), "last", d.lastEventID)
-	other, taken := d.fork(), make(chan eventResult, 1)
-	cancel := other.cancel
-	go func() {
+	other := d.fork()
+	return race(d, other, d.reading, func() eventResult {
 		if err := other.continueElsewhere(errNotTakenOver); err != nil {
-			taken <- eventResult{err: err}
-			return
+			return eventResult{err: err}
 		}
 		event, err := other.nextEvent()
-		taken <- eventResult{event, err}
-	}()
-	var broken *eventResult
-	for {
-		select {
-		case result := <-d.reading:
-			d.reading = nil
-			if result.ended() {
-				broken = &result
-				d.recordInterruption(result.err)
-				d.closeReply()
-				continue
-			}
-			// The wait is short, and what the other has sent is known only then.
-			cancel()
-			<-taken
-			d.countAttemptsOf(other)
-			other.release()
-			return result, true
-		case result := <-taken:
-			if !result.ended() {
-				d.closeAttempt()
-				d.adopt(other)
-				return result, true
-			}
-			d.countAttemptsOf(other)
-			other.release()
-			if broken != nil {
-				return *broken, true
-			}
-			return eventResult{}, false
+		// The event is not passed on yet.
+		other.lastEventID = d.lastEventID
+		return eventResult{event, err}
+	}, func(result eventResult) {
+		d.reading = nil
+		if result.ended() {
+			d.recordInterruption(result.err)
+			d.closeReply()
 		}
-	}
+	})
 }
 
 // errNotTakenOver means that no other replica continues a silent stream.
 var errNotTakenOver = errorNamespace.NewType("notTakenOver").New("no other replica continues the stream")
-
-// fork returns a dispatch that continues the stream after its last event at another replica.
-func (d *dispatch) fork() *dispatch {
-	other := *d
-	other.attemptState = new(attemptState)
-	other.excluded = append(slices.Clone(d.excluded), d.choice.replica)
-	other.lastFailure, other.fallback, other.forked = nil, nil, true
-	other.ctx, other.cancel = context.WithCancel(d.ctx)
-	return &other
-}
-
-// countAttemptsOf counts the attempts of a fork that has ended as those of the request.
-func (d *dispatch) countAttemptsOf(other *dispatch) {
-	d.runAttempts, d.rejectedAttempts, d.allowedAttempts, d.excluded = other.runAttempts, other.rejectedAttempts, other.allowedAttempts, other.excluded
-}
-
-// adopt continues with the attempt of a fork, whose event is not passed on yet.
-func (d *dispatch) adopt(other *dispatch) {
-	cancel, lastEventID := d.cancel, d.lastEventID
-	*d = *other
-	d.forked, d.lastEventID = false, lastEventID
-	d.cancel = func() {
-		other.cancel()
-		cancel()
-	}
-}
