A denied retry is logged once a request

Operators saw 'route: not repeated, the retry budget is spent.' for each waiting request each time that its replica had been slow for three more latency targets: the log fills when replicas are slow, which is when it is needed. Now a request writes the line once, with its forks; 'retries.denied' counts each denial as before.

Evidence: TestDeniedRetryIsLoggedOnce had 7 lines in nine seconds before, and has one.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -52,6 +52,8 @@
 	streamRecordedAt time.Time
 	// retryReserved is set while a retry was taken from the budget for an attempt that is to follow.
 	retryReserved bool
+	// denialLogged is set once it was logged that the request was not repeated.
+	denialLogged bool
 	// isolationKeys are the isolator's keys of the prompt's shared parts.
 	isolationKeys []uint64
 	// lastEventID is the ID of the last event passed on to the caller, -1 before the
@@ -422,6 +424,10 @@
 		return true
 	}
 	d.router.recorder.Count("retries.denied")
+	if d.denialLogged {
+		return false
+	}
+	d.denialLogged = true
 	d.router.logger.Info("route: not repeated, the retry budget is spent.", "request", d.request.ID, "service", d.service.name, "ran", d.runAttempts, "rejected", d.rejectedAttempts, "share", d.router.options.RetryShare())
 	return false
 }
--- a/internal/routing/router/race.go
+++ b/internal/routing/router/race.go
@@ -65,6 +65,7 @@
 	d.runAttempts, d.rejectedAttempts = d.runAttempts+runs, d.rejectedAttempts+rejections
 	d.allowedAttempts, d.excluded = other.allowedAttempts, other.excluded
 	d.retryReserved = d.retryReserved || other.retryReserved
+	d.denialLogged = other.denialLogged
 	if d.fallback == nil {
 		d.fallback = other.fallback
 	}
--- a/internal/routing/router/silence_test.go
+++ b/internal/routing/router/silence_test.go
@@ -1,11 +1,14 @@
 package router
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 )
 
@@ -49,3 +52,25 @@
 		})
 	}
 }
+
+// TestDeniedRetryIsLoggedOnce guards against a log that fills while replicas are slow and the retry
+// budget is spent: each waiting request wrote a line each 1.2 s. All denials count.
+func TestDeniedRetryIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(3, nil)
+		var lines bytes.Buffer
+		b.router.logger = log.New(&lines)
+		b.router.transport = Transport{Concurrent: true, Send: func(context.Context, *Attempt) (*Reply, error) {
+			<-time.After(9 * time.Second)
+			return answerReply(200, "ok"), nil
+		}}
+		for b.router.serviceState("s").budget.Spend() {
+			continue
+		}
+		request := newRequest(route(Repeatable, 2, false))
+		request.Deadline = request.Arrived.Add(10 * time.Second)
+		assert.Assert(t, b.router.Begin(request).Failure == nil)
+		assert.Equal(t, strings.Count(lines.String(), "not repeated"), 1)
+		assert.Equal(t, b.router.recorder.Counters()["retries.denied"], int64(7))
+	})
+}
