--- a/internal/routing/router/shutdown_test.go
+++ b/internal/routing/router/shutdown_test.go
@@ -15,15 +15,13 @@
 func stoppingBed(t *testing.T, work func(n int) time.Duration, answer func(n int) *Reply) *testBed {
 	t.Helper()
 	b := newTestBed(3, nil)
-	attempts := 0
 	b.router.transport = Transport{Concurrent: true, Send: func(ctx context.Context, a *Attempt) (*Reply, error) {
 		if _, err := a.Admit(); err != nil {
 			return nil, errors.Join(ErrNotSent, err)
 		}
-		attempts++
-		n := attempts
 		b.mu.Lock()
 		b.attempts = append(b.attempts, a)
+		n := len(b.attempts)
 		b.mu.Unlock()
 		select {
 		case <-ctx.Done():
