A full range of claims frees what has expired

Callers of a service whose range held MaxClaims claims were refused each new key, for as long as the service ran, also after all of these claims had expired and after restarts.

Cause: expired claims left the index only when a write dropped a chunk, and a full range made no write: its new keys were refused before. A process that started read the same log.

Now expired claims leave the index before a key is refused, and the write that follows drops them from the store. TestFullRangeFreesExpiredClaims failed before with "claim range is full", two retention times after the last claim.

--- a/claimer/commit.go
+++ b/claimer/commit.go
@@ -95,21 +95,37 @@
 }
 
 // rejectOverflow answers proposals of new keys beyond Options.MaxClaims with ErrFull, the
-// newest first. A proposal of a key that is claimed already takes no room.
+// newest first. A proposal of a key that is claimed already takes no room, and expired
+// claims make room: a full range writes nothing that would drop them otherwise.
 func (w *worker) rejectOverflow(proposed *[]*proposal) {
-	room := w.claims.options.MaxClaims - len(w.log.index)
-	added := make(map[string]bool)
+	if len(w.overflow(*proposed)) == 0 {
+		return
+	}
+	w.log.forgetExpired(w.clock.Now())
+	overflow := w.overflow(*proposed)
 	*proposed = slices.DeleteFunc(*proposed, func(p *proposal) bool {
+		if overflow[p] {
+			p.done <- result{err: ErrFull}
+		}
+		return overflow[p]
+	})
+}
+
+// overflow returns the proposals of new keys for which the range has no room.
+func (w *worker) overflow(proposed []*proposal) map[*proposal]bool {
+	room := w.claims.options.MaxClaims - len(w.log.index)
+	added, overflow := make(map[string]bool), make(map[*proposal]bool)
+	for _, p := range proposed {
 		if _, claimed := w.log.index[p.claim.Key]; claimed || added[p.claim.Key] {
-			return false
+			continue
 		}
 		if len(added) >= room {
-			p.done <- result{err: ErrFull}
-			return true
+			overflow[p] = true
+			continue
 		}
 		added[p.claim.Key] = true
-		return false
-	})
+	}
+	return overflow
 }
 
 // answerExisting answers proposals whose keys are already claimed. If a key is claimed
--- a/claimer/log.go
+++ b/claimer/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -235,15 +236,16 @@
 			_, _ = l.store.Swap(ctx, keeper.Swap{Key: entry.Key, Expected: entry.Version})
 		}
 	}
-	if len(chunks) == 0 {
-		return
+	if len(chunks) > 0 {
+		l.forgetExpired(now)
 	}
+}
+
+// forgetExpired drops expired records from the index. The next append drops them from the
+// store.
+func (l *rangeLog) forgetExpired(now time.Time) {
 	cutoff := now.Add(-l.retention - maxClockSkew)
-	for key, record := range l.index {
-		if record.ProposedAt.Before(cutoff) {
-			delete(l.index, key)
-		}
-	}
+	maps.DeleteFunc(l.index, func(_ string, record Claim) bool { return record.ProposedAt.Before(cutoff) })
 }
 
 // latestPerKey returns the last record of every key, in log order.
--- a/claimer/log_test.go
+++ b/claimer/log_test.go
@@ -116,6 +116,33 @@
 	})
 }
 
+// TestFullRangeFreesExpiredClaims guards against a range that, once full, refused new keys for
+// good: it wrote nothing any more, and only a write dropped expired claims.
+func TestFullRangeFreesExpiredClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := keyvalue.New(timekeeper.System{}, 1)
+		options := claimer.DefaultOptions
+		options.Ranges, options.MaxClaims, options.Retention = 1, 300, time.Hour
+		claims := newClaims(state, "first", options)
+		defer claims.Close()
+		for i := range options.MaxClaims {
+			_, err := claims.Take(t.Context(), fmt.Sprintf("key-%d", i), "digest", fmt.Sprintf("attempt-%d", i))
+			assert.NilError(t, err)
+		}
+		_, err := claims.Take(t.Context(), "new", "digest", "attempt-new")
+		assert.ErrorIs(t, err, claimer.ErrFull)
+		<-time.After(2 * options.Retention)
+		claim, err := claims.Take(t.Context(), "new", "digest", "attempt-new")
+		assert.NilError(t, err)
+		assert.Equal(t, claim.Attempt, "attempt-new")
+		restarted := newClaims(state, "second", options)
+		defer restarted.Close()
+		claim, err = restarted.Take(t.Context(), "newer", "digest", "attempt-newer")
+		assert.NilError(t, err)
+		assert.Equal(t, claim.Attempt, "attempt-newer")
+	})
+}
+
 // TestNoStoreCallsWhileIdle checks that no store calls are made once all outcomes
 // are committed and no claims are taken.
 func TestNoStoreCallsWhileIdle(t *testing.T) {
