--- a/registrar/history_test.go
+++ b/registrar/history_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -78,13 +79,11 @@
 }
 
 // runOperators makes four operators apply documents to one service concurrently while
-// the store is slow, down or loses calls and replies. It returns the history of the calls
-// and the number of faults injected.
-func runOperators(t *testing.T, seed uint64, wrapStore func(keeper.Store) keeper.Store) ([]porcupine.Operation, int) {
+// the store is slow, down or loses calls and replies. It returns the history of the calls,
+// the earlier revisions whose texts the store does not have and the number of faults injected.
+func runOperators(t *testing.T, seed uint64, wrapStore func(keeper.Store) keeper.Store) (history []porcupine.Operation, lostTexts []uint64, faultCount int) {
 	t.Helper()
-	var history []porcupine.Operation
-	faultCount := 0
-	synctest.Test(t, func(_ *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		state := keyvalue.New(timekeeper.System{}, seed)
 		var tick atomic.Int64
 		var mu sync.Mutex
@@ -160,15 +159,25 @@
 		operatorGroup.Wait()
 		close(stop)
 		faultInjector.Wait()
+		state.SetFaults(keyvalue.Faults{})
+		register := registrar.New(state.Store(), timekeeper.System{})
+		record, err := register.Get(t.Context(), "service")
+		assert.NilError(t, err)
+		for _, earlier := range record.Earlier {
+			if text, err := register.Text(t.Context(), "service", earlier.Revision); err != nil || text != earlier.OperationID {
+				lostTexts = append(lostTexts, earlier.Revision)
+			}
+		}
 	})
-	return history, faultCount
+	return history, lostTexts, faultCount
 }
 
 // TestOperatorsRaceOnOneRegister checks that concurrent calls of Apply and Get are
-// linearizable under faults.
+// linearizable under faults, and that the texts of all earlier revisions are kept.
 func TestOperatorsRaceOnOneRegister(t *testing.T) {
 	for seed := range uint64(30) {
-		history, faults := runOperators(t, seed, func(store keeper.Store) keeper.Store { return store })
+		history, lostTexts, faults := runOperators(t, seed, func(store keeper.Store) keeper.Store { return store })
+		assert.Equal(t, len(lostTexts), 0, "seed %d: texts of revisions %v", seed, lostTexts)
 		assert.Equal(t, porcupine.CheckOperationsTimeout(registerModel.ToModel(), history, time.Minute), porcupine.Ok, "seed %d", seed)
 		if seed%10 == 0 {
 			t.Logf("seed %d: %d operations, %d faults", seed, len(history), faults)
@@ -192,7 +201,7 @@
 	}
 	caught := 0
 	for seed := range uint64(30) {
-		history, _ := runOperators(t, seed, broken)
+		history, _, _ := runOperators(t, seed, broken)
 		if porcupine.CheckOperationsTimeout(registerModel.ToModel(), history, time.Minute) == porcupine.Illegal {
 			caught++
 		}
@@ -200,6 +209,29 @@
 	assert.Assert(t, caught > 0)
 }
 
+// TestCheckerCatchesLostTexts makes sure that a store client is detected that reports a lost
+// call of an earlier text as a write.
+func TestCheckerCatchesLostTexts(t *testing.T) {
+	broken := func(store keeper.Store) keeper.Store {
+		swap := store.Swap
+		store.Swap = func(ctx context.Context, s keeper.Swap) (uint64, error) {
+			version, err := swap(ctx, s)
+			if errors.Is(err, keeper.ErrUnknownOutcome) && strings.HasPrefix(s.Key, "history/") {
+				return 0, nil
+			}
+			return version, err
+		}
+		return store
+	}
+	caught := 0
+	for seed := range uint64(30) {
+		if _, lostTexts, _ := runOperators(t, seed, broken); len(lostTexts) > 0 {
+			caught++
+		}
+	}
+	assert.Assert(t, caught > 0)
+}
+
 // TestLostReplyIsResolvedByOperationID applies a document whose reply is lost and, after
 // the next revision was accepted, applies it again with the same operation ID. It must
 // get the revision that the first call made.
