Daemons turn to a store that returns in an order, not all at once

A store that was away for three seconds and returned from an older copy, in virtual time with 360 entries, four sidecars and 12,000 items, got 46,460 calls in the busiest second; the site files allow 2,000 reads a second on the small sites, 6,000 on the grown ones and 16,000 on large. While it was away it got a call a second from each daemon: 15,600 a second from 360 entries and 12,000 sidecars, 51,853 in the first second, as all took over the watch at once.

Cause: once no entry watches the store, no daemon is paused, and each that was told 410 read all 240 pages to the last, whatever others had read. Pausing as soon as others read was ruled out: with 12,000 sessions word of it takes a second.

Now a daemon knows how many turn to the store before it: entries with lower ranks, for a sidecar all of its entries and some sidecars. Calls to a store that fails, and the first call after others stop sending changes, are 5 ms apart in this order, complete reads half a read apart; a read ends once another daemon has brought the contents. Small fleets keep their intervals: below 160 daemons the order adds less than the pause between two failed calls.

TestReturnOfStoreBringsNoHerd and TestOutageBringsNoHerd failed before with the figures above. In both, an entry also no longer computes the complete contents for a push that it then leaves out. The writes of tickets after a return are not in these figures.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -399,6 +399,27 @@
 	return members
 }
 
+// EntriesBefore returns how many entries turn to the store before this daemon: of those that
+// sidecars list, the ones with lower ranks, and for a sidecar all that are connected.
+func (a *Announcer) EntriesBefore() int {
+	if a.deps.Rank == 0 {
+		return len(a.members())
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := make(map[uint64]bool)
+	for s := range a.sessions {
+		if members := s.members.Load(); members != nil {
+			for _, member := range *members {
+				if member.ID < a.deps.Rank {
+					before[member.ID] = true
+				}
+			}
+		}
+	}
+	return len(before)
+}
+
 // LowerRankedWatchers returns how many entries with a lower rank than this one watch the
 // store, as reported by the sidecar that knows of the fewest; 0 without a session.
 func (a *Announcer) LowerRankedWatchers() int {
--- /dev/null
+++ b/internal/fleet/announcer/return_test.go
@@ -0,0 +1,305 @@
+package announcer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
+	"github.com/cyclamenward/cyclamenward/internal/state/watcher"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// storePageItems is the number of items in a page of the simulated store, and
+	// storeCallTime how long it takes for one.
+	storePageItems = 50
+	storeCallTime  = 4 * time.Millisecond
+	// storeReadsPerSecond is what the store of the smallest deployment answers.
+	storeReadsPerSecond = 2000
+)
+
+var errStoreDown = errors.New("store is down")
+
+// returningStore simulates a store that can be down and return from an older copy.
+type returningStore struct {
+	// mu guards the fields below.
+	mu            sync.Mutex
+	down          bool
+	era, revision uint64
+	items         map[string]replicator.Item
+	// keys holds the keys of items in order, nil if they have changed.
+	keys []string
+	// changes are those of this era.
+	changes []replicator.Item
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	// calls counts the calls by the second in which they began.
+	calls map[int64]int
+}
+
+func newReturningStore() *returningStore {
+	return &returningStore{items: make(map[string]replicator.Item), changed: make(chan struct{}), calls: make(map[int64]int)}
+}
+
+// put writes a key, or removes it if value is nil.
+func (s *returningStore) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item := replicator.Item{Key: key, Value: value, Revision: replicator.Position(s.era, s.revision), Removed: value == nil}
+	if _, found := s.items[key]; found == item.Removed {
+		s.keys = nil
+	}
+	s.items[key] = item
+	if item.Removed {
+		delete(s.items, key)
+	}
+	s.changes = append(s.changes, item)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *returningStore) setDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = true
+}
+
+// copied returns the present items and revision.
+func (s *returningStore) copied() (map[string]replicator.Item, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.items), s.revision
+}
+
+// returnFrom has the store come back from a copy, in the next era.
+func (s *returningStore) returnFrom(items map[string]replicator.Item, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.era, s.revision, s.items, s.keys, s.changes = false, s.era+1, revision, make(map[string]replicator.Item), nil, nil
+	for key, item := range items {
+		item.Revision = replicator.Position(s.era, replicator.RevisionOf(item.Revision))
+		s.items[key] = item
+	}
+}
+
+// call counts a call and returns an error if the store is down.
+func (s *returningStore) call() error {
+	s.mu.Lock()
+	s.calls[time.Now().Unix()]++
+	down := s.down
+	s.mu.Unlock()
+	<-time.After(storeCallTime)
+	if down {
+		return errStoreDown
+	}
+	return nil
+}
+
+// page returns the items behind a key, and the store's position.
+func (s *returningStore) page(after string) ([]replicator.Item, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keys == nil {
+		s.keys = slices.Sorted(maps.Keys(s.items))
+	}
+	first, found := slices.BinarySearch(s.keys, after)
+	if found {
+		first++
+	}
+	var items []replicator.Item
+	for _, key := range s.keys[first:min(len(s.keys), first+storePageItems)] {
+		items = append(items, s.items[key])
+	}
+	return items, replicator.Position(s.era, s.revision)
+}
+
+// since returns the changes after a position and the store's position.
+func (s *returningStore) since(after uint64) ([]replicator.Item, uint64, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if replicator.EraOf(after) != s.era {
+		return nil, 0, nil, watcher.ErrHistoryDropped
+	}
+	first, _ := slices.BinarySearchFunc(s.changes, after+1, func(item replicator.Item, position uint64) int { return cmp.Compare(item.Revision, position) })
+	return slices.Clone(s.changes[first:]), replicator.Position(s.era, s.revision), s.changed, nil
+}
+
+func (s *returningStore) source() watcher.Source {
+	watch := func(ctx context.Context, after uint64, wait time.Duration) ([]replicator.Item, uint64, error) {
+		if err := s.call(); err != nil {
+			return nil, 0, err
+		}
+		timeout := time.After(wait)
+		for {
+			items, position, changed, err := s.since(after)
+			if err != nil || len(items) > 0 {
+				return items, position, err
+			}
+			select {
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			case <-timeout:
+				return nil, position, nil
+			case <-changed:
+			}
+		}
+	}
+	return watcher.Source{
+		Read: func(_ context.Context, onPage func([]replicator.Item) bool) ([]replicator.Item, uint64, error) {
+			var items []replicator.Item
+			position, last := uint64(0), ""
+			for {
+				if err := s.call(); err != nil {
+					return nil, 0, err
+				}
+				page, at := s.page(last)
+				if position == 0 {
+					position = at
+				}
+				if replicator.EraOf(at) != replicator.EraOf(position) {
+					return nil, 0, watcher.ErrHistoryDropped
+				}
+				items = append(items, page...)
+				if len(page) < storePageItems {
+					return items, position, nil
+				}
+				last = page[len(page)-1].Key
+				if !onPage(page) {
+					return nil, 0, watcher.ErrReadStopped
+				}
+			}
+		},
+		Watch: func(ctx context.Context, after uint64) ([]replicator.Item, uint64, error) {
+			return watch(ctx, after, 2500*time.Millisecond)
+		},
+		Poll: func(ctx context.Context, after uint64) ([]replicator.Item, uint64, error) {
+			return watch(ctx, after, 0)
+		},
+	}
+}
+
+// resetCalls forgets the calls so far.
+func (s *returningStore) resetCalls() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.calls)
+}
+
+// busiest returns the most calls in a second.
+func (s *returningStore) busiest() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Max(slices.Collect(maps.Values(s.calls)))
+}
+
+// storedDaemon is a daemon that reads the store, by the rules of the platform's daemons.
+type storedDaemon struct {
+	*Announcer
+	watcher *watcher.Watcher
+}
+
+func closeStoredFleet(daemons []*storedDaemon) {
+	for _, d := range daemons {
+		d.cancel()
+	}
+	for _, d := range daemons {
+		d.watcher.Close()
+		d.tasks.Wait()
+	}
+}
+
+// newStoredFleet returns a fleet of daemons that know the contents of the store.
+func newStoredFleet(store *returningStore, entries, sidecars int) []*storedDaemon {
+	f := &memoryFleet{}
+	items, revision := store.copied()
+	contents := replicator.Delta{Revision: replicator.Position(0, revision), Complete: true, Items: slices.Collect(maps.Values(items))}
+	var daemons []*storedDaemon
+	for i := range entries + sidecars {
+		d := &storedDaemon{}
+		var status *Status
+		rank := uint64(i + 1)
+		if i >= entries {
+			rank, status = 0, &Status{Address: fmt.Sprint("10.0.0.", i, ":80"), StartUnixMilli: 1, Running: 20}
+		}
+		deps := fleetDependencies(rank, status)
+		follows := func() bool {
+			if rank == 0 {
+				return d.PeerWatchesStore()
+			}
+			return d.LowerRankedWatchers() >= 3
+		}
+		deps.WatchesStore = func() bool { return d.watcher != nil && !d.watcher.Outage().Failing && !follows() }
+		d.Announcer, _ = New("", deps)
+		deps.Table.Apply(contents)
+		d.watcher = watcher.New(store.source(), deps.Table, watcher.Options{Paused: follows, Position: d.EntriesBefore}, timekeeper.System{}, log.New(io.Discard))
+		daemons = append(daemons, d)
+	}
+	for i, entry := range daemons[:entries] {
+		for j, sidecar := range daemons[entries:] {
+			f.connect(entry.Announcer, sidecar.Announcer, i%2 != j%2, fmt.Sprint("10.0.0.", j, ":70"))
+		}
+	}
+	return daemons
+}
+
+// returnFull runs the return of the store at the size of two years from now.
+var returnFull = flag.Bool("return.full", false, "the return of the store with 360 entries and 12,000 replicas")
+
+// returnSize returns the numbers of entries and replicas.
+func returnSize() (entries, replicas int) {
+	if *returnFull {
+		return 360, 12_000
+	}
+	return 90, 3000
+}
+
+// TestReturnOfStoreBringsNoHerd guards against daemons that all read a store that returns from an
+// older copy, from its first page to its last, after it has been away for three seconds.
+func TestReturnOfStoreBringsNoHerd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entries, replicas := returnSize()
+		store := newReturningStore()
+		for i := range replicas {
+			store.put(replicaKey(i), replicaItem(i))
+		}
+		daemons := newStoredFleet(store, entries, 4)
+		defer closeStoredFleet(daemons)
+		<-time.After(4 * time.Second)
+		copied, revision := store.copied()
+		store.put(replicaKey(0), nil)
+		<-time.After(time.Second)
+		store.resetCalls()
+		store.setDown()
+		<-time.After(3 * time.Second)
+		store.returnFrom(copied, revision)
+		<-time.After(3 * time.Second)
+		current := 0
+		for _, d := range daemons {
+			if replicator.EraOf(d.deps.Table.NewestRevision()) == 1 {
+				current++
+			}
+		}
+		assert.Check(t, current >= 3, "%d daemons have read the copy", current)
+		t.Logf("at most %d calls in a second, %d of %d daemons have the copy", store.busiest(), current, len(daemons))
+		assert.Check(t, store.busiest() <= storeReadsPerSecond, "%d calls in a second", store.busiest())
+	})
+}
+
+func replicaKey(i int) string { return fmt.Sprintf("servers/%05d", i) }
+
+func replicaItem(i int) []byte {
+	return fmt.Appendf(nil, `{"id":"%x","address":"10.0.%d.%d:80"}`, i*7919, i/250, i%250)
+}
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -246,6 +246,8 @@
 	revision            atomic.Uint64
 	// member is the other end if it is an entry, nil until it is known.
 	member atomic.Pointer[divider.Member]
+	// members are the entries that the other end, a sidecar, has listed, nil if it lists none.
+	members atomic.Pointer[[]divider.Member]
 	// knowsEras is set if the other end knows eras of the store.
 	knowsEras atomic.Bool
 	// knowsStreams is set if the other end records streams. streamRecords are those to send.
@@ -471,6 +473,7 @@
 		m.Members, sent.membership, changed = &members, membership, true
 	}
 	if sent.subscribed && !m.Subscribed {
+		s.members.Store(nil)
 		deps.Limits.SetMembers(s, nil)
 	}
 	sent.announcedRevision = newest
@@ -516,7 +519,7 @@
 // contents and large changes are left to be requested.
 func (s *session) pushChanges() error {
 	known := s.knownRevision()
-	if known == 0 || s.announcer.deps.Table.NewestRevision() <= known || !s.pushes() {
+	if table := s.announcer.deps.Table; known == 0 || table.NewestRevision() <= known || !table.Covers(known) || !s.pushes() {
 		return nil
 	}
 	delta := s.announcer.deps.Table.Since(known)
@@ -657,6 +660,7 @@
 		deps.Logger.Info("fleet: limit of a replica changes.", "replica", limit.Replica.ID, "started", limit.Replica.StartUnixMilli, "limited", limit.RequestsPerSecond != nil, "from", s.conn.RemoteAddr())
 	}
 	if m.Members != nil {
+		s.members.Store(m.Members)
 		deps.Limits.SetMembers(s, *m.Members)
 	}
 	if m.Status == nil {
--- a/internal/state/replicator/table.go
+++ b/internal/state/replicator/table.go
@@ -253,6 +253,14 @@
 	return delta
 }
 
+// Covers reports whether the changes after a revision are known singly: Since returns a delta
+// that is not complete.
+func (t *Table) Covers(revision uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.filled && revision >= t.forgottenUpTo
+}
+
 // NewestRevision returns the revision up to which the table has all changes, 0 until it
 // is filled.
 func (t *Table) NewestRevision() uint64 {
@@ -279,6 +287,13 @@
 	return item, found && !item.Removed
 }
 
+// Len returns the number of existing items.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.items) - t.tombstones
+}
+
 // List returns the items whose keys begin with a prefix, sorted by key, including
 // removed items that are kept as tombstones.
 func (t *Table) List(prefix string) []Item {
--- a/internal/state/watcher/watch.go
+++ b/internal/state/watcher/watch.go
@@ -34,6 +34,11 @@
 	// because each call is priced. It is a tenth of the shortest time within which a
 	// change must be in force.
 	watchInterval = 250 * time.Millisecond
+	// Daemons that turn to the store at the same time do so in the order of their positions:
+	// callSpacing is the time between the calls of two of them, and readSpacingPerItem, for
+	// each item, that between complete reads. A read takes twice that.
+	callSpacing        = 5 * time.Millisecond
+	readSpacingPerItem = 40 * time.Microsecond
 )
 
 // Source holds a watcher's calls to the store.
@@ -73,6 +78,9 @@
 	PagePause time.Duration
 	// Paused reports whether other daemons send the changes.
 	Paused func() bool
+	// Position returns how many other daemons turn to the store before this one when it
+	// answers again or others stop sending the changes. It is 0 for a watcher without one.
+	Position func() int
 }
 
 // Watcher applies the store's changes to a table until it is closed.
@@ -202,22 +210,36 @@
 }
 
 // run reads the store completely, unless other daemons have filled the table, and then
-// watches it, until ctx ends. It reads again if the store has dropped the history.
+// watches it, until ctx ends. It reads again if the store has dropped the history and no
+// other daemon brings the contents.
 func (w *Watcher) run(ctx context.Context) {
 	var revision uint64
 	retryInterval := minRetryInterval
-	mustRead := false
+	// droppedAt is the table's revision when the store had dropped the history after it, 0 if
+	// the table has a later one.
+	var droppedAt uint64
+	wasPaused := false
 	w.awaitFilled(ctx)
 	for ctx.Err() == nil {
 		if w.table.Filled() && w.options.Paused() {
 			// Others reach the store. Without calls of its own a paused watcher would never
 			// see the end of an outage.
 			w.recordOutcome(ctx, nil)
+			wasPaused, droppedAt = true, 0
 			w.sleep(ctx, pausedCheckInterval)
 			continue
 		}
+		if wasPaused {
+			wasPaused = false
+			w.sleep(ctx, time.Duration(w.position())*callSpacing)
+			continue
+		}
+		if droppedAt != 0 && !w.awaitTurnToRead(ctx, droppedAt) {
+			droppedAt = 0
+			continue
+		}
 		var err error
-		if mustRead || !w.table.Filled() {
+		if droppedAt != 0 || !w.table.Filled() {
 			revision, err = w.readAll(ctx)
 		} else {
 			revision, err = w.watch(ctx, max(revision, w.table.NewestRevision()))
@@ -225,18 +247,55 @@
 		w.recordOutcome(ctx, err)
 		switch {
 		case errors.Is(err, ErrHistoryDropped):
-			mustRead = true
+			droppedAt = max(1, w.table.NewestRevision())
 		case errors.Is(err, ErrReadStopped):
+			droppedAt = 0
 		case err == nil:
-			mustRead, retryInterval = false, minRetryInterval
+			droppedAt, retryInterval = 0, minRetryInterval
 			w.sleep(ctx, watchInterval)
 		default:
-			w.sleep(ctx, retryInterval/2+time.Duration(rand.Int64N(int64(retryInterval))))
+			interval := retryInterval/2 + time.Duration(rand.Int64N(int64(retryInterval)))
+			w.sleep(ctx, max(interval, time.Duration(w.position())*callSpacing))
 			retryInterval = min(2*retryInterval, maxRetryInterval)
 		}
 	}
 }
 
+// position returns Options.Position, 0 if there is none.
+func (w *Watcher) position() int {
+	if w.options.Position == nil {
+		return 0
+	}
+	return w.options.Position()
+}
+
+// awaitTurnToRead waits until those before this daemon have had the time to read the store. It
+// returns false if others have meanwhile brought what the table with the given revision lacks,
+// or send the changes again.
+func (w *Watcher) awaitTurnToRead(ctx context.Context, revision uint64) bool {
+	timeout := w.clock.After(time.Duration(w.position()*w.table.Len()) * readSpacingPerItem)
+	for ctx.Err() == nil {
+		changed := w.table.Changed()
+		if w.broughtUpToDate(revision) {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-w.clock.After(pausedCheckInterval):
+		case <-timeout:
+			return true
+		}
+	}
+	return false
+}
+
+// broughtUpToDate reports whether others have brought changes to the table since it had the
+// given revision, or send the changes again.
+func (w *Watcher) broughtUpToDate(revision uint64) bool {
+	return w.table.NewestRevision() > revision || w.options.Paused()
+}
+
 // awaitFilled waits until other daemons have filled the table, for HeadStart at the most.
 func (w *Watcher) awaitFilled(ctx context.Context) {
 	timeout := w.clock.After(w.options.HeadStart)
@@ -266,13 +325,16 @@
 // to watch. In the first read each page is applied at once, so that what it describes can
 // be used before the rest is known.
 func (w *Watcher) readAll(ctx context.Context) (uint64, error) {
-	first := !w.table.Filled()
+	first, before := !w.table.Filled(), w.table.NewestRevision()
 	onPage := func(items []replicator.Item) bool {
 		if first {
 			w.table.Apply(replicator.Delta{Items: items})
 			w.sleep(ctx, w.options.PagePause)
 		}
-		return !first || !w.table.Filled()
+		if first {
+			return !w.table.Filled()
+		}
+		return !w.broughtUpToDate(before)
 	}
 	items, revision, err := w.source.Read(ctx, onPage)
 	if err != nil {
--- a/internal/state/watcher/watch_test.go
+++ b/internal/state/watcher/watch_test.go
@@ -229,6 +229,39 @@
 	})
 }
 
+// TestOutageBringsNoHerd guards against a store that is down and gets a call from each of 360 entries
+// and 12,000 sidecars every second, more than the 2,000 a second that the smallest one answers.
+func TestOutageBringsNoHerd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons, maxCallsPerSecond = 12_360, 2000
+		var calls atomic.Int64
+		var paused atomic.Bool
+		call := func() ([]replicator.Item, uint64, error) {
+			calls.Add(1)
+			return nil, 0, errDown
+		}
+		source := watcher.Source{
+			Watch: func(context.Context, uint64) ([]replicator.Item, uint64, error) { return call() },
+			Poll:  func(context.Context, uint64) ([]replicator.Item, uint64, error) { return call() },
+		}
+		paused.Store(true)
+		for i := range daemons {
+			table := replicator.New()
+			table.Apply(replicator.Delta{Revision: 7, Complete: true})
+			options := watcher.Options{Paused: func() bool { return i >= 3 && paused.Load() }, Position: func() int { return i }}
+			w := watcher.New(source, table, options, timekeeper.System{}, log.New(io.Discard))
+			defer w.Close()
+		}
+		<-time.After(3 * time.Second)
+		paused.Store(false)
+		for second := range 10 {
+			before := calls.Load()
+			<-time.After(time.Second)
+			assert.Check(t, calls.Load()-before <= maxCallsPerSecond, "%d calls in second %d", calls.Load()-before, second)
+		}
+	})
+}
+
 // TestUpdateBringsTheTableUpToDate guards against decisions on a list that is out of step (ORDER): in a
 // daemon whose watch is silent a change is in the table once Update has returned, and Update
 // fails if that is not possible. Those who ask at the same time share calls of the store, which
