An entry keeps attending to a replica whose item is missing for a while

Cause: the entry in place of the sidecar gave its ticket back as soon as the replica was not listed. When the item was back after 3 s, the sidecar had to be found refused for 4 s again, then came the spread of up to 5 s and the time of a handover, and only then the ticket was taken and orders given.

Now the ticket and the work are kept for 15 s of absence; a replica that has been absent for longest yields its port if another needs one. Ruled out: shorter times for all lost sidecars (a process that is started again comes back within 4 s, and each ticket is a priced call).

TestAbsentReplicaOccupiesNoPort guards the other side; it passed before.

--- a/internal/fleet/replacer/replace.go
+++ b/internal/fleet/replacer/replace.go
@@ -4,7 +4,8 @@
 // The entries exchange no messages about it. Each waits for a time of its own, by the
 // hash of its and the replica's name, and then tries to take the replica's ticket in the
 // store. Whoever has it attends to the replica until the ticket is lost, the replica has
-// left or its own sidecar is back.
+// left or its own sidecar is back. A replica that is not listed for a while may only have
+// restarted.
 package replacer
 
 import (
@@ -29,6 +30,10 @@
 	// maxSpread is the longest time that an entry leaves a lost sidecar to others after
 	// that. The others learn of a ticket within a tenth of it.
 	maxSpread = 5 * time.Second
+	// absenceTimeout is how long a replica is attended to that is not listed. To give its
+	// ticket back and take it again would leave the replica without orders for longer than
+	// lossTimeout, the spread and a handover.
+	absenceTimeout = 15 * time.Second
 	// callTimeout bounds the attempt to take a ticket.
 	callTimeout = 2 * time.Second
 )
@@ -90,6 +95,12 @@
 type attendance struct {
 	Attendance
 	port int
+	// sidecar is where the replica's own sidecar listens.
+	sidecar string
+	// listedAt is when the replica was last seen in the list, absent whether it was not at the
+	// last look.
+	listedAt time.Time
+	absent   bool
 }
 
 // New starts a replacer that knows of no replicas.
@@ -129,17 +140,44 @@
 
 // endAttendances ends the work for replicas that do not need it or whose ticket is lost.
 func (r *Replacer) endAttendances(replicas []Replica) {
+	now := r.deps.Clock.Now()
 	for address, a := range maps.Clone(r.attendances) {
-		i := slices.IndexFunc(replicas, func(replica Replica) bool { return replica.Address == address })
-		valid := a.Valid()
-		if valid && i >= 0 && !r.deps.Accepts(replicas[i].Sidecar) {
-			continue
+		a.absent = !slices.ContainsFunc(replicas, func(replica Replica) bool { return replica.Address == address })
+		if !a.absent {
+			a.listedAt = now
+		}
+		r.attendances[address] = a
+		if !a.Valid() || now.Sub(a.listedAt) >= absenceTimeout || r.deps.Accepts(a.sidecar) {
+			r.end(address)
+		}
+	}
+}
+
+// end ends the work for one replica.
+func (r *Replacer) end(address string) {
+	a := r.attendances[address]
+	r.deps.Logger.Info("fleet: no longer in place of a sidecar.", "replica", address, "ticketValid", a.Valid(), "absentFor", r.deps.Clock.Now().Sub(a.listedAt))
+	a.Close()
+	delete(r.attendances, address)
+	r.freePorts = append(r.freePorts, a.port)
+}
+
+// freePort returns a port for another replica. If there is none, the replica that has been absent
+// for longest is given up. The second result is false if all are listed.
+func (r *Replacer) freePort() (int, bool) {
+	if len(r.freePorts) == 0 {
+		longest := ""
+		for address, a := range r.attendances {
+			if a.absent && (longest == "" || a.listedAt.Before(r.attendances[longest].listedAt)) {
+				longest = address
+			}
+		}
+		if longest == "" {
+			return 0, false
 		}
-		r.deps.Logger.Info("fleet: no longer in place of a sidecar.", "replica", address, "ticketValid", valid, "listed", i >= 0)
-		a.Close()
-		delete(r.attendances, address)
-		r.freePorts = append(r.freePorts, a.port)
+		r.end(longest)
 	}
+	return r.freePorts[0], true
 }
 
 // attendToLost attends to replicas whose sidecars count as lost.
@@ -148,13 +186,16 @@
 	for _, replica := range replicas {
 		address := replica.Address
 		since, refused := r.deps.RefusedSince(replica.Sidecar)
-		if _, attending := r.attendances[address]; attending || !refused || len(r.freePorts) == 0 || ctx.Err() != nil {
+		if _, attending := r.attendances[address]; attending || !refused || ctx.Err() != nil {
 			continue
 		}
 		if now.Sub(since) < lossTimeout+r.spread(address) || r.deps.Held(address) {
 			continue
 		}
-		port := r.freePorts[0]
+		port, found := r.freePort()
+		if !found {
+			return
+		}
 		attendCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		work, err := r.deps.Attend(attendCtx, address, port)
 		cancel()
@@ -163,7 +204,7 @@
 			continue
 		}
 		r.deps.Logger.Info("fleet: in place of a sidecar.", "replica", address, "lostFor", now.Sub(since))
-		r.attendances[address] = attendance{Attendance: work, port: port}
+		r.attendances[address] = attendance{Attendance: work, port: port, sidecar: replica.Sidecar, listedAt: r.deps.Clock.Now()}
 		r.freePorts = r.freePorts[1:]
 	}
 }
--- a/internal/fleet/replacer/replace_test.go
+++ b/internal/fleet/replacer/replace_test.go
@@ -185,3 +185,53 @@
 		assert.Equal(t, w.attended(), 0)
 	})
 }
+
+// TestAbsentReplicaStaysAttendedTo guards against a replica without a sidecar that nobody gives
+// orders for twelve seconds because its item was missing for three.
+func TestAbsentReplicaStaysAttendedTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3)
+		w.lost["10.0.0.1"] = time.Now()
+		r, _ := w.entry("entry", 16)
+		defer r.Close()
+		<-time.After(10 * time.Second)
+		assert.Equal(t, w.attended(), 1)
+		takenAt := w.tickets["10.0.0.1"].takenAt
+		listed := w.replicas
+
+		r.SetReplicas([]replacer.Replica{listed[0], listed[2]})
+		<-time.After(3 * time.Second)
+		r.SetReplicas(listed)
+		<-time.After(time.Second)
+		assert.Equal(t, w.attended(), 1)
+		assert.Equal(t, w.tickets["10.0.0.1"].takenAt, takenAt)
+
+		r.SetReplicas([]replacer.Replica{listed[0], listed[2]})
+		<-time.After(30 * time.Second)
+		assert.Equal(t, w.attended(), 0)
+	})
+}
+
+// TestAbsentReplicaOccupiesNoPort guards against replicas that have left and keep an entry from
+// attending to others.
+func TestAbsentReplicaOccupiesNoPort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3)
+		w.lost["10.0.0.0"], w.lost["10.0.0.1"] = time.Now(), time.Now()
+		r, _ := w.entry("entry", 2)
+		defer r.Close()
+		<-time.After(10 * time.Second)
+		assert.Equal(t, w.attended(), 2)
+
+		w.mu.Lock()
+		w.lost["10.0.0.2"] = time.Now().Add(-time.Minute)
+		w.mu.Unlock()
+		r.SetReplicas(w.replicas[1:])
+		<-time.After(2 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		_, absent := w.tickets["10.0.0.0"]
+		assert.Assert(t, !absent)
+		assert.Equal(t, len(w.tickets), 2)
+	})
+}
