Parts of a workspace are not found after it becomes dedicated

What callers saw: a workspace that becomes dedicated gets a salt of its own for new requests, but what it had cached before, and what its requests in flight cached after, stayed under the salt that all others share. Their next requests with the same parts use KV cache that a dedicated workspace made (WALL).

Cause: the common salt named model and weights only. Now it also has a hash of the set of dedicated workspaces, which each daemon derives from the configuration, those without keys included. Without dedicated workspaces the salt is as before. The product's own interface names blocks by workspace, so it never had this.

Ruled out: an epoch that counts changes of existing workspaces only. It would spare the others a new salt when a workspace is new and dedicated at once, but it is history that daemons that have just started do not have.

--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // RouteKind tells how often the requests of a route may run.
@@ -131,6 +134,8 @@
 	cacheStores []*CacheStore
 	// byKey maps bearer keys to their workspaces. It is nil if callers need no key.
 	byKey map[string]*Workspace
+	// dedicated identifies the set of dedicated workspaces, "" if there are none.
+	dedicated string
 }
 
 // NewCatalog returns a catalog. If keys is nil, callers need no key.
@@ -152,6 +157,18 @@
 	return c
 }
 
+// WithDedicated returns the catalog for the given dedicated workspaces, which include those that
+// have no key.
+func (c *Catalog) WithDedicated(names []string) *Catalog {
+	changed := *c
+	changed.dedicated = ""
+	if len(names) > 0 {
+		sorted := slices.Sorted(slices.Values(names))
+		changed.dedicated = fmt.Sprintf("%016x", xxh3.HashString(strings.Join(sorted, "\x00")))
+	}
+	return &changed
+}
+
 // Route returns the route of a host with the longest prefix of the path, or nil. A port
 // in the host and a query in the path are ignored.
 func (c *Catalog) Route(host, path string) *Route {
--- a/internal/routing/router/prefix.go
+++ b/internal/routing/router/prefix.go
@@ -180,7 +180,9 @@
 }
 
 // cacheScope returns the scope of the request's cached parts. It separates weights
-// versions and dedicated workspaces; if the version is unknown, nothing is shared.
+// versions and dedicated workspaces; if the version is unknown, nothing is shared. The scope of
+// the other workspaces names the dedicated ones: parts that a workspace has cached before it
+// became dedicated are not found afterwards.
 func cacheScope(weightsVersion int, request *Request) string {
 	switch {
 	case weightsVersion == 0:
@@ -188,7 +190,11 @@
 	case request.Workspace != nil && request.Workspace.Dedicated:
 		return fmt.Sprintf("%s/%d/%s", request.Prompt.Model, weightsVersion, request.Workspace.Name)
 	}
-	return fmt.Sprintf("%s/%d", request.Prompt.Model, weightsVersion)
+	common := fmt.Sprintf("%s/%d", request.Prompt.Model, weightsVersion)
+	if request.Catalog.dedicated != "" {
+		return common + "#" + request.Catalog.dedicated
+	}
+	return common
 }
 
 // canFetchFrom reports whether cached parts may be fetched from a replica. A fetch from
