Bodies that find no room wait in the order of their urgency

What callers saw: when large bodies pressed, whoever happened to wake first after a release had the room, and a stream of small bodies kept large ones out until they were refused. An urgent request was refused as often as one that could wait.

Cause: those that waited all woke at each release and raced. Now the memory is a budget with one queue: by priority (a workspace's goes before its route's, known from the head), then by arrival. What is released goes to the first in the queue; one that does not fit is not overtaken by less urgent ones. The wait stays bounded by a second, then comes the refusal with the truth and a time to return; whoever gives up lets those behind have the room. The own interface takes the most urgent workspace of the key, since the head of a model request does not name the service.

Ruled out: taking room back from bodies that are being read (their callers would lose what they sent), and a longer wait for the least urgent (they hold a connection and a goroutine). Chunked bodies still take what there is at once, or are refused.

TestUrgentBodiesGoFirst failed with the order of arrival (the first room went to priority 9); before, the order was that of the scheduler. TestLeastUrgentBodiesAreRefusedInTime, TestBodiesWaitByPriority and TestBodiesWaitByTheMostUrgentWorkspace show the bound and the priorities of both interfaces; they are new and have no red run.

--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -46,6 +46,10 @@
 	byName map[string]*service
 	// byKeyHash maps the hash of an API key to the services that the key gives access to.
 	byKeyHash map[string][]*service
+	// bodyPriorities maps the hash of an API key to the priority, lower values first, with which
+	// bodies wait for memory: that of the key's most urgent workspace, as the head of a model
+	// request does not name the service.
+	bodyPriorities map[string]int
 	// routing is the part of the configuration that the router reads.
 	routing *router.Catalog
 }
@@ -71,7 +75,7 @@
 }
 
 func (e *Entry) buildCatalog(snapshot *spreader.Snapshot[*decoder.Document], previous *catalog) *catalog {
-	next := &catalog{digest: snapshot.Digest(), byName: map[string]*service{}, byKeyHash: map[string][]*service{}}
+	next := newCatalog(snapshot.Digest())
 	var services []*router.Service
 	for _, name := range snapshot.Services() {
 		revision := snapshot.Get(name)
@@ -80,16 +84,30 @@
 			s = newService(revision, s)
 			e.logger.Info("entry: service configuration updated.", "service", name, "revision", revision.Revision)
 		}
-		next.byName[name] = s
-		for hash := range s.workspaceByKeyHash {
-			next.byKeyHash[hash] = append(next.byKeyHash[hash], s)
-		}
+		next.add(name, s)
 		services = append(services, &router.Service{Name: name, Engine: s.routerEngine()})
 	}
 	next.routing = router.NewCatalog(next.digest, router.Limits{MaxBodyBytes: maxRequestBody}, nil, services, nil)
 	return next
 }
 
+// newCatalog returns a catalog without services.
+func newCatalog(digest uint64) *catalog {
+	return &catalog{digest: digest, byName: map[string]*service{}, byKeyHash: map[string][]*service{}, bodyPriorities: map[string]int{}}
+}
+
+// add adds a service.
+func (c *catalog) add(name string, s *service) {
+	c.byName[name] = s
+	for hash, workspace := range s.workspaceByKeyHash {
+		c.byKeyHash[hash] = append(c.byKeyHash[hash], s)
+		// In documents higher priorities go first.
+		if priority, found := c.bodyPriorities[hash]; !found || -workspace.Priority < priority {
+			c.bodyPriorities[hash] = -workspace.Priority
+		}
+	}
+}
+
 // newService builds a revision of a service. previous is the revision that it replaces, or
 // nil.
 func newService(revision *spreader.ServiceRevision[*decoder.Document], previous *service) *service {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,7 +125,7 @@
 		pool:       router.NewPool(d.Clock),
 		recorder:   recorder.New(),
 		inFlight:   limiter.NewInFlight(),
-		bodies:     reserver.New(maxBodyBytes, d.Clock),
+		bodies:     reserver.New(reserver.NewBudget(maxBodyBytes, maxBodyBytes, d.Clock), d.Clock),
 		serverDone: make(chan struct{}),
 		pushDone:   make(chan struct{}),
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -78,11 +78,12 @@
 // admitBody decides how much of the body of a request is read. It may wait for room. Of the body of a
 // caller without a valid key little is read, since that is going to be refused.
 func (e *Entry) admitBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	c := &caller{catalog: e.currentCatalog()}
 	maxBytes := maxRequestBody
-	if authenticate(header, &caller{catalog: e.currentCatalog()}) != nil {
+	if authenticate(header, c) != nil {
 		maxBytes = reserver.FreeBytes
 	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: e.bodies.Admit(header, maxBytes)}
+	return fasthttp.RequestConfig{MaxRequestBodySize: e.bodies.Admit(header, maxBytes, c.catalog.bodyPriorities[c.keyHash])}
 }
 
 // refuseUnreadable answers requests that could not be read.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,9 +40,10 @@
 
 // Protocol defines how requests and answers are encoded.
 type Protocol struct {
-	// MaxBody returns how many bytes the body of a request may have, by its head; for one that is
-	// going to be refused at most those that are read without a reservation.
-	MaxBody func(header *fasthttp.RequestHeader) int
+	// MaxBody returns how many bytes the body of a request may have, by its head, and the priority
+	// of the request, lower values first; for one that is going to be refused at most those that
+	// are read without a reservation.
+	MaxBody func(header *fasthttp.RequestHeader) (bytes, priority int)
 	// Parse reads a request whose last bytes were received at arrived. It returns false if
 	// it has already answered the request, for instance with an error.
 	Parse func(ctx *fasthttp.RequestCtx, arrived time.Time) (*router.Request, bool)
@@ -65,8 +66,8 @@
 	ShutdownDelay time.Duration
 	// Grace is the grace period: the time from SIGTERM to the end of the process.
 	Grace time.Duration
-	// BodyBytes bounds the memory of the bodies of all requests together.
-	BodyBytes int
+	// Memory is what the bodies of all requests and the answers take together.
+	Memory *reserver.Budget
 }
 
 // Gateway is an HTTP server for callers, with a second server for readiness checks.
@@ -88,7 +89,7 @@
 // New starts a gateway, which serves until Drain is called. canServe reports whether
 // requests can be served apart from draining; Ready depends on it.
 func New(settings Settings, protocol Protocol, r *router.Router, canServe func() bool, clock timekeeper.Clock, logger *log.Logger) (*Gateway, error) {
-	g := &Gateway{settings: settings, protocol: protocol, router: r, canServe: canServe, bodies: reserver.New(settings.BodyBytes, clock), clock: clock, logger: logger}
+	g := &Gateway{settings: settings, protocol: protocol, router: r, canServe: canServe, bodies: reserver.New(settings.Memory, clock), clock: clock, logger: logger}
 	var err error
 	if g.callerListener, err = listener.New(settings.Address, maxInboundBytes); err != nil {
 		return nil, fmt.Errorf("caller address: %w", err)
@@ -139,21 +140,25 @@
 
 // admitBody decides how much of the body of a request is read. It may wait for room.
 func (g *Gateway) admitBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{MaxRequestBodySize: max(1, g.bodies.Admit(header, g.maxBody(header)))}
+	maxBytes, priority := g.maxBody(header)
+	return fasthttp.RequestConfig{MaxRequestBodySize: max(1, g.bodies.Admit(header, maxBytes, priority))}
 }
 
-// maxBody returns how many bytes the body of a request may have.
-func (g *Gateway) maxBody(header *fasthttp.RequestHeader) int {
+// maxBody returns how many bytes the body of a request may have, and the priority of the request
+// if the body needs a reservation.
+func (g *Gateway) maxBody(header *fasthttp.RequestHeader) (bytes, priority int) {
 	if length := header.ContentLength(); length >= 0 && length <= reserver.FreeBytes || length < -1 {
-		return reserver.FreeBytes
+		return reserver.FreeBytes, 0
 	}
-	return min(maxBodyBytes, g.protocol.MaxBody(header))
+	bytes, priority = g.protocol.MaxBody(header)
+	return min(maxBodyBytes, bytes), priority
 }
 
 // refuseUnread answers a request that could not be read. Its connection is closed then.
 func (g *Gateway) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	header := &ctx.Request.Header
-	tooLarge := g.bodies.Refuse(header, g.maxBody(header))
+	maxBytes, _ := g.maxBody(header)
+	tooLarge := g.bodies.Refuse(header, maxBytes)
 	var timeout net.Error
 	switch {
 	case !errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -169,7 +174,7 @@
 	case tooLarge:
 		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
 	default:
-		g.logger.Info("gateway: body refused, there is no room for it.", "bytes", header.ContentLength(), "reserved", g.bodies.Reserved())
+		g.logger.Info("gateway: body refused, there is no room for it.", "bytes", header.ContentLength(), "reserved", g.settings.Memory.Reserved())
 		g.protocol.WriteFailure(ctx, &router.Failure{Reason: router.ReasonOverload, NotRun: true, RetryAfter: bodyRetryAfter})
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/gateway"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/limiter"
@@ -57,7 +58,7 @@
 	}
 	r := router.New(options, pool, router.Transport{Send: f.send}, clock, log.New(io.Discard), recorder.New())
 	var err error
-	f.gateway, err = gateway.New(gateway.Settings{Address: f.callerAddress, ReadyAddress: f.readyAddress, IdleTimeout: time.Minute, Grace: 5 * time.Second},
+	f.gateway, err = gateway.New(gateway.Settings{Address: f.callerAddress, ReadyAddress: f.readyAddress, IdleTimeout: time.Minute, Grace: 5 * time.Second, Memory: reserver.NewBudget(1<<20, 1<<20, timekeeper.System{})},
 		gateway.Protocol{Parse: parse, WriteHead: writeHead, WriteFailure: writeFailure}, r, func() bool { return true }, clock, log.New(io.Discard))
 	assert.NilError(t, err)
 	return f
--- a/internal/gateway/reserver/reserve.go
+++ b/internal/gateway/reserver/reserve.go
@@ -1,5 +1,5 @@
-// Package reserver reserves memory for the bodies of requests before they are read, so that those
-// of all connections together stay within a limit.
+// Package reserver reserves memory for the bodies of requests before they are read, and for
+// answers, so that those of all connections together stay within a budget.
 //
 // A body whose length is known waits for a while until there is room, unread in the kernel. One
 // that comes in chunks may be as large as there is room for. What a reservation is for is known
@@ -32,19 +32,14 @@
 // the largest one.
 var chunkedSizes = [...]int{512 << 10, 64 << 10}
 
-// Reserver holds the reservations of a server. It is safe for concurrent use.
+// Reserver holds the reservations of the bodies of a server. It is safe for concurrent use.
 type Reserver struct {
-	limit int
-	clock timekeeper.Clock
-
-	// mu guards the fields below.
-	mu sync.Mutex
-	// reserved is the number of bytes reserved, at most limit.
-	reserved int
-	// unclaimed holds the reservations of bodies that are being read.
+	budget *Budget
+	clock  timekeeper.Clock
+
+	// mu guards unclaimed, which holds the reservations of bodies that are being read.
+	mu        sync.Mutex
 	unclaimed map[*fasthttp.RequestHeader]reservation
-	// released is closed and replaced when bytes are released.
-	released chan struct{}
 }
 
 // reservation is that of one body.
@@ -53,26 +48,26 @@
 	expiresAt time.Time
 }
 
-// New returns a reserver of the given number of bytes.
-func New(limit int, clock timekeeper.Clock) *Reserver {
-	return &Reserver{limit: limit, clock: clock, unclaimed: make(map[*fasthttp.RequestHeader]reservation), released: make(chan struct{})}
+// New returns a reserver that takes from a budget.
+func New(budget *Budget, clock timekeeper.Clock) *Reserver {
+	return &Reserver{budget: budget, clock: clock, unclaimed: make(map[*fasthttp.RequestHeader]reservation)}
 }
 
 // Admit returns how many bytes of the body of a request may be read, of which maxBytes are
-// allowed. It waits for room if the head names a length. A longer body than it returns must be
-// refused.
-func (r *Reserver) Admit(header *fasthttp.RequestHeader, maxBytes int) int {
+// allowed. It waits for room if the head names a length, behind requests of a more urgent
+// priority: lower values go first. A longer body than it returns must be refused.
+func (r *Reserver) Admit(header *fasthttp.RequestHeader, maxBytes, priority int) int {
 	r.drop(header)
 	switch length := header.ContentLength(); {
 	case length >= 0 && length <= FreeBytes || length > maxBytes || length < -1 || maxBytes <= FreeBytes:
 		return maxBytes
 	case length >= 0:
-		if r.await(header, roundUp(length)) {
+		if r.reserve(header, bodyClaim(roundUp(length), priority), maxWait) {
 			return length
 		}
 	default:
 		for _, size := range append([]int{maxBytes}, chunkedSizes[:]...) {
-			if size <= maxBytes && r.reserve(header, chunkedFactor*size) {
+			if size <= maxBytes && r.reserve(header, bodyClaim(chunkedFactor*size, priority), 0) {
 				return size
 			}
 		}
@@ -83,52 +78,31 @@
 // roundUp returns the size of the buffer into which the HTTP library reads a body.
 func roundUp(length int) int { return 1 << bits.Len(uint(length-1)) }
 
-// await reserves bytes within maxWait. There is never room for more than the limit.
-func (r *Reserver) await(header *fasthttp.RequestHeader, bytes int) bool {
-	if bytes > r.limit {
-		return false
-	}
-	var timeout <-chan time.Time
-	for {
-		r.mu.Lock()
-		released := r.released
-		r.mu.Unlock()
-		if r.reserve(header, bytes) {
-			return true
-		}
-		if timeout == nil {
-			timeout = r.clock.After(maxWait)
-		}
-		select {
-		case <-released:
-		case <-timeout:
+func bodyClaim(bytes, priority int) claim { return claim{bytes: bytes, body: true, priority: priority} }
+
+// reserve reserves what is claimed for a body, within a time.
+func (r *Reserver) reserve(header *fasthttp.RequestHeader, c claim, timeout time.Duration) bool {
+	if !r.budget.reserve(c, 0) {
+		r.expire()
+		if !r.budget.reserve(c, timeout) {
 			return false
 		}
 	}
-}
-
-// reserve reserves bytes for a body if there is room.
-func (r *Reserver) reserve(header *fasthttp.RequestHeader, bytes int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
-	if r.reserved+bytes > r.limit {
-		r.expire(now)
-	}
-	if r.reserved+bytes > r.limit {
-		return false
-	}
-	r.reserved += bytes
-	r.unclaimed[header] = reservation{bytes, now.Add(maxReadTime)}
+	r.unclaimed[header] = reservation{c.bytes, r.clock.Now().Add(maxReadTime)}
 	return true
 }
 
-// expire releases the reservations of connections that have ended. The caller holds mu.
-func (r *Reserver) expire(now time.Time) {
+// expire releases the reservations of connections that have ended.
+func (r *Reserver) expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
 	for header, entry := range r.unclaimed {
 		if !now.Before(entry.expiresAt) {
 			delete(r.unclaimed, header)
-			r.reserved -= entry.bytes
+			r.budget.release(bodyClaim(entry.bytes, 0))
 		}
 	}
 }
@@ -136,23 +110,11 @@
 // Claim takes over the reservation of a body that was read and takes the given number of bytes. The
 // memory stays reserved until release is called, more than once for all the same.
 func (r *Reserver) Claim(header *fasthttp.RequestHeader, bytes int) (release func()) {
-	r.mu.Lock()
-	entry, found := r.unclaimed[header]
-	delete(r.unclaimed, header)
-	held := 0
-	if found {
-		held = min(entry.bytes, bytes)
-		r.release(entry.bytes - held)
-	}
-	r.mu.Unlock()
+	reserved := r.take(header)
+	held := min(reserved, bytes)
+	r.budget.release(bodyClaim(reserved-held, 0))
 	var once sync.Once
-	return func() {
-		once.Do(func() {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.release(held)
-		})
-	}
+	return func() { once.Do(func() { r.budget.release(bodyClaim(held, 0)) }) }
 }
 
 // Refuse releases the reservation of a body that is not read as it is longer than Admit has returned.
@@ -168,30 +130,16 @@
 
 // drop releases the reservation of a body and returns its size.
 func (r *Reserver) drop(header *fasthttp.RequestHeader) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	entry, found := r.unclaimed[header]
-	if !found {
-		return 0
-	}
-	delete(r.unclaimed, header)
-	r.release(entry.bytes)
-	return entry.bytes
-}
-
-// release releases bytes and wakes those that wait. The caller holds mu.
-func (r *Reserver) release(bytes int) {
-	if bytes == 0 {
-		return
-	}
-	r.reserved -= bytes
-	close(r.released)
-	r.released = make(chan struct{})
+	reserved := r.take(header)
+	r.budget.release(bodyClaim(reserved, 0))
+	return reserved
 }
 
-// Reserved returns the number of bytes reserved.
-func (r *Reserver) Reserved() int {
+// take removes the reservation of a body and returns its size, 0 if there is none.
+func (r *Reserver) take(header *fasthttp.RequestHeader) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reserved
+	reserved := r.unclaimed[header].bytes
+	delete(r.unclaimed, header)
+	return reserved
 }
--- a/internal/routing/router/admit.go
+++ b/internal/routing/router/admit.go
@@ -71,10 +71,7 @@
 // that of the route. A caller's retry is late already and ranks behind requests that
 // can still be in time.
 func (r *Request) priority() int {
-	priority := r.Route.Priority
-	if r.Workspace != nil && r.Workspace.Priority != nil {
-		priority = *r.Workspace.Priority
-	}
+	priority := r.Route.PriorityFor(r.Workspace)
 	if r.CallerRetry {
 		priority += callerRetryRanks
 	}
--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -222,3 +222,11 @@
 func (r *Route) repeatable() bool {
 	return r.Kind == Repeatable || (r.Kind == Streaming && r.Resumable)
 }
+
+// PriorityFor returns the rank of the requests of a workspace, which may be nil.
+func (r *Route) PriorityFor(workspace *Workspace) int {
+	if workspace != nil && workspace.Priority != nil {
+		return *workspace.Priority
+	}
+	return r.Priority
+}
--- a/listener/departed_test.go
+++ b/listener/departed_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/gateway"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/limiter"
@@ -111,7 +112,7 @@
 	assert.NilError(t, err)
 	address := free.Addr().String()
 	assert.NilError(t, free.Close())
-	settings := gateway.Settings{Address: address, ReadyAddress: "127.0.0.1:0", IdleTimeout: time.Minute, Grace: 5 * time.Second}
+	settings := gateway.Settings{Address: address, ReadyAddress: "127.0.0.1:0", IdleTimeout: time.Minute, Grace: 5 * time.Second, Memory: reserver.NewBudget(1<<20, 1<<20, timekeeper.System{})}
 	g, err := gateway.New(settings, protocol, r, func() bool { return true }, timekeeper.System{}, log.New(io.Discard))
 	assert.NilError(t, err)
 	t.Cleanup(g.Drain)
