Answers take their memory from the budget of bodies, until they are written

Causes: answers had a bound of their own in peer/replica beside that of bodies. It ended with the exchange, before the caller had read a byte; the whole answer was copied into the HTTP library and again into the listener's queue, which takes a write of any size. Answers grew by doubling, so that several waited for each other's halves, or failed at once.

An answer whose length is known reserves all of it at once and waits, unread in the kernel, until its deadline; one of unknown length waits for a second at most. Answers of up to 64 KB are free as before.

Ruled out: refusing answers at once (they have run), and bodies that may take all (their own answers would find no room).

TestAnswersHoldTheirMemoryUntilReleased failed with memory released at the end of the exchange, as before (0 bytes reserved for seven answers that are held). TestEndlessBytesTakeBoundedMemory and TestReservationsNeverPassTheBound keep their checks, against the budget.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,7 +220,12 @@
 		ctx.SetBodyStream(&streamBody{gateway: g, request: request, stream: result.Stream, waited: waited, release: release}, -1)
 	default:
 		g.protocol.WriteHead(ctx, result.Reply)
-		ctx.SetBody(result.Body)
+		if len(result.Body) > reserver.FreeBytes {
+			ctx.SetBodyStream(reserver.NewBody(result.Body, result.Release), len(result.Body))
+		} else {
+			ctx.SetBody(result.Body)
+			result.Release()
+		}
 		g.logger.Info("request: answered.", "request", request.ID, "route", request.Route.Name, "status", result.Reply.Status, "waited", waited, "took", g.clock.Now().Sub(arrived))
 	}
 }
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -180,6 +180,8 @@
 	EndMarked bool
 	// ReadBody reads the whole body of an answer that is not a stream.
 	ReadBody func() ([]byte, error)
+	// ReleaseBody releases the memory of that body, nil if there is nothing to release.
+	ReleaseBody func()
 	// Close ends the exchange.
 	Close func()
 	// SetDeadline sets the deadline for reading the next bytes.
@@ -248,3 +250,10 @@
 	// Stream is nil for an answer that is not a stream.
 	Stream *EventStream
 }
+
+// Release releases the memory of Body.
+func (r *Result) Release() {
+	if r.Stream == nil && r.Reply != nil && r.Reply.ReleaseBody != nil {
+		r.Reply.ReleaseBody()
+	}
+}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -120,7 +120,7 @@
 
 // Begin sends a request to replicas until one answers, and returns its whole answer, a
 // stream that has begun, or a failure. The caller must call Close on Result.Stream if
-// that is set; other results need no cleanup.
+// that is set, else Release on the result once it does not need the body.
 func (r *Router) Begin(request *Request) *Result {
 	r.recorder.Count("requests")
 	d := newDispatch(r, request)
@@ -136,6 +136,9 @@
 	if result.Stream == nil {
 		d.release()
 	}
+	if d.fallback != nil && d.fallback != result {
+		d.fallback.Release()
+	}
 	return result
 }
 
--- a/listener/departed_test.go
+++ b/listener/departed_test.go
@@ -91,7 +91,7 @@
 	t.Helper()
 	clock := timekeeper.System{}
 	b := &departedBed{
-		replicaAddress: serveReplica(t), client: replica.New("Id", clock),
+		replicaAddress: serveReplica(t), client: replica.New("Id", replica.Memory{}, clock),
 		handled: make(chan net.Conn), proceed: make(chan struct{}), outcome: make(chan string, 1),
 	}
 	pool := router.NewPool(clock)
--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -37,26 +37,43 @@
 	// context. It returns false if the reset has begun.
 	stopReset func() bool
 	closed    bool
-	// reserved is what the answer takes of maxBufferedBytes.
-	reserved int64
+	// priority and deadline are those of the request.
+	priority int
+	deadline time.Time
+	// reserved is what the answer takes of the memory for answers. bodyReturned is set once
+	// ReadAll has returned the body, whose memory is released by ReleaseBody.
+	reserved     int
+	bodyReturned bool
 }
 
-// reserve raises what the answer takes of maxBufferedBytes, if it holds the given number
-// of bytes in memory. It returns an error if the answers of all servers take too much.
-func (a *Answer) reserve(bytes int) error {
-	added := int64(bytes-freeBufferBytes) - a.reserved
+// reserve raises what the answer takes of the memory for answers, if it holds the given number of
+// bytes. It waits for room until the deadline, and returns an error if there is none.
+func (a *Answer) reserve(bytes int, deadline time.Time) error {
+	added := bytes - freeBufferBytes - a.reserved
 	if added <= 0 {
 		return nil
 	}
-	for {
-		held := a.client.buffered.Load()
-		if held+added > maxBufferedBytes {
-			return fmt.Errorf("%w: answers take more than %d bytes of memory", ErrExchangeFailed, maxBufferedBytes)
-		}
-		if a.client.buffered.CompareAndSwap(held, held+added) {
-			a.reserved += added
-			return nil
-		}
+	if !a.client.memory.Reserve(added, a.priority, deadline) {
+		return fmt.Errorf("%w: no memory for %d bytes of an answer", ErrExchangeFailed, bytes)
+	}
+	a.reserved += added
+	return nil
+}
+
+// grow reserves memory for an answer whose length is not known.
+func (a *Answer) grow(bytes int) error {
+	deadline := a.client.clock.Now().Add(memoryTimeout)
+	if a.deadline.Before(deadline) {
+		deadline = a.deadline
+	}
+	return a.reserve(bytes, deadline)
+}
+
+// ReleaseBody releases the memory of a body that ReadAll has returned.
+func (a *Answer) ReleaseBody() {
+	if a.reserved > 0 {
+		a.client.memory.Release(a.reserved)
+		a.reserved = 0
 	}
 }
 
@@ -154,12 +171,24 @@
 	return nil
 }
 
-// ReadAll reads the complete body. A body of more than maxBytes bytes is an error.
+// ReadAll reads the complete body. A body of more than maxBytes bytes is an error. The caller must
+// call ReleaseBody once it does not need the body.
 func (a *Answer) ReadAll(maxBytes int) ([]byte, error) {
-	body := make([]byte, 0, 512)
+	size := 512
+	if limited, ok := a.body.(*io.LimitedReader); ok && limited.N > freeBufferBytes {
+		if limited.N > int64(maxBytes) {
+			return nil, fmt.Errorf("%w: body of %d bytes is larger than %d bytes", ErrExchangeFailed, limited.N, maxBytes)
+		}
+		// One byte more than the body, so that its end is found without growing.
+		size = int(limited.N) + 1
+		if err := a.reserve(size, a.deadline); err != nil {
+			return nil, err
+		}
+	}
+	body := make([]byte, 0, size)
 	for {
 		if len(body) == cap(body) {
-			if err := a.reserve(2 * cap(body)); err != nil {
+			if err := a.grow(2 * cap(body)); err != nil {
 				return nil, err
 			}
 			body = slices.Grow(body, cap(body))
@@ -170,6 +199,7 @@
 		case len(body) > maxBytes:
 			return nil, fmt.Errorf("%w: body is larger than %d bytes", ErrExchangeFailed, maxBytes)
 		case err == io.EOF:
+			a.bodyReturned = true
 			return body, nil
 		case err != nil:
 			return nil, err
@@ -184,7 +214,9 @@
 		return
 	}
 	a.closed = true
-	a.client.buffered.Add(-a.reserved)
+	if !a.bodyReturned {
+		a.ReleaseBody()
+	}
 	if a.stopReset() && a.reusable() {
 		a.client.keepIdle(a.address, a.conn, parseIdleTimeout(string(a.header.Peek(fasthttp.HeaderKeepAlive))))
 		return
@@ -239,7 +271,7 @@
 func NewEventReader(source io.Reader, maxEventBytes int) *EventReader {
 	e := &EventReader{source: source, reserve: func(int) error { return nil }, maxEventBytes: maxEventBytes, buffer: make([]byte, 0, 1024)}
 	if answer, ok := source.(*Answer); ok {
-		e.reserve = answer.reserve
+		e.reserve = answer.grow
 	}
 	return e
 }
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -51,11 +51,11 @@
 	maxInterimAnswers = 8
 	// maxStaleBodyBytes is the largest body of an answer that is skipped.
 	maxStaleBodyBytes = 64 << 10
-	// maxBufferedBytes bounds the bytes of all answers together that are held in memory,
-	// except for freeBufferBytes of each answer, which ordinary ones stay within. Servers
-	// in trouble may send bytes without end.
-	maxBufferedBytes = 16 << 20
-	freeBufferBytes  = 64 << 10
+	// freeBufferBytes of each answer need no reservation; ordinary ones stay within.
+	freeBufferBytes = 64 << 10
+	// memoryTimeout is how long an answer of unknown length waits for memory. Servers in
+	// trouble may send bytes without end.
+	memoryTimeout = time.Second
 )
 
 var faults = errorx.NewNamespace("replica")
@@ -69,6 +69,15 @@
 	ErrExchangeFailed = faults.NewType("broken").New("exchange broke off")
 )
 
+// Memory is what answers that are held in memory take it from.
+type Memory struct {
+	// Reserve reserves bytes for the answer to a request of a priority, lower values first. It
+	// waits until the deadline, and reports whether there was room.
+	Reserve func(bytes, priority int, deadline time.Time) bool
+	// Release gives bytes back.
+	Release func(bytes int)
+}
+
 // Request is one HTTP request with the time limits of its exchange.
 type Request struct {
 	// Address is the server's IP address and port.
@@ -89,6 +98,8 @@
 	// Deadline is the deadline of all reads and writes; Answer.SetDeadline replaces it
 	// for reads.
 	Deadline time.Time
+	// Priority orders the answers that wait for memory, lower values first.
+	Priority int
 	// MaxIdleTime is how long a kept connection may have been idle to be reused. A
 	// request that may not be repeated gets a shorter time, since the server may
 	// have closed the connection meanwhile.
@@ -116,9 +127,7 @@
 // Client sends requests to servers and keeps idle connections to them for reuse. It is
 // safe for concurrent use.
 type Client struct {
-	// buffered is the number of bytes of answers in memory that count towards
-	// maxBufferedBytes.
-	buffered atomic.Int64
+	memory Memory
 	// idField is the header field in which IDs are echoed.
 	idField string
 	clock   timekeeper.Clock
@@ -189,9 +198,10 @@
 }
 
 // New returns a client for servers that echo IDs in the given header field.
-func New(idField string, clock timekeeper.Clock) *Client {
+func New(idField string, memory Memory, clock timekeeper.Clock) *Client {
 	dialer := &net.Dialer{KeepAlive: -1}
 	return &Client{
+		memory:  memory,
 		idField: idField,
 		clock:   clock,
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -217,7 +227,7 @@
 		}
 		request.Fields = append(request.Fields, fields...)
 	}
-	answer := &Answer{client: c, conn: connection, address: request.Address}
+	answer := &Answer{client: c, conn: connection, address: request.Address, priority: request.Priority, deadline: request.Deadline}
 	answer.stopReset = context.AfterFunc(ctx, connection.abort)
 	_ = connection.SetDeadline(request.Deadline)
 	if err := c.writeRequest(answer, request); err != nil {
--- a/peer/replica/client_test.go
+++ b/peer/replica/client_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
@@ -56,7 +57,19 @@
 	}
 }
 
-func newClient() *Client { return New(idField, timekeeper.System{}) }
+// maxBufferedBytes is the memory for the answers of a test.
+const maxBufferedBytes = 16 << 20
+
+// testClient is a client with the memory that its answers take.
+type testClient struct {
+	*Client
+	memory *reserver.Budget
+}
+
+func newClient() *testClient {
+	memory := reserver.NewBudget(maxBufferedBytes, 0, timekeeper.System{})
+	return &testClient{New(idField, Memory{Reserve: memory.ReserveAnswer, Release: memory.ReleaseAnswer}, timekeeper.System{}), memory}
+}
 
 // TestConnectionIsReused sends a request with a small and one with a large body and
 // checks that both arrive unchanged on one connection.
@@ -381,7 +394,7 @@
 					tasks.Go(func() { exhaust(t, c, address, events) })
 				}
 				tasks.Wait()
-				assert.Equal(t, c.buffered.Load(), int64(0))
+				assert.Equal(t, c.memory.Reserved(), 0)
 			})
 		}
 	}
@@ -389,7 +402,7 @@
 
 // exhaust reads an answer until it fails, and checks that it does so before its deadline
 // and within the memory of all answers.
-func exhaust(t *testing.T, c *Client, address string, asEvents bool) {
+func exhaust(t *testing.T, c *testClient, address string, asEvents bool) {
 	r := request(address, "r1", "")
 	answer, err := c.Do(t.Context(), r)
 	if err == nil {
@@ -410,6 +423,6 @@
 		}
 	}
 	assert.Check(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
-	assert.Check(t, c.buffered.Load() <= maxBufferedBytes)
+	assert.Check(t, c.memory.Reserved() <= maxBufferedBytes)
 	assert.Check(t, time.Now().Before(r.Deadline))
 }
--- a/peer/replica/cut_test.go
+++ b/peer/replica/cut_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
 
@@ -43,7 +42,7 @@
 
 // readCut returns the body of an answer of which only the given bytes arrive.
 func readCut(text string, atOnce int, end error) ([]byte, error) {
-	c := New(idField, timekeeper.System{})
+	c := newClient()
 	c.dial = func(context.Context, string) (net.Conn, error) {
 		return &cutConn{unread: text, atOnce: atOnce, end: end}, nil
 	}
--- a/peer/replica/drip_test.go
+++ b/peer/replica/drip_test.go
@@ -10,7 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
 
@@ -31,7 +30,7 @@
 	} {
 		for _, events := range []bool{false, true} {
 			synctest.Test(t, func(t *testing.T) {
-				c := New(idField, timekeeper.System{})
+				c := newClient()
 				c.dial = func(context.Context, string) (net.Conn, error) {
 					client, server := net.Pipe()
 					go func() {
@@ -64,7 +63,7 @@
 				took := time.Since(started)
 				assert.Check(t, err != nil && err != io.EOF, "%s, events %v: %v", name, events, err)
 				assert.Check(t, took >= timeout-200*time.Millisecond && took <= timeout, "%s, events %v: %v", name, events, took)
-				assert.Equal(t, c.buffered.Load(), int64(0))
+				assert.Equal(t, c.memory.Reserved(), 0)
 				<-time.After(time.Second)
 			})
 		}
--- a/peer/replica/reserve_test.go
+++ b/peer/replica/reserve_test.go
@@ -1,9 +1,14 @@
 package replica
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -18,11 +23,11 @@
 	for range 8 {
 		tasks.Go(func() {
 			for range 20_000 {
-				a := &Answer{client: c}
-				if a.reserve(maxBufferedBytes) == nil {
-					c.buffered.Add(-a.reserved)
+				a := &Answer{client: c.Client}
+				if a.reserve(maxBufferedBytes, time.Time{}) == nil {
+					a.ReleaseBody()
 				}
-				if c.buffered.Load() > maxBufferedBytes {
+				if c.memory.Reserved() > maxBufferedBytes {
 					passed.Add(1)
 				}
 			}
@@ -30,5 +35,54 @@
 	}
 	tasks.Wait()
 	assert.Equal(t, passed.Load(), int64(0))
-	assert.NilError(t, (&Answer{client: c}).reserve(maxBufferedBytes))
+	assert.NilError(t, (&Answer{client: c.Client}).reserve(maxBufferedBytes, time.Time{}))
+}
+
+// TestAnswersHoldTheirMemoryUntilReleased guards against answers whose memory is given to others
+// while their callers still read them: many callers that do not read would take an entry over its
+// memory. An answer whose length is known takes all of its memory at once, so that several do not
+// wait for each other with half of theirs.
+func TestAnswersHoldTheirMemoryUntilReleased(t *testing.T) {
+	const length = 2 << 20
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		go func() {
+			for {
+				if _, _, err := readRequest(reader); err != nil {
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r1\r\nContent-Length: %d\r\n\r\n%s", idField, length, strings.Repeat("x", length))
+			}
+		}()
+	})
+	c := newClient()
+	var held []*Answer
+	for range 7 {
+		answer, err := c.Do(t.Context(), request(address, "r1", ""))
+		assert.NilError(t, err)
+		body, err := answer.ReadAll(4 << 20)
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), length)
+		answer.Close()
+		held = append(held, answer)
+	}
+	assert.Check(t, c.memory.Reserved() >= 7*(length-freeBufferBytes), "%d bytes", c.memory.Reserved())
+
+	// The eighth has room, the ninth only once another is released.
+	read := make(chan error, 2)
+	for range 2 {
+		go func() {
+			answer, err := c.Do(t.Context(), request(address, "r1", ""))
+			if err == nil {
+				defer answer.Close()
+				_, err = answer.ReadAll(4 << 20)
+			}
+			read <- err
+		}()
+	}
+	assert.NilError(t, <-read)
+	assert.Equal(t, len(read), 0)
+	held[0].ReleaseBody()
+	held[0].ReleaseBody()
+	assert.NilError(t, <-read)
+	assert.Check(t, c.memory.Reserved() <= maxBufferedBytes)
 }
