Large answers of services take their share of the memory of the own interface

What callers saw: the product's own interface gave the memory of bodies no regard to answers: calls that are answered with up to 4 MB and read slowly were held whole in the HTTP library and again in the listener's queue, beside all bodies.

Now both interfaces have one budget each: 24 MB here, of which bodies may take 16. An answer over 16 KB comes whole with one message from a sidecar, so it is counted when it is there, also beyond the limit; bodies wait until it is written, in writes of 64 KB. Left: the message itself is read before it is counted, one for each stream between daemons, and the own interface has no setting of its memory from which the budget could be made.

TestAnswersOfServicesTakeMemoryUntilWritten failed without the count, as before (0 of 3 MB reserved).

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -8,6 +8,7 @@
 	"github.com/cyclamenward/cyclamenward/admitter"
 	"github.com/cyclamenward/cyclamenward/claimer"
 	"github.com/cyclamenward/cyclamenward/decoder"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 	"github.com/valyala/fasthttp"
 )
@@ -92,7 +93,7 @@
 		return p
 	}
 	e.metrics.count(admitter.Answered)
-	writePlainAnswer(ctx, result.Reply.Fields.(*link.PlainAnswer))
+	writePlainAnswer(ctx, result.Reply.Fields.(*link.PlainAnswer), e.memory)
 	return nil
 }
 
@@ -119,7 +120,8 @@
 	return headers
 }
 
-func writePlainAnswer(ctx *fasthttp.RequestCtx, answer *link.PlainAnswer) {
+// writePlainAnswer writes a service's answer. A large one takes memory until it is written.
+func writePlainAnswer(ctx *fasthttp.RequestCtx, answer *link.PlainAnswer, memory *reserver.Budget) {
 	ctx.SetStatusCode(answer.Status)
 	for _, header := range answer.Headers {
 		ctx.Response.Header.Set(header.Name, header.Value)
@@ -127,5 +129,11 @@
 	if answer.Replayed {
 		ctx.Response.Header.Set("Idempotency-Replayed", "true")
 	}
-	ctx.SetBody(answer.Body)
+	size := len(answer.Body)
+	if size <= reserver.FreeBytes {
+		ctx.SetBody(answer.Body)
+		return
+	}
+	memory.TakeAnswer(size)
+	ctx.SetBodyStream(reserver.NewBody(answer.Body, func() { memory.ReleaseAnswer(size) }), size)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,9 +31,11 @@
 const (
 	// maxRequestBody bounds the body of a caller's request, in bytes.
 	maxRequestBody = 4 << 20
-	// maxBodyBytes bounds the memory of the bodies of all requests together. A model request
-	// takes some three times its body while it is parsed.
-	maxBodyBytes = 16 << 20
+	// maxMessageBytes bounds the memory of the bodies of all requests and of the answers together,
+	// maxBodyBytes that of the bodies. A model request takes some three times its body while it is
+	// parsed.
+	maxMessageBytes = 24 << 20
+	maxBodyBytes    = 16 << 20
 	// bodyRetryAfter is when a caller may come back whose body found no room.
 	bodyRetryAfter = time.Second
 	// requestReadTimeout bounds the time in which a whole request must arrive.
@@ -95,7 +97,9 @@
 	router         *router.Router
 	recorder       *recorder.Recorder
 	inFlight       *limiter.InFlight
-	bodies         *reserver.Reserver
+	// memory is what requests and answers take together, bodies reserves that of requests.
+	memory *reserver.Budget
+	bodies *reserver.Reserver
 	// incarnations maps the address of a sidecar to its last known incarnation.
 	incarnations sync.Map
 	metrics      metrics
@@ -125,10 +129,11 @@
 		pool:       router.NewPool(d.Clock),
 		recorder:   recorder.New(),
 		inFlight:   limiter.NewInFlight(),
-		bodies:     reserver.New(reserver.NewBudget(maxBodyBytes, maxBodyBytes, d.Clock), d.Clock),
+		memory:     reserver.NewBudget(maxMessageBytes, maxBodyBytes, d.Clock),
 		serverDone: make(chan struct{}),
 		pushDone:   make(chan struct{}),
 	}
+	e.bodies = reserver.New(e.memory, d.Clock)
 	e.catalog.Store(&catalog{})
 	e.router = e.newRouter()
 	linkServer, err := link.NewServer(d.Common.Identity().LinkAddress, d.TLS, e.handleLink)
