--- a/internal/routing/router/hedge.go
+++ b/internal/routing/router/hedge.go
@@ -34,6 +34,16 @@
 	return a.err == nil && a.bodyErr == nil && !a.reply.NotRun && a.reply.Status < 500
 }
 
+// discard implements outcome. The result of a fork may be the fallback of the dispatch by now.
+func (a answer) discard(d *dispatch) {
+	switch {
+	case a.result != nil && a.result != d.fallback:
+		a.result.Release()
+	case a.reply != nil && a.reply.ReleaseBody != nil:
+		a.reply.ReleaseBody()
+	}
+}
+
 // awaitHead sends an attempt and returns the head of its answer. If that takes long and another
 // replica can be sooner, the other is asked, too: the first usable answer counts. If it is that of
 // the other, the dispatch has its result. If the transport allows one attempt at a time, or a stream
@@ -155,6 +165,7 @@
 	d.sending = nil
 	if a.reply != nil {
 		a.reply.Close()
+		a.discard(d)
 	}
 	if !errors.Is(a.err, ErrNotSent) && !errors.Is(a.err, ErrOutdated) && !errors.Is(a.err, ErrExpired) {
 		d.runAttempts++
--- a/internal/routing/router/hedge_test.go
+++ b/internal/routing/router/hedge_test.go
@@ -64,6 +64,8 @@
 	closed  bool
 	// reads is set while the attempt may read the request.
 	reads bool
+	// holdsBody is set while the memory of the answer's body is taken.
+	holdsBody bool
 }
 
 // plainServers plays the scripts of a play.
@@ -143,8 +145,16 @@
 		if script.end == breaksOff {
 			return nil, errLost
 		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		attempt.holdsBody = true
 		return whole()
 	}
+	reply.ReleaseBody = func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		attempt.holdsBody = false
+	}
 	if script.end == rejects {
 		s.finish(attempt, false)
 	}
@@ -194,6 +204,7 @@
 			}
 		}
 		servers.mu.Unlock()
+		result.Release()
 		synctest.Wait()
 		servers.mu.Lock()
 		defer servers.mu.Unlock()
@@ -232,6 +243,9 @@
 			if !a.workedUntil.IsZero() && a.script.end != isLost && !a.closed {
 				violate("attempt %d was left open", n)
 			}
+			if a.holdsBody {
+				violate("the memory of the answer to attempt %d is not released", n)
+			}
 			replica := b.pool.ReplicaByID(a.replica)
 			if running := replica.inFlight.Load(); running != 0 {
 				violate("replica %s counts %d requests in flight", a.replica, running)
--- a/internal/routing/router/race.go
+++ b/internal/routing/router/race.go
@@ -9,6 +9,8 @@
 type outcome interface {
 	// usable reports whether the request can go on with it.
 	usable() bool
+	// discard releases what is held for an outcome with which the request does not go on.
+	discard(d *dispatch)
 }
 
 // race has a fork continue the request elsewhere while the current attempt stays open, until
@@ -31,18 +33,23 @@
 			}
 			// The wait is short, and what the other has sent is known only then.
 			cancel()
-			<-taken
+			passedOver := <-taken
 			d.join(other)
 			other.release()
+			passedOver.discard(d)
 			return result, true
 		case result := <-taken:
 			if result.usable() {
 				d.closeAttempt()
 				d.adopt(other)
+				if !open {
+					lost.discard(d)
+				}
 				return result, true
 			}
 			d.join(other)
 			other.release()
+			result.discard(d)
 			return lost, !open
 		}
 	}
@@ -66,8 +73,11 @@
 	d.allowedAttempts, d.excluded = other.allowedAttempts, other.excluded
 	d.retryReserved = d.retryReserved || other.retryReserved
 	d.denialLogged = other.denialLogged
-	if d.fallback == nil {
+	switch {
+	case d.fallback == nil:
 		d.fallback = other.fallback
+	case other.fallback != nil:
+		other.fallback.Release()
 	}
 	if other.lastFailure != nil {
 		failure := *other.lastFailure
--- a/internal/routing/router/takeover.go
+++ b/internal/routing/router/takeover.go
@@ -17,6 +17,9 @@
 // usable implements outcome.
 func (r eventResult) usable() bool { return !r.ended() }
 
+// discard implements outcome. An event is held by its reply.
+func (r eventResult) discard(*dispatch) {}
+
 // readEvent reads the next event of the current attempt. If the replica is silent and another
 // may take the stream over, that is asked to: whichever continues first goes on.
 func (d *dispatch) readEvent() (Event, error) {
