standin soak: the platform's roles as processes under drawn faults

The processes are those of the fleet runner. Streams, sidecars and configurations are in, which TestSoak of platform lacks.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
 build:
-	CGO_ENABLED=1 go build -tags netcgo -o $(BIN)/ ./cmd/...
+	CGO_ENABLED=1 go build -tags netcgo -o $(BIN)/ ./cmd/... ./platform/cmd/...
 
 # Runs a small deployment as separate processes and shows what it does.
 demo: build
--- /dev/null
+++ b/internal/standin/checker/loss.go
@@ -0,0 +1,73 @@
+package checker
+
+import (
+	"fmt"
+	"time"
+)
+
+// stopSendLimit is the time after SIGTERM up to which a request may be sent that the end of the
+// grace time may cut.
+const stopSendLimit = 3 * time.Second
+
+// findLost finds requests whose connection ends without a complete answer at a machine that was
+// undisturbed, or that was stopped as planned.
+func (h *History) findLost() (found []string) {
+	for _, x := range h.order {
+		a := x.answer
+		if a == nil || a.Complete || a.Abandoned || a.Whole.IsZero() {
+			continue
+		}
+		// Short answers are held back until they are whole, and 502 or 504 takes their place.
+		if x.Events > 0 && (x.brokenOff() || a.EndedAt.Sub(x.SentAt) >= x.Timeout) {
+			continue
+		}
+		stoppedAt, stopped := h.stopBefore(x.Machine, a.EndedAt)
+		if stopped && x.outlives(stoppedAt, h.bounds.Grace) {
+			continue
+		}
+		switch {
+		case len(x.runs) > 0 && h.calm(x.SentAt, a.EndedAt, x.Machine):
+			found = append(found, fmt.Sprintf("%s was passed on by %s to %s and ends without an answer after %v, stopped %v", x.ID, x.Machine, x.runs[0].Replica, a.EndedAt.Sub(x.SentAt), stopped))
+		case stopped && a.EndedAt.Sub(a.Whole) > h.bounds.LossSlack && h.calm(x.SentAt.Add(-h.bounds.Stable), a.EndedAt, x.Machine, StoreTarget):
+			found = append(found, fmt.Sprintf("%s was read by %s, which is stopped, and ends without an answer after %v", x.ID, x.Machine, a.EndedAt.Sub(x.SentAt)))
+		}
+	}
+	return found
+}
+
+// brokenOff reports whether a replica broke off a run of the request.
+func (x *exchange) brokenOff() bool {
+	for _, run := range x.runs {
+		if run.brokeOff {
+			return true
+		}
+	}
+	return false
+}
+
+// outlives reports whether a replica was at work on the request in the last sixth of the grace time
+// of a machine that was stopped shortly before the request was sent, or later.
+func (x *exchange) outlives(stoppedAt time.Time, grace time.Duration) bool {
+	if x.SentAt.Sub(stoppedAt) > stopSendLimit {
+		return false
+	}
+	for _, run := range x.ran() {
+		if run.endedAt.IsZero() || run.endedAt.Sub(stoppedAt) >= grace*5/6 {
+			return true
+		}
+	}
+	return false
+}
+
+// findAfterLeaving finds requests that machines in touch sent to replicas which had left.
+func (h *History) findAfterLeaving() (found []string) {
+	for _, x := range h.order {
+		for _, run := range x.ran() {
+			at, left := h.left[run.Replica]
+			if left && x.SentAt.Sub(at) > h.bounds.Drain && run.At.Sub(at) > h.bounds.Drain && h.calm(at.Add(-h.bounds.Stable), at, StoreTarget) && h.calm(run.At.Add(-h.bounds.Stable), run.At, x.Machine) {
+				found = append(found, fmt.Sprintf("%s of %s runs at %s, which left %v before", x.ID, x.Machine, run.Replica, run.At.Sub(at)))
+			}
+		}
+	}
+	return found
+}
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -16,18 +16,25 @@
 
 // Process is a process of the fleet, which may have ended and can be started again.
 type Process struct {
-	name    string
-	path    string
-	args    []string
-	logPath string
-	command *exec.Cmd
+	name string
+	path string
+	args []string
+	// environment is added to that of this process.
+	environment []string
+	logPath     string
+	command     *exec.Cmd
 	// exited is closed when the present command has ended.
 	exited chan struct{}
 }
 
 // startProcess runs a program with its output in a log file.
 func startProcess(directory, name, path string, args ...string) (*Process, error) {
-	p := &Process{name: name, path: path, args: args, logPath: filepath.Join(directory, name+".log")}
+	return StartProcess(directory, name, nil, path, args...)
+}
+
+// StartProcess runs a program with its output in a log file, and with additions to the environment.
+func StartProcess(directory, name string, environment []string, path string, args ...string) (*Process, error) {
+	p := &Process{name: name, path: path, args: args, environment: environment, logPath: filepath.Join(directory, name+".log")}
 	return p, p.start()
 }
 
@@ -40,6 +47,9 @@
 	defer func() { _ = logFile.Close() }()
 	p.command = exec.Command(p.path, p.args...)
 	p.command.Stdout, p.command.Stderr = logFile, logFile
+	p.command.Env = append(os.Environ(), p.environment...)
+	// What this process started ends with it, however it ends.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
@@ -96,9 +106,9 @@
 // fleetCount counts the fleets of this process.
 var fleetCount atomic.Uint32
 
-// loopbackHost returns a loopback IP address that no other fleet uses: on 127.0.0.1 the system gives
+// LoopbackHost returns a loopback IP address that nothing else uses: on 127.0.0.1 the system gives
 // a port that is free now to any connection or program.
-func loopbackHost() string {
+func LoopbackHost() string {
 	pid, n := os.Getpid(), fleetCount.Add(1)
 	return fmt.Sprintf("127.%d.%d.%d", 1+n%254, pid>>8&0xff, 1+pid%254)
 }
@@ -111,7 +121,7 @@
 			_ = l.Close()
 		}
 	}()
-	addresses, host := make([]string, n), loopbackHost()
+	addresses, host := make([]string, n), LoopbackHost()
 	for i := range addresses {
 		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
--- /dev/null
+++ b/internal/standin/launcher/daemon.go
@@ -0,0 +1,302 @@
+// Package launcher runs the daemons of the users' platform as processes of their own, disturbs them
+// with signals and starts them again, as the platform does.
+package launcher
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/standin/checker"
+	"github.com/cyclamenward/cyclamenward/internal/standin/fleet"
+)
+
+const (
+	// SettingsVariable is the environment variable that holds the path of the settings.
+	SettingsVariable = "CYCLAMENWARD_BOOT"
+	// restartDelay is the time from the end of a process to its next start.
+	restartDelay = 100 * time.Millisecond
+	// readyTimeout bounds a readiness probe, and readyInterval is the time between two.
+	readyTimeout, readyInterval = time.Second, 20 * time.Millisecond
+)
+
+// Program runs the daemon of a role.
+type Program struct {
+	Path string
+	// RoleVariable is set to the role if it is not empty. Otherwise the role is the argument.
+	RoleVariable string
+}
+
+// Daemon is a process that is started again whenever it has ended, until it is closed.
+type Daemon struct {
+	machine      Machine
+	front, ready string
+	history      *checker.History
+	process      *fleet.Process
+	closing      chan struct{}
+	done         chan struct{}
+
+	// mu guards the fields below and the signals to the process.
+	mu sync.Mutex
+	// running is set while there is a process.
+	running   bool
+	startedAt time.Time
+	// ends holds the functions that end disturbances when the process starts again.
+	ends []func()
+	// pauses counts the pauses that overlap.
+	pauses int
+	// kill is the timer that ends the process once the grace time is over.
+	kill *time.Timer
+	// crashes counts the ends that nobody caused.
+	crashes int
+	// caused is set if the process was sent a signal that ends it.
+	caused bool
+	grace  time.Duration
+}
+
+// New writes the settings of a machine and starts its daemon.
+func New(folder string, machine Machine, program Program, bounds checker.Bounds, history *checker.History) (*Daemon, error) {
+	d := &Daemon{machine: machine, history: history, closing: make(chan struct{}), done: make(chan struct{}), grace: bounds.Grace}
+	for _, address := range []*string{&d.front, &d.ready} {
+		port, err := FreePort(machine.IP)
+		if err != nil {
+			return nil, err
+		}
+		*address = net.JoinHostPort(machine.IP, fmt.Sprint(port))
+	}
+	text, err := settingsText(machine, d.front, d.ready, bounds)
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(folder, machine.Name+".yaml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, fmt.Errorf("write settings of %s: %w", machine.Name, err)
+	}
+	environment, arguments := []string{SettingsVariable + "=" + path}, []string{machine.Role}
+	if program.RoleVariable != "" {
+		environment, arguments = append(environment, program.RoleVariable+"="+machine.Role), nil
+	}
+	end := history.Disturb(machine.Name, checker.FaultStart, false)
+	d.process, err = fleet.StartProcess(folder, machine.Name, environment, program.Path, arguments...)
+	if err != nil {
+		return nil, fmt.Errorf("start %s: %w", machine.Name, err)
+	}
+	end()
+	d.running, d.startedAt = true, time.Now()
+	go d.keep()
+	return d, nil
+}
+
+// FreePort returns a port of an IP address that is free now.
+func FreePort(ip string) (int, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return 0, fmt.Errorf("reserve a port: %w", err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port, nil
+}
+
+// Name returns the name of the daemon, Front the address where it serves callers.
+func (d *Daemon) Name() string { return d.machine.Name }
+
+// Front returns the address where the daemon serves callers.
+func (d *Daemon) Front() string { return d.front }
+
+// IP returns the IP address of the machine.
+func (d *Daemon) IP() string { return d.machine.IP }
+
+// ResidentMemory returns the resident memory of the process in bytes.
+func (d *Daemon) ResidentMemory() (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process.ResidentMemory()
+}
+
+// Crashes returns how often the process ended by itself.
+func (d *Daemon) Crashes() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashes
+}
+
+// Running reports whether there is a process.
+func (d *Daemon) Running() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.running
+}
+
+// StartedAt returns when the process was last started.
+func (d *Daemon) StartedAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.startedAt
+}
+
+// keep starts the process again each time it has ended, until the daemon is closed.
+func (d *Daemon) keep() {
+	defer close(d.done)
+	for {
+		<-d.process.Exited()
+		d.mu.Lock()
+		d.running = false
+		if !d.caused {
+			d.crashes++
+			// A process that ends by itself counts as running all the while.
+			d.ends = append(d.ends, d.history.Disturb(d.machine.Name, "CRASH", true))
+		}
+		if d.kill != nil {
+			d.kill.Stop()
+			d.kill = nil
+		}
+		d.mu.Unlock()
+		select {
+		case <-d.closing:
+			return
+		case <-time.After(restartDelay):
+		}
+		if !d.restart() {
+			return
+		}
+	}
+}
+
+// restart starts the process and ends the disturbances of the one before.
+func (d *Daemon) restart() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.closing:
+		return false
+	default:
+	}
+	d.ends = append(d.ends, d.history.Disturb(d.machine.Name, checker.FaultStart, !d.caused))
+	if d.process.Restart() != nil {
+		return false
+	}
+	d.running, d.caused, d.startedAt = true, false, time.Now()
+	d.pauses = 0
+	for _, end := range d.ends {
+		end()
+	}
+	d.ends = nil
+	return true
+}
+
+// Kill ends the process at once.
+func (d *Daemon) Kill() { d.end("KILL", syscall.SIGKILL, false) }
+
+// Terminate ends the process as planned: by SIGTERM, and by SIGKILL after the grace time.
+func (d *Daemon) Terminate() {
+	d.end(checker.FaultStop, syscall.SIGTERM, true)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.kill == nil && d.running {
+		process := d.process.ID()
+		d.kill = time.AfterFunc(d.grace, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.running && d.process.ID() == process {
+				d.ends = append(d.ends, d.history.Disturb(d.machine.Name, "GRACE OVER", true))
+				_ = d.process.Signal(syscall.SIGKILL)
+			}
+		})
+	}
+}
+
+// end sends a signal that ends the process, unless there is none.
+func (d *Daemon) end(fault string, signal syscall.Signal, planned bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.running {
+		return
+	}
+	d.caused = true
+	d.ends = append(d.ends, d.history.Disturb(d.machine.Name, fault, planned))
+	_ = d.process.Signal(signal)
+}
+
+// RunOut ends the process because its memory is over the limit. It counts as one that ended by
+// itself.
+func (d *Daemon) RunOut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running {
+		_ = d.process.Signal(syscall.SIGKILL)
+		d.running = false
+	}
+}
+
+// Reload sends SIGHUP.
+func (d *Daemon) Reload() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running {
+		d.history.Disturb(d.machine.Name, "HUP", true)()
+		_ = d.process.Signal(syscall.SIGHUP)
+	}
+}
+
+// Pause freezes the process and returns a function that thaws it.
+func (d *Daemon) Pause() (thaw func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.running {
+		return func() {}
+	}
+	process, end := d.process.ID(), d.history.Disturb(d.machine.Name, "STOP", false)
+	d.pauses++
+	_ = d.process.Signal(syscall.SIGSTOP)
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.process.ID() == process && d.running {
+			if d.pauses--; d.pauses == 0 {
+				_ = d.process.Signal(syscall.SIGCONT)
+			}
+		}
+		end()
+	}
+}
+
+// Ready reports whether the daemon says that it is ready.
+func (d *Daemon) Ready() bool {
+	client := http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + d.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// AwaitReady waits until the daemon is ready.
+func (d *Daemon) AwaitReady(timeout time.Duration) error {
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); {
+		if d.Ready() {
+			return nil
+		}
+		<-time.After(readyInterval)
+	}
+	return fmt.Errorf("%s is not ready after %v", d.machine.Name, timeout)
+}
+
+// Close kills the process for good.
+func (d *Daemon) Close() {
+	d.mu.Lock()
+	select {
+	case <-d.closing:
+	default:
+		close(d.closing)
+	}
+	d.caused = true
+	_ = d.process.Signal(syscall.SIGKILL)
+	d.mu.Unlock()
+	<-d.done
+}
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -30,6 +30,7 @@
 			appCommand(),
 			demoCommand(),
 			loadCommand(),
+			soakCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/standin/soaker/case.go
@@ -0,0 +1,118 @@
+package soaker
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/standin/checker"
+	"github.com/cyclamenward/cyclamenward/internal/standin/generator"
+)
+
+// playSilence stops an edge while streams run, some of which the model replicas preempt: a silent
+// replica is no reason to end an answer sooner.
+func playSilence(d *deployment, quiet bool) error {
+	for _, g := range d.generators {
+		if !quiet {
+			g.SetTrouble(generator.Preempts)
+		}
+	}
+	var stopped sync.WaitGroup
+	stopped.Go(func() {
+		// The streams have begun, and the first preemptions are near.
+		<-time.After(generator.Slots * maxThinkMs * time.Millisecond)
+		d.edges[0].Terminate()
+	})
+	d.sendAll(len(d.generators)*generator.Slots, 1, true, func(c *caller) (checker.Request, string) {
+		request, key := drawStream(c)
+		request.Path, request.Kind = "/chat/x", checker.Resumable
+		return request, key
+	})
+	stopped.Wait()
+	return nil
+}
+
+// formBody is the body of a booking with a form, whose parts have an order and header fields of
+// their own.
+const formBody = "--club-form\r\n" +
+	"Content-Disposition: form-data; name=\"watch\"\r\n\r\ncrate 7\r\n--club-form\r\n" +
+	"Content-Disposition: form-data; name=\"watch\"\r\n\r\ncrate 9\r\n--club-form\r\n" +
+	"Content-Disposition: form-data; name=\"club\"\r\nContent-Type: text/plain; charset=iso-8859-1\r\n\r\nM\xfcnster\r\n--club-form\r\n" +
+	"Content-Disposition: form-data; name=\"splits\"; filename=\"heat3.csv\"\r\nContent-Type: text/csv\r\n\r\nlane,split\r\n1,24.81\r\n\r\n--club-form--\r\n"
+
+// playForms sends bookings whose bodies are forms, whole and in chunks.
+func playForms(d *deployment, quiet bool) error {
+	d.sendAll(4, 20, false, func(c *caller) (checker.Request, string) {
+		request := checker.Request{Method: http.MethodPost, Path: "/book/x", Body: formBody, Kind: checker.AtMostOnce, Timeout: plainTimeout, MaxAttempts: plainAttempts}
+		if !quiet {
+			request.ContentType = "multipart/form-data; boundary=club-form"
+		}
+		return request, c.drawWorkspace(&request)
+	})
+	return nil
+}
+
+const (
+	// leavingShare is the share of the replicas that leave, and leavingTime the time for which
+	// some leave around the start of a process.
+	leavingShare, leavingTime = 0.25, 500 * time.Millisecond
+	// abruptOne in so many replicas leaves without a word.
+	abruptOne = 3
+	// leftServes is how long a replica that has left serves on.
+	leftServes = 40 * time.Second
+)
+
+// playLeaving has replicas leave while edges are stopped and started in turn. Edges that read the
+// store in pages or start from the copy of another daemon learn of each that is gone.
+func playLeaving(d *deployment, quiet bool) error {
+	leaving := d.staying()
+	leaving = leaving[:int(leavingShare*float64(len(leaving)))]
+	share := len(leaving) / len(d.edges)
+	for i, edge := range d.edges {
+		if !quiet {
+			edge.Terminate()
+			for edge.Running() {
+				<-time.After(pollInterval)
+			}
+		}
+		for n, w := range leaving[i*share : (i+1)*share] {
+			d.leave(w, n%abruptOne == 0, leftServes)
+			<-time.After(leavingTime / time.Duration(share))
+		}
+		<-time.After(stableSlack)
+		if err := edge.AwaitReady(startTimeout); err != nil {
+			return err
+		}
+	}
+	if err := d.becomeStable(); err != nil {
+		return err
+	}
+	<-time.After(d.options.Bounds.Drain)
+	d.sendAll(24, 60, true, drawQuick)
+	return nil
+}
+
+// drawQuick draws a plain request that takes little time.
+func drawQuick(c *caller) (checker.Request, string) {
+	request := checker.Request{Method: http.MethodGet, Path: "/look/x", Kind: checker.Repeatable, Timeout: plainTimeout, MaxAttempts: plainAttempts}
+	return request, c.drawWorkspace(&request)
+}
+
+// watchCut is how long a watch waits until the store cuts it.
+const watchCut = time.Second
+
+// playWatchCuts has replicas leave while the store cuts each waiting watch, which is no outage.
+func playWatchCuts(d *deployment, quiet bool) error {
+	if !quiet {
+		d.store.CutWatches(watchCut)
+	}
+	leaving := d.staying()
+	leaving = leaving[:len(leaving)/2]
+	for n, w := range leaving {
+		d.leave(w, n%abruptOne == 0, leftServes)
+		<-time.After(leavingTime / time.Duration(len(leaving)))
+	}
+	<-time.After(d.options.Bounds.Drain + stableSlack)
+	d.sendAll(12, 60, true, drawQuick)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/soaker/configuration.go
@@ -0,0 +1,86 @@
+package soaker
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/standin/checker"
+	"github.com/cyclamenward/cyclamenward/internal/standin/generator"
+)
+
+// Names in the configuration.
+const (
+	host                        = "desk.example"
+	plainService, modelService  = "desk", "llm"
+	modelName                   = "model-a"
+	dedicatedWorkspace          = "club-c"
+	plainTimeout, streamTimeout = 3 * time.Second, 15 * time.Second
+	plainAttempts               = 3
+	streamAttempts              = 2
+	// versionsKept is for how many versions the configuration keeps the route that a version adds.
+	versionsKept = 2
+)
+
+// keys holds the key of each workspace.
+var keys = map[string]string{"club-a": "key-a", "club-b": "key-b", dedicatedWorkspace: "key-c"}
+
+// configure writes the next version of the configuration, with a route that is new in it.
+func (d *deployment) configure() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.configuration++
+	version := checker.Version{Number: d.configuration, SentAt: time.Now()}
+	if err := d.store.Put("op/config", configurationOf(d.configuration)); err != nil {
+		return err
+	}
+	version.AckAt = time.Now()
+	d.history.Configure(version)
+	return nil
+}
+
+// configurationOf returns a version of the configuration.
+func configurationOf(version int) map[string]any {
+	plain := func(name, kind string) map[string]any {
+		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": plainService, "route-kind": kind, "timeout-ms": plainTimeout.Milliseconds(), "target-latency-ms": 200, "priority": 2, "max-attempts": plainAttempts, "public": false}
+	}
+	stream := func(name string, resumable bool) map[string]any {
+		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": modelService, "route-kind": "streaming", "timeout-ms": streamTimeout.Milliseconds(), "target-latency-ms": 600, "priority": 0, "max-attempts": streamAttempts, "public": false, "session-affinity": true, "resumable": resumable, "gap-aim-ms": 400}
+	}
+	routes := []any{plain("look", "idempotent"), plain("book", "non_idempotent"), stream("chat", true), stream("once", false)}
+	for v := max(1, version-versionsKept+1); v <= version; v++ {
+		routes = append(routes, plain(fmt.Sprintf("v%d", v), "idempotent"))
+	}
+	workspaces := []any{}
+	for name, key := range keys {
+		workspaces = append(workspaces, map[string]any{"name": name, "api-keys": []string{key}, "dedicated": name == dedicatedWorkspace})
+	}
+	return map[string]any{
+		"version": version, "routes": routes, "tenants": workspaces,
+		"services": []any{
+			map[string]any{"name": plainService, "health-path": "/health", "slots": 64},
+			map[string]any{"name": modelService, "health-path": "/health", "max-conns": 620, "engine": map[string]any{"slots": generator.Slots, "kv-capacity-tokens": 80000, "kv-token-bytes": 131072, "link-mbps": 260000, "max-inflight": 12, "models": []any{map[string]any{"name": modelName}}}},
+		},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4 << 20, "header-timeout-ms": 5000, "idle-timeout-ms": 15000},
+	}
+}
+
+// newestConfiguration returns the number of the newest version.
+func (d *deployment) newestConfiguration() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.configuration
+}
+
+// wantWeights names the next version of the weights.
+func (d *deployment) wantWeights() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.weights++
+	version := checker.Version{Number: d.weights, SentAt: time.Now()}
+	if err := d.store.Put("op/version/"+modelName, map[string]any{"model": modelName, "version": d.weights}); err != nil {
+		return err
+	}
+	version.AckAt = time.Now()
+	d.history.WantWeights(version)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/soaker/scenario.go
@@ -0,0 +1,127 @@
+package soaker
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/standin/checker"
+	"github.com/cyclamenward/cyclamenward/internal/standin/launcher"
+	"github.com/cyclamenward/cyclamenward/internal/standin/storekeeper"
+)
+
+// Play says how a scenario is played.
+type Play struct {
+	Folder  string
+	Program launcher.Program
+	Out     io.Writer
+	// Quiet leaves the trouble out.
+	Quiet bool
+}
+
+// scenario is a deployment with what is done to it.
+type scenario struct {
+	options Options
+	play    func(d *deployment, quiet bool) error
+}
+
+// scenarios holds the scenarios by name.
+var scenarios = map[string]scenario{
+	"silence":   {Options{Edges: 1, Generators: 2}, playSilence},
+	"form":      {Options{Edges: 1, Workers: 3}, playForms},
+	"paged":     {Options{Edges: 2, Workers: 800}, playLeaving},
+	"stalecopy": {Options{Edges: 5, Workers: 1200, Generators: 2}, playLeaving},
+	"watchcut":  {Options{Edges: 2, Workers: 40}, playWatchCuts},
+	"memory":    {Options{Edges: 1, Workers: 3}, playMemory},
+}
+
+// Scenarios returns the names of the scenarios.
+func Scenarios() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+// errNothingRan means that a play shows nothing.
+var errNothingRan = errors.New("no request was answered")
+
+// PlayScenario plays a scenario and returns the broken promises.
+func PlayScenario(name string, p Play) ([]string, error) {
+	s, found := scenarios[name]
+	if !found {
+		return nil, fmt.Errorf("no scenario %q", name)
+	}
+	s.options.Folder, s.options.Program = p.Folder, p.Program
+	s.options.Bounds, s.options.PageItems = checker.DefaultBounds(), storekeeper.DefaultPageItems
+	d, err := newDeployment(s.options)
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	if err := d.becomeStable(); err != nil {
+		return nil, err
+	}
+	if err := s.play(d, p.Quiet); err != nil {
+		return nil, err
+	}
+	summary := d.history.Summary()
+	_, _ = fmt.Fprintf(p.Out, "%s: %d requests, %d answered, %d refused, %d cut\n", name, summary.Requests, summary.Answered, summary.Refused, summary.Cut)
+	if summary.Answered == 0 {
+		return nil, errNothingRan
+	}
+	return d.broken(), nil
+}
+
+// broken returns the broken promises.
+func (d *deployment) broken() []string {
+	broken := d.history.Check()
+	for _, daemon := range d.daemons() {
+		if n := daemon.Crashes(); n > 0 {
+			broken = append(broken, fmt.Sprintf("CRASH: %s ended by itself %d times", daemon.Name(), n))
+		}
+	}
+	return broken
+}
+
+// becomeStable waits until the daemons count as in touch.
+func (d *deployment) becomeStable() error {
+	last := time.Time{}
+	for _, daemon := range d.daemons() {
+		if daemon.StartedAt().After(last) {
+			last = daemon.StartedAt()
+		}
+	}
+	<-time.After(time.Until(last.Add(d.options.Bounds.Stable + stableSlack)))
+	for _, edge := range d.edges {
+		if err := edge.AwaitReady(startTimeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stableSlack is waited beyond the bounds, so that requests are later than them.
+const stableSlack = 500 * time.Millisecond
+
+// sendAll has callers send requests, each on connections of its own, until all have sent a number.
+func (d *deployment) sendAll(callers, requests int, fresh bool, draw func(*caller) (checker.Request, string)) {
+	d.sendNamed("c", callers, requests, fresh, draw)
+}
+
+// sendNamed does the work of sendAll. The names of the callers begin with a prefix.
+func (d *deployment) sendNamed(prefix string, callers, requests int, fresh bool, draw func(*caller) (checker.Request, string)) {
+	var tasks sync.WaitGroup
+	for n := range callers {
+		c := &caller{deployment: d, name: fmt.Sprintf("%s%02d", prefix, n), random: rand.New(rand.NewPCG(1, uint64(n))), fresh: fresh}
+		stop := make(chan struct{})
+		c.draw = func(c *caller) (checker.Request, string) {
+			if c.sent == requests-1 {
+				close(stop)
+			}
+			return draw(c)
+		}
+		tasks.Go(func() { c.call(stop) })
+	}
+	tasks.Wait()
+}
--- /dev/null
+++ b/internal/standin/soaker/soak_test.go
@@ -0,0 +1,43 @@
+package soaker
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/standin/launcher"
+	"github.com/cyclamenward/cyclamenward/platform"
+	"gotest.tools/v3/assert"
+)
+
+// roleVariable makes the test binary run the daemon of a role.
+const roleVariable = "CYCLAMENWARD_SOAKER_ROLE"
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(roleVariable); role != "" {
+		if err := platform.Run(role); err != nil {
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// testProgram runs the daemons by this binary.
+func testProgram() launcher.Program {
+	return launcher.Program{Path: os.Args[0], RoleVariable: roleVariable}
+}
+
+// TestSoak plays a short time of each plan.
+func TestSoak(t *testing.T) {
+	for seed := range uint64(len(plans)) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			broken, err := PlaySoak(SoakOptions{Seed: seed, Time: 4 * time.Second, Folder: t.TempDir(), Program: testProgram(), Out: t.Output()})
+			assert.NilError(t, err)
+			for _, text := range broken {
+				t.Error(text)
+			}
+		})
+	}
+}
