--- a/internal/standin/program/soak.go
+++ b/internal/standin/program/soak.go
@@ -27,9 +27,10 @@
 			&cli.StringFlag{Name: "seeds", Usage: "first and last seed, A-B"},
 			&cli.FloatFlag{Name: "minutes", Usage: "time for each seed", Value: 0.5},
 			&cli.StringFlag{Name: "logs", Usage: "folder in which the logs of failed plays are kept", Value: os.TempDir()},
+			&cli.BoolFlag{Name: "keep", Usage: "keep the logs of all plays"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			soak := &soakTool{program: launcher.Program{Path: c.String("platform")}, logs: c.String("logs"), print: func(format string, args ...any) { _, _ = fmt.Fprintf(c.Root().Writer, format+"\n", args...) }}
+			soak := &soakTool{program: launcher.Program{Path: c.String("platform")}, logs: c.String("logs"), keep: c.Bool("keep"), print: func(format string, args ...any) { _, _ = fmt.Fprintf(c.Root().Writer, format+"\n", args...) }}
 			if name := c.String("scenario"); name != "" {
 				soak.play(name, func(folder string) ([]string, error) {
 					return soaker.PlayScenario(name, soaker.Play{Folder: folder, Program: soak.program, Out: c.Root().Writer, Quiet: c.Bool("quiet")})
@@ -70,6 +71,7 @@
 type soakTool struct {
 	program launcher.Program
 	logs    string
+	keep    bool
 	print   func(format string, args ...any)
 	plays   int
 	failed  []string
@@ -90,7 +92,9 @@
 	}
 	if len(broken) == 0 {
 		s.print("%s: held", name)
-		_ = os.RemoveAll(folder)
+		if !s.keep {
+			_ = os.RemoveAll(folder)
+		}
 		return
 	}
 	s.failed = append(s.failed, name)
--- a/internal/standin/soaker/case.go
+++ b/internal/standin/soaker/case.go
@@ -7,6 +7,7 @@
 
 	"github.com/cyclamenward/cyclamenward/internal/standin/checker"
 	"github.com/cyclamenward/cyclamenward/internal/standin/generator"
+	"github.com/cyclamenward/cyclamenward/internal/standin/worker"
 )
 
 // playSilence stops an edge while streams run, some of which the model replicas preempt: a silent
@@ -53,18 +54,31 @@
 }
 
 const (
-	// leavingShare is the share of the replicas that leave, and leavingTime the time for which
-	// some leave around the start of a process.
-	leavingShare, leavingTime = 0.25, 500 * time.Millisecond
+	// leavingShare is the share of the replicas that leave.
+	leavingShare = 0.25
+	// leavingTime is the time for which some leave around the start of a process, and readingTime
+	// that in which a process that has started reads the store.
+	leavingTime, readingTime = 500 * time.Millisecond, 100 * time.Millisecond
 	// abruptOne in so many replicas leaves without a word.
 	abruptOne = 3
 	// leftServes is how long a replica that has left serves on.
 	leftServes = 40 * time.Second
 )
 
-// playLeaving has replicas leave while edges are stopped and started in turn. Edges that read the
-// store in pages or start from the copy of another daemon learn of each that is gone.
-func playLeaving(d *deployment, quiet bool) error {
+// playPages has replicas leave while edges that have started read the store in pages.
+func playPages(d *deployment, quiet bool) error {
+	return playLeaving(d, quiet, true, readingTime)
+}
+
+// playOlderCopies has replicas leave while edges are down, and then start from the copies of other
+// daemons.
+func playOlderCopies(d *deployment, quiet bool) error {
+	return playLeaving(d, quiet, false, leavingTime)
+}
+
+// playLeaving has replicas leave for a time while edges are stopped and started in turn, once the
+// edge runs again or has ended.
+func playLeaving(d *deployment, quiet, running bool, duration time.Duration) error {
 	leaving := d.staying()
 	leaving = leaving[:int(leavingShare*float64(len(leaving)))]
 	share := len(leaving) / len(d.edges)
@@ -74,11 +88,11 @@
 			for edge.Running() {
 				<-time.After(pollInterval)
 			}
+			for running && !edge.Running() {
+				<-time.After(pollInterval)
+			}
 		}
-		for n, w := range leaving[i*share : (i+1)*share] {
-			d.leave(w, n%abruptOne == 0, leftServes)
-			<-time.After(leavingTime / time.Duration(share))
-		}
+		d.leaveAll(leaving[i*share:(i+1)*share], duration)
 		<-time.After(stableSlack)
 		if err := edge.AwaitReady(startTimeout); err != nil {
 			return err
@@ -88,10 +102,21 @@
 		return err
 	}
 	<-time.After(d.options.Bounds.Drain)
-	d.sendAll(24, 60, true, drawQuick)
+	d.sendAll(24, 100, true, drawQuick)
 	return nil
 }
 
+// leaveAll has replicas leave, spread over a time.
+func (d *deployment) leaveAll(leaving []*worker.Worker, duration time.Duration) {
+	began := time.Now()
+	for n, w := range leaving {
+		d.leave(w, n%abruptOne == 0, leftServes)
+		if pause := time.Until(began.Add(duration * time.Duration(n) / time.Duration(len(leaving)))); pause > 0 {
+			<-time.After(pause)
+		}
+	}
+}
+
 // drawQuick draws a plain request that takes little time.
 func drawQuick(c *caller) (checker.Request, string) {
 	request := checker.Request{Method: http.MethodGet, Path: "/look/x", Kind: checker.Repeatable, Timeout: plainTimeout, MaxAttempts: plainAttempts}
@@ -108,10 +133,7 @@
 	}
 	leaving := d.staying()
 	leaving = leaving[:len(leaving)/2]
-	for n, w := range leaving {
-		d.leave(w, n%abruptOne == 0, leftServes)
-		<-time.After(leavingTime / time.Duration(len(leaving)))
-	}
+	d.leaveAll(leaving, leavingTime)
 	<-time.After(d.options.Bounds.Drain + stableSlack)
 	d.sendAll(12, 60, true, drawQuick)
 	return nil
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -34,8 +34,8 @@
 var scenarios = map[string]scenario{
 	"silence":   {Options{Edges: 1, Generators: 2}, playSilence},
 	"form":      {Options{Edges: 1, Workers: 3}, playForms},
-	"paged":     {Options{Edges: 2, Workers: 800}, playLeaving},
-	"stalecopy": {Options{Edges: 5, Workers: 1200, Generators: 2}, playLeaving},
+	"paged":     {Options{Edges: 1, Workers: 800}, playPages},
+	"stalecopy": {Options{Edges: 5, Workers: 1200, Generators: 2}, playOlderCopies},
 	"watchcut":  {Options{Edges: 2, Workers: 40}, playWatchCuts},
 	"memory":    {Options{Edges: 1, Workers: 3}, playMemory},
 }
