--- a/internal/standin/checker/check.go
+++ b/internal/standin/checker/check.go
@@ -21,6 +21,7 @@
 	{"MIXED", (*History).findMixed},
 	{"DENIED", (*History).findDenied},
 	{"LOST", (*History).findLost},
+	{"GONE", (*History).findAfterCallers},
 	{"ORDER", (*History).findStreamGaps},
 	{"BUDGET", (*History).findOverBudget},
 	{"CONFIG", (*History).findOldConfigurations},
--- a/internal/standin/checker/history.go
+++ b/internal/standin/checker/history.go
@@ -266,6 +266,9 @@
 // Summary counts requests, answers and faults.
 type Summary struct {
 	Requests, Answered, Refused, Cut int
+	// Repeats counts the arrivals beyond the first of each request, Resumptions the runs that went
+	// on with a stream. Orders and CacheUses count what ONE, STALE and WALL are about.
+	Repeats, Resumptions, Orders, CacheUses int
 	// BudgetShare is the most that a window had of the retry budget.
 	BudgetShare float64
 	Faults      map[string]int
@@ -275,7 +278,7 @@
 func (h *History) Summary() Summary {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := Summary{Requests: len(h.order), Faults: make(map[string]int)}
+	s := Summary{Requests: len(h.order), Orders: len(h.orders), CacheUses: len(h.uses), Faults: make(map[string]int)}
 	for _, x := range h.order {
 		switch {
 		case x.answer == nil:
@@ -286,6 +289,12 @@
 		default:
 			s.Cut++
 		}
+		s.Repeats += max(0, len(x.runs)-1)
+		for _, run := range x.ran() {
+			if run.After >= 0 {
+				s.Resumptions++
+			}
+		}
 	}
 	for _, d := range h.disturbances {
 		s.Faults[d.Fault]++
--- a/internal/standin/soaker/soak.go
+++ b/internal/standin/soaker/soak.go
@@ -101,7 +101,8 @@
 		faults = append(faults, fmt.Sprintf("%s %d", fault, count))
 	}
 	slices.Sort(faults)
-	s.print("%d requests: %d answered, %d refused, %d cut; at most %.2f of the retry budget; %s", summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.BudgetShare, strings.Join(faults, ", "))
+	s.print("%d requests: %d answered, %d refused, %d cut; %d repeats, at most %.2f of the budget; %d resumptions, %d orders, %d cached parts used", summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.Repeats, summary.BudgetShare, summary.Resumptions, summary.Orders, summary.CacheUses)
+	s.print("struck: %s", strings.Join(faults, ", "))
 }
 
 // callers starts the callers.
--- a/internal/standin/soaker/soak_test.go
+++ b/internal/standin/soaker/soak_test.go
@@ -33,6 +33,7 @@
 func TestSoak(t *testing.T) {
 	for seed := range uint64(len(plans)) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			broken, err := PlaySoak(SoakOptions{Seed: seed, Time: 4 * time.Second, Folder: t.TempDir(), Program: testProgram(), Out: t.Output()})
 			assert.NilError(t, err)
 			for _, text := range broken {
@@ -41,3 +42,17 @@
 		})
 	}
 }
+
+// TestScenarios plays the cases of the review that take little time.
+func TestScenarios(t *testing.T) {
+	for _, name := range []string{"silence", "form", "watchcut"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			broken, err := PlayScenario(name, Play{Folder: t.TempDir(), Program: testProgram(), Out: t.Output()})
+			assert.NilError(t, err)
+			for _, text := range broken {
+				t.Error(text)
+			}
+		})
+	}
+}
