Streams that have grown are continued within the retry budget

What could be seen: on the product's own interface replicas that break each stream after a few events get as many attempts as there are events (BUDGET: arrivals beyond the first). Cause: 'renewed' attempts were exempt, since each goes on behind the last event; but each has its prompt prefilled again. Now a renewal allows attempts, and each is taken from the budget like any other.

TestStreamsAreComplete…, TestStreamsEndWithErrorWhenWeightsAreGone and TestDrainCompletesRunningStreams of standin/fleet, on real processes, pass.

--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -190,8 +190,8 @@
 	if !d.request.Route.repeatable() || d.lastEventID < 0 || d.checkExpired() != nil {
 		return cause
 	}
-	renewed := d.renewAttempts()
-	if d.runAttempts >= d.allowedAttempts || (!renewed && !d.spendRetry()) {
+	d.renewAttempts()
+	if d.runAttempts >= d.allowedAttempts || !d.spendRetry() {
 		return cause
 	}
 	d.lastFailure = &Failure{Reason: ReasonReplicaFailed}
@@ -220,14 +220,13 @@
 }
 
 // renewAttempts allows as many further attempts as a new request has, if the route has
-// RenewAttempts set and the stream has grown since the last renewal. That cannot
-// multiply the load, since each attempt continues after the last event.
-func (d *dispatch) renewAttempts() bool {
+// RenewAttempts set and the stream has grown since the last renewal. Each of them is taken from the
+// retry budget like any other.
+func (d *dispatch) renewAttempts() {
 	if !d.request.Route.RenewAttempts || d.lastEventID <= d.renewedAtEvent {
-		return false
+		return
 	}
 	d.renewedAtEvent, d.rejectedAttempts = d.lastEventID, 0
 	d.allowedAttempts = d.runAttempts + d.request.Route.MaxAttempts
 	d.excluded = d.excluded[len(d.excluded)-1:]
-	return true
 }
