The stop of a listener ends with its engine

What was seen: with a grace period of 8 s processes were killed at its end, and their logs ended without the last lines. No request was lost by it.

Now the stop is initiated and the end of the engine itself is awaited, until the end of the context.

--- a/listener/listener.go
+++ b/listener/listener.go
@@ -185,18 +185,25 @@
 	return nil
 }
 
-// Stop stops gnet and closes every connection.
+// Stop stops gnet and closes every connection. It waits for that until ctx ends.
 func (l *Listener) Stop(ctx context.Context) error {
 	_ = l.Close()
 	l.detached.Range(func(c, _ any) bool {
 		_ = c.(*conn).direct.Close()
 		return true
 	})
-	if err := l.engine.Stop(ctx); err != nil {
+	// gnet itself looks only each half second whether its engine has stopped.
+	initiated, cancel := context.WithCancel(ctx)
+	cancel()
+	if err := l.engine.Stop(initiated); err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("stop listener: %w", err)
 	}
-	<-l.stopped
-	return nil
+	select {
+	case <-l.stopped:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("stop listener: %w", ctx.Err())
+	}
 }
 
 // Addr implements net.Listener.
