Requests in a planned stop are judged by what their route usually takes

Cause: one limit, twice the longest of at least 50 runs, for all of the stop. An edge that has just restarted knows fewer, and the longest of many is far from what most take. While balancers still send callers here, a refusal costs each of them a second connection, and so the time that 19 of 20 runs took counts; after that the longest with a smaller margin. Requests that are refused no longer keep the process from ending, since the one that follows can serve them.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -50,9 +50,10 @@
 func (e *Entry) handleCaller(ctx *fasthttp.RequestCtx) {
 	e.metrics.requests.Add(1)
 	ended, releaseBody := e.stopper.Begin(ctx), e.bodies.Claim(&ctx.Request.Header, cap(ctx.Request.Body()))
+	served := true
 	c := &caller{requestID: string(ctx.Request.Header.Peek(headerRequestID)), catalog: e.currentCatalog(), release: func() {
 		releaseBody()
-		ended()
+		ended(served)
 	}}
 	defer func() {
 		if !c.streaming {
@@ -64,6 +65,7 @@
 	}
 	ctx.Response.Header.Set(headerRequestID, c.requestID)
 	if p := e.dispatch(ctx, c); p != nil {
+		served = false
 		e.refuse(ctx, c, p)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -192,11 +192,11 @@
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	handled := g.clock.Now()
 	ended, releaseBody := g.stopper.Begin(ctx), g.bodies.Claim(&ctx.Request.Header, cap(ctx.Request.Body()))
+	served, streaming := false, false
 	release := func() {
 		releaseBody()
-		ended()
+		ended(served)
 	}
-	streaming := false
 	defer func() {
 		if !streaming {
 			release()
@@ -219,10 +219,11 @@
 		g.protocol.WriteFailure(ctx, result.Failure)
 	case result.Stream != nil:
 		g.protocol.WriteHead(ctx, result.Reply)
-		streaming = true
+		served, streaming = true, true
 		ctx.SetBodyStream(&streamBody{gateway: g, request: request, stream: result.Stream, waited: waited, release: release}, -1)
 	default:
 		g.protocol.WriteHead(ctx, result.Reply)
+		served = true
 		if len(result.Body) > reserver.FreeBytes {
 			ctx.SetBodyStream(reserver.NewBody(result.Body, result.Release), len(result.Body))
 		} else {
--- a/internal/gateway/stopper/stop.go
+++ b/internal/gateway/stopper/stop.go
@@ -1,7 +1,8 @@
 // Package stopper ends an HTTP server without cutting off requests.
 //
 // Load balancers notice late that a daemon stops, and other daemons may stop at the same time.
-// The server therefore goes on accepting connections until no request runs and none arrives.
+// The server therefore goes on accepting connections until no request runs and none arrives that
+// it can serve.
 package stopper
 
 import (
@@ -19,7 +20,8 @@
 const (
 	// answerMargin is the time before the limit at which requests that have not ended are told so.
 	answerMargin = 200 * time.Millisecond
-	// quietTime is how long no request may have arrived before the listener is closed.
+	// quietTime is how long no request may have arrived that is served before the listener is
+	// closed. While all are refused, the process that follows serves callers better.
 	quietTime = 300 * time.Millisecond
 	// maxServingTime is how long requests that arrive after the delay keep the server accepting
 	// connections.
@@ -32,23 +34,24 @@
 type Stopper struct {
 	server   *fasthttp.Server
 	listener *listener.Listener
-	// announce is called with a context that ends when requests must have ended.
-	announce func(context.Context)
+	// announce is called with a context that ends when requests must have ended, and the time
+	// until which callers still connect to this daemon.
+	announce func(ctx context.Context, delay time.Duration)
 	clock    timekeeper.Clock
 
 	// mu guards the fields below.
 	mu sync.Mutex
 	// stopping is set once Stop was called and is never cleared.
 	stopping bool
-	// running counts the requests between Begin and its result; the last of all arrived at
-	// lastAt.
-	running int
-	lastAt  time.Time
+	// running counts the requests between Begin and its result. The last one that was served had
+	// arrived at servedAt.
+	running  int
+	servedAt time.Time
 }
 
 // New returns the stopper of a server on a listener. announce is called at the begin of a stop
-// with a context that ends when requests must have ended.
-func New(server *fasthttp.Server, l *listener.Listener, announce func(context.Context), clock timekeeper.Clock) *Stopper {
+// with a context that ends when requests must have ended, and the delay of Stop.
+func New(server *fasthttp.Server, l *listener.Listener, announce func(ctx context.Context, delay time.Duration), clock timekeeper.Clock) *Stopper {
 	return &Stopper{server: server, listener: l, announce: announce, clock: clock}
 }
 
@@ -61,23 +64,26 @@
 
 // Begin counts a request that was read. If the server is going to stop, its answer closes the
 // connection, so that the caller connects elsewhere. The returned function is called at its end.
-func (s *Stopper) Begin(ctx *fasthttp.RequestCtx) func() {
+func (s *Stopper) Begin(ctx *fasthttp.RequestCtx) func(served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running++
-	s.lastAt = s.clock.Now()
 	if s.stopping {
 		ctx.SetConnectionClose()
 	}
-	return func() {
+	begunAt := s.clock.Now()
+	return func(served bool) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.running--
+		if served && begunAt.After(s.servedAt) {
+			s.servedAt = begunAt
+		}
 	}
 }
 
 // Stop stops the server. It serves for the delay, and then until no request runs and none
-// arrives. Requests that are being read or answered then have until the end of ctx. An error
+// arrives that can be served. Requests that are being read or answered then have until the end of ctx. An error
 // means that some were cut off.
 func (s *Stopper) Stop(ctx context.Context, delay time.Duration) error {
 	end, cancel := context.WithCancel(ctx)
@@ -88,7 +94,7 @@
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
-	s.announce(end)
+	s.announce(end, delay)
 	select {
 	case <-s.clock.After(delay):
 	case <-end.Done():
@@ -98,14 +104,14 @@
 	if err != nil {
 		err = fmt.Errorf("requests were cut off: %w", err)
 	}
-	if stopErr := s.listener.Stop(context.WithoutCancel(ctx)); stopErr != nil {
+	if stopErr := s.listener.Stop(ctx); stopErr != nil {
 		err = errors.Join(err, stopErr)
 	}
 	return err
 }
 
-// serveUntilQuiet returns once no request runs and none has arrived for quietTime, or no further
-// ones are to be awaited.
+// serveUntilQuiet returns once no request runs and none that was served has arrived for quietTime,
+// or no further ones are to be awaited.
 func (s *Stopper) serveUntilQuiet(ctx context.Context) {
 	until := s.clock.Now().Add(maxServingTime)
 	for ctx.Err() == nil && s.clock.Now().Before(until) && !s.quiet() {
@@ -119,5 +125,5 @@
 func (s *Stopper) quiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.running == 0 && s.clock.Now().Sub(s.lastAt) >= quietTime
+	return s.running == 0 && s.clock.Now().Sub(s.servedAt) >= quietTime
 }
--- a/internal/routing/router/shutdown.go
+++ b/internal/routing/router/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,14 +13,18 @@
 	// stoppingRetryAfter is when a caller may retry whose request this daemon can no longer
 	// finish: other daemons take it at once.
 	stoppingRetryAfter = 50 * time.Millisecond
-	// runTimeWindow is the time for which run times are remembered, at least; at most twice
-	// as long.
-	runTimeWindow = 30 * time.Second
-	// runTimeMargin is how much longer a run may take than the longest that is remembered.
-	runTimeMargin = 2
-	// minRuns is the number of remembered runs from which on the longest of them tells how long
-	// the next may take.
-	minRuns = 50
+	// runSamples is how many runs of a route are remembered, for maxRunAge.
+	runSamples = 128
+	maxRunAge  = time.Minute
+	// minUsualRuns is the number of remembered runs from which on usualRunShare of them tell how
+	// long the next one usually takes, minLongestRuns that from which on the longest tells how long
+	// it takes at most, if it may take longestRunMargin times as long.
+	minUsualRuns     = 20
+	usualRunShare    = 0.95
+	minLongestRuns   = 50
+	longestRunMargin = 1.5
+	// maxRunRoutes bounds the number of routes in runTimes.
+	maxRunRoutes = 4096
 )
 
 // shutdown is the planned end of the daemon.
@@ -28,10 +33,12 @@
 	ended  context.Context
 	cancel context.CancelFunc
 
-	// mu guards end.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// end is zero while the daemon is not stopping, or if that takes any time.
 	end time.Time
+	// reroutedAt is when load balancers send callers to other daemons.
+	reroutedAt time.Time
 }
 
 func newShutdown() *shutdown {
@@ -40,36 +47,39 @@
 	return s
 }
 
-// at returns the end, and false if there is none.
-func (s *shutdown) at() (time.Time, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.end, !s.end.IsZero()
-}
-
-// Stop announces that the daemon stops serving when ctx ends. From now on an attempt is sent only
-// if it is expected to be over by the deadline of ctx: the caller can have the request served by
-// another daemon. Requests that are still unanswered at the end of ctx fail, and streams break
-// off.
-func (r *Router) Stop(ctx context.Context) {
+// Stop announces that the daemon stops serving when ctx ends, and that load balancers send callers
+// elsewhere after the delay. From now on an attempt is sent only if it is expected to be over
+// by the deadline of ctx: the caller can have the request served by another daemon. Requests that
+// are still unanswered at the end of ctx fail, and streams break off.
+func (r *Router) Stop(ctx context.Context, delay time.Duration) {
 	r.shutdown.mu.Lock()
 	defer r.shutdown.mu.Unlock()
 	r.shutdown.end, _ = ctx.Deadline()
+	r.shutdown.reroutedAt = r.clock.Now().Add(delay)
 	context.AfterFunc(ctx, r.shutdown.cancel)
 }
 
 // endsInTime reports whether an attempt that is sent now is expected to be over when the daemon
-// stops.
+// stops. While load balancers do not know of the stop yet, what is usual counts: to refuse costs the
+// callers more than a few runs that are cut short. Later only few come by themselves.
 func (d *dispatch) endsInTime() bool {
-	end, stopping := d.router.shutdown.at()
-	if !stopping {
+	s := d.router.shutdown
+	s.mu.Lock()
+	end, reroutedAt := s.end, s.reroutedAt
+	s.mu.Unlock()
+	if end.IsZero() {
 		return true
 	}
-	expected := d.timeLeft()
-	if longest, known := d.router.runTimes.longest(d.request.Route.Name); known {
-		expected = min(expected, runTimeMargin*longest)
+	now := d.router.clock.Now()
+	expected, known := d.router.runTimes.usual(d.request.Route.Name)
+	if !now.Before(reroutedAt) {
+		expected, known = d.router.runTimes.longest(d.request.Route.Name)
+		expected = time.Duration(longestRunMargin * float64(expected))
 	}
-	return !d.router.clock.Now().Add(expected).After(end)
+	if left := d.timeLeft(); !known || left < expected {
+		expected = left
+	}
+	return !now.Add(expected).After(end)
 }
 
 // stoppingFailure returns the failure of a request that the daemon cannot finish before it stops.
@@ -86,9 +96,8 @@
 	mu sync.Mutex
 	// running holds the requests that have not ended.
 	running map[*run]bool
-	// current holds the runs since rotatedAt, previous those of the window before.
-	current, previous map[string]runSummary
-	rotatedAt         time.Time
+	// ended holds the latest runs of each route that have ended, the oldest first.
+	ended map[string][]endedRun
 }
 
 // run is one request between its begin and its end.
@@ -97,18 +106,14 @@
 	begunAt time.Time
 }
 
-// runSummary is the number of some runs and the longest of them.
-type runSummary struct {
-	count   int
-	longest time.Duration
-}
-
-func (s runSummary) add(other runSummary) runSummary {
-	return runSummary{count: s.count + other.count, longest: max(s.longest, other.longest)}
+// endedRun is a run that has ended.
+type endedRun struct {
+	at   time.Time
+	took time.Duration
 }
 
 func newRunTimes(clock timekeeper.Clock) *runTimes {
-	return &runTimes{clock: clock, running: make(map[*run]bool), current: make(map[string]runSummary), rotatedAt: clock.Now()}
+	return &runTimes{clock: clock, running: make(map[*run]bool), ended: make(map[string][]endedRun)}
 }
 
 // begin records that a request of a route begins.
@@ -129,34 +134,57 @@
 	if !counts {
 		return
 	}
-	t.rotate()
-	t.current[r.route] = t.current[r.route].add(runSummary{count: 1, longest: t.clock.Now().Sub(r.begunAt)})
+	runs, found := t.ended[r.route]
+	if !found && len(t.ended) >= maxRunRoutes {
+		clear(t.ended)
+	}
+	if len(runs) >= runSamples {
+		runs = slices.Delete(runs, 0, len(runs)-runSamples+1)
+	}
+	now := t.clock.Now()
+	t.ended[r.route] = append(runs, endedRun{now, now.Sub(r.begunAt)})
 }
 
-// longest returns the longest remembered run of a route, those that have not ended included. It
-// returns false if there are too few to tell.
+// usual returns how long a run of a route takes, but for a few of them, and false if too few are
+// known to tell.
+func (t *runTimes) usual(route string) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	times := t.recent(route)
+	if len(times) < minUsualRuns {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[int(usualRunShare*float64(len(times)-1))], true
+}
+
+// longest returns the longest run of a route, those that have not ended included. It returns false
+// if too few are known to tell.
 func (t *runTimes) longest(route string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rotate()
-	summary := t.current[route].add(t.previous[route])
+	times := t.recent(route)
+	if len(times) < minLongestRuns {
+		return 0, false
+	}
+	longest := slices.Max(times)
 	for r := range t.running {
 		if r.route == route {
-			summary.longest = max(summary.longest, t.clock.Now().Sub(r.begunAt))
+			longest = max(longest, t.clock.Now().Sub(r.begunAt))
 		}
 	}
-	return summary.longest, summary.count >= minRuns
+	return longest, true
 }
 
-// rotate starts a new window if the current one is over. The caller holds mu.
-func (t *runTimes) rotate() {
-	age := t.clock.Now().Sub(t.rotatedAt)
-	if age < runTimeWindow {
-		return
-	}
-	t.previous = t.current
-	if age >= 2*runTimeWindow {
-		t.previous = nil
+// recent returns how long the runs of a route took that have ended within maxRunAge. The caller
+// holds mu.
+func (t *runTimes) recent(route string) []time.Duration {
+	var times []time.Duration
+	now := t.clock.Now()
+	for _, r := range t.ended[route] {
+		if now.Sub(r.at) < maxRunAge {
+			times = append(times, r.took)
+		}
 	}
-	t.current, t.rotatedAt = make(map[string]runSummary), t.clock.Now()
+	return times
 }
