Changes are requested when they may be, not with the next message of a session

Cause: requests for changes were made while a message was being handled. A daemon that was refused because its source was sending two transfers, or whose delay was not over yet, waited for the next message of any session, up to half a second each with many sessions. The link rates were ruled out: the simulated links carry everything at once.

Now a type of its own, the puller, knows all sessions whose other ends are ahead. It asks one at a time, the next at once after a refusal, and the others when their delays end or the transfer makes no progress.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -151,6 +151,9 @@
 	// membership counts the changes of the connected entries.
 	membership atomic.Uint64
 
+	// puller requests changes of the store from other daemons.
+	puller *puller[*session]
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// sessions holds all open sessions, byReplica those with daemons that attend to a
@@ -163,8 +166,7 @@
 	// store, and storeWatchedSince since when there has been no gap of reportValidity or
 	// more between these reports.
 	storeWatchedAt, storeWatchedSince time.Time
-	// pull and upload describe transfers of large changes.
-	pull   pullState
+	// upload describes the transfers of large changes to others.
 	upload uploadState
 	// transfersUntil is when the link of the own replica has finished the transfers that
 	// were requested so far.
@@ -185,6 +187,8 @@
 	}
 	deps.Isolator.OnUrgent(deps.Broadcaster.Send)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.puller = newPuller(deps.Clock, func(s *session) { a.tasks.Go(s.requestChanges) })
+	a.tasks.Go(func() { a.puller.run(a.ctx) })
 	if address == "" {
 		return a, nil
 	}
@@ -221,14 +225,12 @@
 	a.sessions[s] = true
 	a.mu.Unlock()
 	defer func() {
+		a.puller.remove(s)
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.sessions, s)
 		a.membership.Add(1)
 		a.deps.Limits.SetMembers(s, nil)
-		if a.pull.source == s {
-			a.pull = pullState{}
-		}
 		if address := s.replicaAddress.Load(); address != nil && a.byReplica[*address] == s {
 			delete(a.byReplica, *address)
 		}
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -66,9 +66,6 @@
 	// on within theirs.
 	minOtherRegionPullDelay = 100 * time.Millisecond
 	maxOtherRegionPullDelay = 900 * time.Millisecond
-	// requestRetryInterval is the time after which changes are requested again if they
-	// have not arrived.
-	requestRetryInterval = 150 * time.Millisecond
 )
 
 // Status is the state of a replica as reported by its sidecar.
@@ -260,6 +257,9 @@
 	// backlogTokens is the BacklogTokens of the last regular message from the other end.
 	backlogTokens atomic.Pointer[Backlog]
 
+	// peerVersions are the versions that the other end last sent, nil before it has sent any.
+	peerVersions atomic.Pointer[map[string]uint64]
+
 	// writing has an element while a goroutine uses the writer and encoder. It is a channel
 	// since a write may block for long.
 	writing chan struct{}
@@ -275,12 +275,6 @@
 	// status and transfers are the last from the other end, nil before the first.
 	status    *Status
 	transfers *time.Duration
-	// peerVersions are the versions that the other end last sent, nil before it has sent
-	// any.
-	peerVersions map[string]uint64
-	// behindSince is when the own copy of the store was first seen to be behind the
-	// other end's, zero if it is not.
-	behindSince time.Time
 }
 
 // sentState is what a session has reported to the other end.
@@ -584,13 +578,13 @@
 	switch {
 	case m.Delta != nil:
 		s.applyChanges(*m.Delta, m.Delta.ValueBytes())
-		s.announcer.endPull(s, requestRetryInterval)
+		s.announcer.puller.end(s, requestRetryInterval)
 	case m.Part != nil:
 		if err := s.receivePart(m.Part); err != nil {
 			return err
 		}
 	case m.Busy:
-		s.announcer.endPull(s, busyRetryInterval)
+		s.announcer.puller.refuse(s)
 		return nil
 	case m.OriginQuery != nil:
 		return s.answerOriginQuery(m.OriginQuery)
@@ -599,7 +593,8 @@
 	case m.WantChanges:
 		return s.answerRequest(m)
 	}
-	return s.pullChanges(position)
+	s.offerChanges(position)
+	return nil
 }
 
 // applyChanges applies changes of the store that the other end has sent, in the given
@@ -647,7 +642,7 @@
 	s.transfers = &m.Transfers
 	s.announcer.backlogReported()
 	if m.Versions != nil {
-		s.peerVersions = *m.Versions
+		s.peerVersions.Store(m.Versions)
 		deps.Observer.Learn(m.VersionAges)
 	}
 	if m.CrashReport != nil {
@@ -678,27 +673,46 @@
 	}
 }
 
-// pullChanges requests changes once the other end's copy of the store, which has the
+// offerChanges has changes requested once the other end's copy of the store, which has the
 // given revision, has been ahead for PullDelay, or at once if the own copy has never
 // been complete or has values with older versions than the other end's.
-func (s *session) pullChanges(revision uint64) error {
-	deps := &s.announcer.deps
-	newest, olderKeys := deps.Table.NewestRevision(), deps.Table.OlderThan(s.peerVersions)
-	if s.peerVersions != nil && len(olderKeys) == 0 && deps.Table.Filled() {
+func (s *session) offerChanges(revision uint64) {
+	table := s.announcer.deps.Table
+	newest, olderKeys := table.NewestRevision(), s.olderKeys()
+	if s.peerVersions.Load() != nil && len(olderKeys) == 0 && table.Filled() {
 		s.announcer.informed.Store(true)
 	}
 	if revision <= newest && len(olderKeys) == 0 || revision == 0 {
-		s.behindSince = time.Time{}
-		return nil
+		s.announcer.puller.withdraw(s)
+		return
 	}
-	now := deps.Clock.Now()
-	if s.behindSince.IsZero() {
-		s.behindSince = now
+	cost := 0
+	if s.otherRegion.Load() {
+		cost = 1
 	}
-	if now.Sub(s.behindSince) < s.pullDelay(revision > newest) || !s.announcer.startPull(s, now) {
+	s.announcer.puller.offer(s, s.pullDelay(revision > newest), cost)
+}
+
+// olderKeys returns the keys of which the other end has values with newer versions.
+func (s *session) olderKeys() []string {
+	versions := s.peerVersions.Load()
+	if versions == nil {
 		return nil
 	}
-	return s.send(message{WantChanges: true, AfterRevision: newest, WantKeys: olderKeys, AcceptsParts: true})
+	return s.announcer.deps.Table.OlderThan(*versions)
+}
+
+// requestChanges requests the changes that the own copy of the store lacks, unless others have
+// brought them.
+func (s *session) requestChanges() {
+	newest, olderKeys := s.announcer.deps.Table.NewestRevision(), s.olderKeys()
+	if s.revision.Load() <= newest && len(olderKeys) == 0 {
+		s.announcer.puller.remove(s)
+		return
+	}
+	if err := s.send(message{WantChanges: true, AfterRevision: newest, WantKeys: olderKeys, AcceptsParts: true}); err != nil {
+		_ = s.conn.Close()
+	}
 }
 
 // pullDelay returns how long changes may be missing before they are requested from the
--- a/internal/fleet/announcer/transfer.go
+++ b/internal/fleet/announcer/transfer.go
@@ -26,12 +26,6 @@
 	// uploadShare is the share of the link that transfers may use. The rest is left to
 	// requests and answers.
 	uploadShare = 0.25
-	// pullTimeout is how long a requested transfer may make no progress before the changes
-	// are requested from another daemon.
-	pullTimeout = 500 * time.Millisecond
-	// busyRetryInterval is the pause after the refusal of a daemon that is sending
-	// maxUploads transfers.
-	busyRetryInterval = 25 * time.Millisecond
 	// compressionWindow bounds the memory of compression.
 	compressionWindow = 1 << 20
 )
@@ -45,16 +39,6 @@
 	Data       []byte `cbor:"3,keyasint"`
 }
 
-// pullState is the transfer that a daemon has requested.
-type pullState struct {
-	// source is the session that should bring the changes, nil if none are requested.
-	source *session
-	// progressAt is when they were requested or a part last arrived.
-	progressAt time.Time
-	// nextRequestAt is when changes may be requested again.
-	nextRequestAt time.Time
-}
-
 // uploadState is what a daemon sends to those that have requested changes.
 type uploadState struct {
 	active int
@@ -66,37 +50,6 @@
 	encodedAfter, encodedRevision uint64
 }
 
-// startPull reports whether changes may be requested from the other end of a session now.
-// If so, it counts them as requested.
-func (a *Announcer) startPull(s *session, now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if now.Before(a.pull.nextRequestAt) || a.pull.source != nil && now.Sub(a.pull.progressAt) < pullTimeout {
-		return false
-	}
-	a.pull = pullState{source: s, progressAt: now, nextRequestAt: now.Add(requestRetryInterval)}
-	return true
-}
-
-// continuePull records that a part has arrived in a session.
-func (a *Announcer) continuePull(s *session) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.pull.source == s {
-		a.pull.progressAt = a.deps.Clock.Now()
-	}
-}
-
-// endPull records that a session brings no more of the requested changes. They may be
-// requested again after a pause.
-func (a *Announcer) endPull(s *session, pause time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.pull.source == s {
-		a.pull = pullState{nextRequestAt: a.deps.Clock.Now().Add(pause)}
-	}
-}
-
 // startUpload reports whether another transfer may be sent now. If so, it counts it as
 // active until endUpload.
 func (a *Announcer) startUpload() bool {
@@ -252,7 +205,7 @@
 		return fmt.Errorf("changes from %s are larger than %d bytes", s.conn.RemoteAddr(), p.TotalBytes)
 	}
 	s.incoming.data = append(s.incoming.data, p.Data...)
-	a.continuePull(s)
+	a.puller.progress(s)
 	if len(s.incoming.data) < p.TotalBytes {
 		return nil
 	}
@@ -263,7 +216,7 @@
 		return fmt.Errorf("changes from %s: %w", s.conn.RemoteAddr(), err)
 	}
 	s.applyChanges(delta, len(data))
-	a.endPull(s, 0)
+	a.puller.end(s, 0)
 	a.announceLargeChange()
 	return nil
 }
