An answer that nobody wants any more does not wait for memory

What callers saw: nothing yet. An answer of known length waits for memory until its deadline, also after its caller has left or another replica has answered in its place. A request that awaits the end of the slower attempt was held up by that for as long as memory was short.

Cause: the wait did not know the request's context. Now it ends with it, and the place in the queue is given up.

TestAnswerWhoseCallerHasLeftDoesNotWaitForMemory failed before (a minute instead of 0.3 s).

--- a/internal/gateway/reserver/budget.go
+++ b/internal/gateway/reserver/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -65,9 +66,9 @@
 }
 
 // ReserveAnswer reserves bytes for the answer to a request of a priority, lower values first. It
-// waits for room until the deadline, and reports whether there was any.
-func (b *Budget) ReserveAnswer(bytes, priority int, deadline time.Time) bool {
-	return b.reserve(claim{bytes: bytes, priority: priority}, deadline.Sub(b.clock.Now()))
+// waits for room until the deadline or until ctx ends, and reports whether there was any.
+func (b *Budget) ReserveAnswer(ctx context.Context, bytes, priority int, deadline time.Time) bool {
+	return b.reserve(ctx, claim{bytes: bytes, priority: priority}, deadline.Sub(b.clock.Now()))
 }
 
 // TakeAnswer takes bytes for an answer that is in memory already. Others wait until there is room
@@ -81,8 +82,9 @@
 // ReleaseAnswer releases bytes of an answer.
 func (b *Budget) ReleaseAnswer(bytes int) { b.release(claim{bytes: bytes}) }
 
-// reserve reserves what is claimed, within a time. It reports whether there was room.
-func (b *Budget) reserve(c claim, timeout time.Duration) bool {
+// reserve reserves what is claimed, within a time and before ctx ends. It reports whether there was
+// room.
+func (b *Budget) reserve(ctx context.Context, c claim, timeout time.Duration) bool {
 	if c.bytes > b.limit || c.body && c.bytes > b.maxBodies {
 		return false
 	}
@@ -107,6 +109,7 @@
 	case <-w.granted:
 		return true
 	case <-b.clock.After(timeout):
+	case <-ctx.Done():
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/reserver/reserve.go
+++ b/internal/gateway/reserver/reserve.go
@@ -7,6 +7,7 @@
 package reserver
 
 import (
+	"context"
 	"math/bits"
 	"sync"
 	"time"
@@ -95,9 +96,9 @@
 
 // reserve reserves what is claimed for a body, within a time.
 func (r *Reserver) reserve(header *fasthttp.RequestHeader, c claim, timeout time.Duration) bool {
-	if !r.budget.reserve(c, 0) {
+	if !r.budget.reserve(context.Background(), c, 0) {
 		r.expire()
-		if !r.budget.reserve(c, timeout) {
+		if !r.budget.reserve(context.Background(), c, timeout) {
 			return false
 		}
 	}
--- a/internal/gateway/reserver/reserve_test.go
+++ b/internal/gateway/reserver/reserve_test.go
@@ -220,7 +220,7 @@
 		assert.Equal(t, r.Admit(head(maxBody), maxBody, 0), reserver.FreeBytes)
 		began := time.Now()
 		inTime := began.Add(time.Minute)
-		assert.Check(t, budget.ReserveAnswer(maxBody, 9, inTime))
+		assert.Check(t, budget.ReserveAnswer(t.Context(), maxBody, 9, inTime))
 		var order []string
 		var mu sync.Mutex
 		wait := func(name string, reserve func() bool) {
@@ -234,8 +234,8 @@
 			synctest.Wait()
 		}
 		wait("body", func() bool { return r.Admit(head(maxBody), maxBody, 0) == maxBody })
-		wait("answer", func() bool { return budget.ReserveAnswer(maxBody, 9, inTime) })
-		wait("urgent answer", func() bool { return budget.ReserveAnswer(maxBody, 1, inTime) })
+		wait("answer", func() bool { return budget.ReserveAnswer(t.Context(), maxBody, 9, inTime) })
+		wait("urgent answer", func() bool { return budget.ReserveAnswer(t.Context(), maxBody, 1, inTime) })
 		r.Claim(body, maxBody)()
 		synctest.Wait()
 		budget.ReleaseAnswer(maxBody)
@@ -243,7 +243,7 @@
 		budget.ReleaseAnswer(maxBody)
 		synctest.Wait()
 		assert.DeepEqual(t, order, []string{"urgent answer", "answer", "body"})
-		assert.Check(t, !budget.ReserveAnswer(maxBody, 0, time.Now()), "too late to wait")
+		assert.Check(t, !budget.ReserveAnswer(t.Context(), maxBody, 0, time.Now()), "too late to wait")
 		assert.Equal(t, time.Since(began), time.Duration(0))
 		assert.Equal(t, budget.Reserved(), limit)
 	})
--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,8 @@
 // Answer holds the head of one answer and reads its body from the connection. It is
 // not safe for concurrent use.
 type Answer struct {
+	// ctx is that of the request.
+	ctx     context.Context
 	client  *Client
 	conn    *conn
 	address string
@@ -53,7 +56,7 @@
 	if added <= 0 {
 		return nil
 	}
-	if !a.client.memory.Reserve(added, a.priority, deadline) {
+	if !a.client.memory.Reserve(a.ctx, added, a.priority, deadline) {
 		return fmt.Errorf("%w: no memory for %d bytes of an answer", ErrExchangeFailed, bytes)
 	}
 	a.reserved += added
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -72,8 +72,8 @@
 // Memory is what answers that are held in memory take it from.
 type Memory struct {
 	// Reserve reserves bytes for the answer to a request of a priority, lower values first. It
-	// waits until the deadline, and reports whether there was room.
-	Reserve func(bytes, priority int, deadline time.Time) bool
+	// waits until the deadline or until ctx ends, and reports whether there was room.
+	Reserve func(ctx context.Context, bytes, priority int, deadline time.Time) bool
 	// Release gives bytes back.
 	Release func(bytes int)
 }
@@ -227,7 +227,7 @@
 		}
 		request.Fields = append(request.Fields, fields...)
 	}
-	answer := &Answer{client: c, conn: connection, address: request.Address, priority: request.Priority, deadline: request.Deadline}
+	answer := &Answer{ctx: ctx, client: c, conn: connection, address: request.Address, priority: request.Priority, deadline: request.Deadline}
 	answer.stopReset = context.AfterFunc(ctx, connection.abort)
 	_ = connection.SetDeadline(request.Deadline)
 	if err := c.writeRequest(answer, request); err != nil {
--- a/peer/replica/reserve_test.go
+++ b/peer/replica/reserve_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -23,7 +25,7 @@
 	for range 8 {
 		tasks.Go(func() {
 			for range 20_000 {
-				a := &Answer{client: c.Client}
+				a := &Answer{ctx: t.Context(), client: c.Client}
 				if a.reserve(maxBufferedBytes, time.Time{}) == nil {
 					a.ReleaseBody()
 				}
@@ -35,7 +37,7 @@
 	}
 	tasks.Wait()
 	assert.Equal(t, passed.Load(), int64(0))
-	assert.NilError(t, (&Answer{client: c.Client}).reserve(maxBufferedBytes, time.Time{}))
+	assert.NilError(t, (&Answer{ctx: t.Context(), client: c.Client}).reserve(maxBufferedBytes, time.Time{}))
 }
 
 // TestAnswersHoldTheirMemoryUntilReleased guards against answers whose memory is given to others
@@ -86,3 +88,21 @@
 	assert.NilError(t, <-read)
 	assert.Check(t, c.memory.Reserved() <= maxBufferedBytes)
 }
+
+// TestAnswerWhoseCallerHasLeftDoesNotWaitForMemory guards against requests that go on for as long as
+// there is no memory for an answer that nobody wants any more.
+func TestAnswerWhoseCallerHasLeftDoesNotWaitForMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newClient()
+		assert.Check(t, c.memory.ReserveAnswer(t.Context(), maxBufferedBytes, 0, time.Now()))
+		ctx, cancel := context.WithCancel(t.Context())
+		began := time.Now()
+		time.AfterFunc(300*time.Millisecond, cancel)
+		a := &Answer{ctx: ctx, client: c.Client, deadline: began.Add(time.Minute)}
+		err := a.reserve(1<<20, a.deadline)
+		assert.ErrorIs(t, err, ErrExchangeFailed)
+		assert.Equal(t, time.Since(began), 300*time.Millisecond)
+		c.memory.ReleaseAnswer(maxBufferedBytes)
+		assert.Equal(t, c.memory.Reserved(), 0)
+	})
+}
