Edges without sidecars share the extra retries by their number

What callers saw: in a deployment of plain services only, an edge had 1/360 of the extra retries, as in the largest fleet, so that next to nothing was repeated with little traffic. Cause: edges learn their number from sidecars only.

Now each keeps an item in the store, which all of them watch already, under a lease of ten minutes: three calls 10 to 70 s after its start, and a renewal each 200 s; none while a replica with a sidecar is listed. It uses one by the number of items once its own has been in its copy of the store for 8 s and that copy was confirmed within 3.5 s; otherwise it has no part, also before sidecars have listed anybody (1/360 before, under which no extra retry is possible).

TestCheckOfSharesCatchesOldCensus catches a daemon that is cut off and does not mind; 2 s in place of 8 s is caught in case 345. TestEdgesWithoutSidecarsShareTheRetryBudget: 1/3 each of three, none for the one that is cut off. TestItemIsKeptWithFewCalls: 3 calls, then 18 an hour. Not run: real processes over the minute that it takes.

--- a/internal/routing/divider/divide.go
+++ b/internal/routing/divider/divide.go
@@ -95,6 +95,9 @@
 	// when this daemon had its first list, zero before that.
 	fleet         map[uint64]time.Time
 	firstListedAt time.Time
+	// censusAt is when the last census was complete, enrolledAt since when this daemon has been in
+	// each of them, zero if it was not in the last one.
+	censusAt, enrolledAt time.Time
 }
 
 // New returns a divider without limits.
--- a/internal/routing/divider/member.go
+++ b/internal/routing/divider/member.go
@@ -18,15 +18,17 @@
 	// memberMemory is how long a daemon that is no longer listed keeps its share: it may be cut
 	// off from those that list it, but not from replicas.
 	memberMemory = 10 * time.Second
-	// maxFleet is the number of daemons of the largest fleet. So many are assumed to share what
-	// is bounded for all while it is not known how many do.
-	maxFleet = 360
 	// settleTime is how long after its first list a daemon relies on the number that is listed:
 	// sidecars that have just started list the daemons that have connected so far.
 	settleTime = 2 * time.Second
 	// fleetMemory is how long a daemon that is no longer listed counts in the fleet. Regions lose
 	// each other for minutes, and in each the daemons of the others are not listed.
 	fleetMemory = 10 * time.Minute
+	// maxCensusAge is how old a census may be, enrolledTime how long a daemon has to be in each
+	// census before it relies on their number: longer than maxCensusAge and the time for which
+	// an answer with a census may be on its way, so that all who rely on one count each other.
+	maxCensusAge = 3500 * time.Millisecond
+	enrolledTime = 8 * time.Second
 )
 
 // Member is a daemon that sends requests.
@@ -67,11 +69,11 @@
 			}
 			d.members[member] = now
 			d.fleet[member.ID] = now
+			if d.firstListedAt.IsZero() {
+				d.firstListedAt = now
+			}
 		}
 	}
-	if d.firstListedAt.IsZero() && len(d.fleet) > 0 {
-		d.firstListedAt = now
-	}
 }
 
 // FleetShare returns this daemon's part of what is bounded for all daemons together and needs no
@@ -81,8 +83,9 @@
 	defer d.mu.Unlock()
 	d.recordListed()
 	now := d.clock.Now()
-	if d.firstListedAt.IsZero() || now.Sub(d.firstListedAt) < settleTime {
-		return 1.0 / maxFleet
+	listed := !d.firstListedAt.IsZero() && now.Sub(d.firstListedAt) >= settleTime
+	if !listed && !d.enrolled(now) {
+		return 0
 	}
 	maps.DeleteFunc(d.fleet, func(_ uint64, at time.Time) bool { return now.Sub(at) >= fleetMemory })
 	d.fleet[d.self.ID] = now
