Edges that no sidecar lists any more have no part of the extra retries

What could be seen: ten minutes after the last sidecar has gone, or has been cut off, each edge counts itself only and takes all of the extra retries: 5 times what is allowed with five edges (BUDGET). Cause: the number of daemons is forgotten one by one, but not that it was ever known. Now the number counts only while somebody has been listed in the last ten minutes; after that an edge has no part until it is listed again for two seconds, or has enrolled in the store.

Evidence: TestDaemonsThatAreNotListedHaveNoShare had a sum of 5 before. What remains: a region that is cut off for longer than ten minutes, with sidecars of its own, counts its own edges only.

--- a/internal/routing/divider/divide.go
+++ b/internal/routing/divider/divide.go
@@ -91,10 +91,10 @@
 	membership uint64
 	// membersCheckedAt is when members that are no longer listed were last removed.
 	membersCheckedAt time.Time
-	// fleet holds when each daemon was last listed, by its ID, for fleetMemory. firstListedAt is
-	// when this daemon had its first list, zero before that.
-	fleet         map[uint64]time.Time
-	firstListedAt time.Time
+	// fleet holds when each daemon was last listed, by its ID, for fleetMemory. lastListedAt is when
+	// any was, firstListedAt when that began after fleetMemory without a list.
+	fleet                       map[uint64]time.Time
+	firstListedAt, lastListedAt time.Time
 	// censusAt is when the last census was complete, enrolledAt since when this daemon has been in
 	// each of them, zero if it was not in the last one.
 	censusAt, enrolledAt time.Time
--- a/internal/routing/divider/fleet_test.go
+++ b/internal/routing/divider/fleet_test.go
@@ -104,5 +104,30 @@
 	}
 }
 
+// TestDaemonsThatAreNotListedHaveNoShare guards against daemons that each have all of what is bounded
+// for all (BUDGET): ten minutes after the last sidecar had gone each counted itself only. It
+// begins anew when they are listed again.
+func TestDaemonsThatAreNotListedHaveNoShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(5)
+		f.list(all)
+		<-time.After(time.Minute)
+		assert.Check(t, f.sum() > 0.99 && f.sum() <= 1+1e-9, "%v", f.sum())
+		for _, d := range f.dividers {
+			d.SetMembers("sidecar", nil)
+		}
+		for range 30 {
+			<-time.After(time.Minute)
+			assert.Check(t, f.sum() <= 1+1e-9, "%v", f.sum())
+		}
+		assert.Equal(t, f.sum(), 0.0)
+		f.list(func(from, listed divider.Member) bool { return from == listed })
+		assert.Equal(t, f.sum(), 0.0, "the others are not listed yet")
+		f.list(all)
+		<-time.After(settle)
+		assert.Check(t, f.sum() > 0.99 && f.sum() <= 1+1e-9, "%v", f.sum())
+	})
+}
+
 // settle is how long a daemon that has started takes to rely on the list.
 const settle = 2 * time.Second
--- a/internal/routing/divider/member.go
+++ b/internal/routing/divider/member.go
@@ -56,7 +56,11 @@
 	} else {
 		d.lists[source] = list
 	}
+	before := d.lastListedAt
 	d.recordListed()
+	if d.lastListedAt.Sub(before) >= fleetMemory {
+		d.firstListedAt = d.lastListedAt
+	}
 }
 
 // recordListed records that the listed members are listed now. The caller holds mu.
@@ -69,9 +73,7 @@
 			}
 			d.members[member] = now
 			d.fleet[member.ID] = now
-			if d.firstListedAt.IsZero() {
-				d.firstListedAt = now
-			}
+			d.lastListedAt = now
 		}
 	}
 }
@@ -83,7 +85,7 @@
 	defer d.mu.Unlock()
 	d.recordListed()
 	now := d.clock.Now()
-	listed := !d.firstListedAt.IsZero() && now.Sub(d.firstListedAt) >= settleTime
+	listed := now.Sub(d.lastListedAt) < fleetMemory && now.Sub(d.firstListedAt) >= settleTime
 	if !listed && !d.enrolled(now) {
 		return 0
 	}
