--- a/internal/routing/router/takeover_test.go
+++ b/internal/routing/router/takeover_test.go
@@ -178,6 +178,9 @@
 		replicas.mu.Lock()
 		defer replicas.mu.Unlock()
 		violations = append(violations, replicas.violations...)
+		if retries := int(b.router.recorder.Counters()["retries"]); retries < len(replicas.open)-1 {
+			violations = append(violations, fmt.Sprintf("%d attempts, but only %d retries were taken from the budget", len(replicas.open), retries))
+		}
 		if replicas.runs > scriptedMaxAttempts {
 			violations = append(violations, fmt.Sprintf("the request runs %d times", replicas.runs))
 		}
