An edge that is cut off leaves its shares of limits to the others

What replicas saw: with one edge of three that all sidecars have lost, but not the replicas, a limit was exceeded by a third: 238 arrivals in 30 s where 183 are allowed (LIMIT, in virtual time). Cause: the others use the share of an edge that is no longer listed after 10 s, and the edge itself, which has no list any more, keeps it for good.

Now it stops using its shares once it has not been listed itself for 8 s. If it is known why nobody lists it, it goes on: no sidecar is listed, or a host answers that nobody listens there. All sidecars have ended then, and limited replicas would get nothing from anybody.

Ruled out: that the others wait longer (the shares of edges that have ended would be unused as long, and a replica with a low limit has one edge only); giving up in any case.

Evidence: TestCutOffDaemonLeavesItsShareToTheOthers failed before, with 1 of 3 cut off; TestDaemonsKeepTheirSharesWithoutSidecars. What remains: an edge that is cut off from some sidecars while another one's host refuses, and replicas with limits while all hosts with sidecars are silent. Not played on real processes.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -504,6 +504,13 @@
 	return since, refused
 }
 
+// AnyRefused reports whether a host of a peer answers that nobody listens there.
+func (a *Announcer) AnyRefused() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.refusedSince) > 0
+}
+
 // recordDial records the result of an attempt to connect to a peer.
 func (a *Announcer) recordDial(address string, err error) {
 	a.mu.Lock()
--- a/internal/routing/divider/fleet_test.go
+++ b/internal/routing/divider/fleet_test.go
@@ -129,5 +129,61 @@
 	})
 }
 
+// TestDaemonsKeepTheirSharesWithoutSidecars has all sidecars end: nobody lists the daemons, and limited
+// replicas still get what they may.
+func TestDaemonsKeepTheirSharesWithoutSidecars(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		f.list(all)
+		for _, d := range f.dividers {
+			d.Observe(replica, rate(6), time.Now())
+			d.SetSidecarsGone(true)
+			d.SetMembers("sidecar", nil)
+		}
+		<-time.After(12 * time.Second)
+		arrivals := 0
+		for began := time.Now(); time.Since(began) < 30*time.Second; <-time.After(10 * time.Millisecond) {
+			for _, d := range f.dividers {
+				if d.Take(replica) {
+					arrivals++
+				}
+			}
+		}
+		assert.Check(t, arrivals >= 170 && arrivals <= 183, "%d arrivals", arrivals)
+	})
+}
+
 // settle is how long a daemon that has started takes to rely on the list.
 const settle = 2 * time.Second
+
+// TestCutOffDaemonLeavesItsShareToTheOthers guards against a limit that is exceeded (LIMIT) by daemons
+// that all sidecars have lost, but not the replicas: the others use their shares after a while, and
+// they do, too.
+func TestCutOffDaemonLeavesItsShareToTheOthers(t *testing.T) {
+	const limit, measured = 6.0, 30 * time.Second
+	for _, cutOff := range []int{0, 1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(3)
+			f.list(all)
+			for _, d := range f.dividers {
+				d.Observe(replica, rate(limit), time.Now())
+			}
+			<-time.After(time.Second)
+			f.list(func(_, listed divider.Member) bool { return listed.ID > uint64(cutOff) })
+			for _, d := range f.dividers[:cutOff] {
+				d.SetMembers("sidecar", nil)
+			}
+			<-time.After(12 * time.Second)
+			arrivals := 0
+			for began := time.Now(); time.Since(began) < measured; <-time.After(10 * time.Millisecond) {
+				for _, d := range f.dividers {
+					if d.Take(replica) {
+						arrivals++
+					}
+				}
+			}
+			bursts := len(f.dividers)
+			assert.Check(t, arrivals <= int(limit*measured.Seconds())+bursts, "%d of 3 cut off: %d arrivals", cutOff, arrivals)
+		})
+	}
+}
--- a/internal/routing/divider/member.go
+++ b/internal/routing/divider/member.go
@@ -18,6 +18,9 @@
 	// memberMemory is how long a daemon that is no longer listed keeps its share: it may be cut
 	// off from those that list it, but not from replicas.
 	memberMemory = 10 * time.Second
+	// ownMemory is how long a daemon that is no longer listed itself uses its share: the others have
+	// it after memberMemory.
+	ownMemory = 8 * time.Second
 	// settleTime is how long after its first list a daemon relies on the number that is listed:
 	// sidecars that have just started list the daemons that have connected so far.
 	settleTime = 2 * time.Second
@@ -63,6 +66,14 @@
 	}
 }
 
+// SetSidecarsGone sets whether it is known that there are no sidecars, so that a daemon that is not
+// listed is not cut off.
+func (d *Divider) SetSidecarsGone(gone bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sidecarsGone = gone
+}
+
 // recordListed records that the listed members are listed now. The caller holds mu.
 func (d *Divider) recordListed() {
 	now := d.clock.Now()
@@ -74,6 +85,9 @@
 			d.members[member] = now
 			d.fleet[member.ID] = now
 			d.lastListedAt = now
+			if member.ID == d.self.ID {
+				d.selfListedAt = now
+			}
 		}
 	}
 }
@@ -102,6 +116,11 @@
 	}
 	d.membersCheckedAt = now
 	d.recordListed()
+	cutOff := !d.selfListedAt.IsZero() && now.Sub(d.selfListedAt) >= ownMemory && !d.sidecarsGone
+	if cutOff != d.cutOff {
+		d.cutOff = cutOff
+		d.membership++
+	}
 	maps.DeleteFunc(d.members, func(_ Member, at time.Time) bool {
 		gone := len(d.lists) > 0 && now.Sub(at) >= memberMemory
 		if gone {
@@ -114,6 +133,9 @@
 // share returns this daemon's share of the limit of a replica. The caller holds mu.
 func (d *Divider) share(s *state) float64 {
 	limit := max(s.limit, probeRate)
+	if d.cutOff {
+		return 0
+	}
 	if len(d.members) == 0 {
 		return limit / assumedMembers
 	}
