standin soak: the product's own interface

--product plays drawn faults on entries, sidecars, the booking app, model engines, the store and weights of the fleet runner, and holds what callers and the app saw against the same rules: at most once, true refusals, own answers, whole streams, nothing lost at an undisturbed entry.

--- a/internal/standin/program/soak.go
+++ b/internal/standin/program/soak.go
@@ -21,6 +21,7 @@
 		Usage: "play faults on the daemons of the users' platform and check the promises",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "platform", Usage: "path of the cyclamenward-platform program", Value: "bin/cyclamenward-platform"},
+			&cli.StringFlag{Name: "product", Usage: "path of the cyclamenward program, to play on the product's own interface instead"},
 			&cli.StringFlag{Name: "scenario", Usage: "play one case instead: " + strings.Join(soaker.Scenarios(), ", ")},
 			&cli.BoolFlag{Name: "quiet", Usage: "play the case without its trouble"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the faults", Value: 1},
@@ -44,6 +45,9 @@
 			length := time.Duration(c.Float("minutes") * float64(time.Minute))
 			for seed := first; seed <= last; seed++ {
 				soak.play(fmt.Sprintf("seed-%d", seed), func(folder string) ([]string, error) {
+					if path := c.String("product"); path != "" {
+						return soaker.PlayProduct(soaker.ProductOptions{Seed: seed, Time: length, Folder: folder, ProductPath: path, StandinPath: os.Args[0], Out: c.Root().Writer})
+					}
 					return soaker.PlaySoak(soaker.SoakOptions{Seed: seed, Time: length, Folder: folder, Program: soak.program, Out: c.Root().Writer})
 				})
 			}
--- a/internal/standin/soaker/soak.go
+++ b/internal/standin/soaker/soak.go
@@ -86,7 +86,7 @@
 	if summary.Answered < summary.Requests/leastAnsweredInMany {
 		broken = append(broken, fmt.Sprintf("SERVED: %d of %d requests are answered", summary.Answered, summary.Requests))
 	}
-	s.summarize(summary)
+	summarize(s.out, summary)
 	return broken, nil
 }
 
@@ -95,14 +95,14 @@
 }
 
 // summarize prints what was played.
-func (s *Soak) summarize(summary checker.Summary) {
+func summarize(out io.Writer, summary checker.Summary) {
 	var faults []string
 	for fault, count := range summary.Faults {
 		faults = append(faults, fmt.Sprintf("%s %d", fault, count))
 	}
 	slices.Sort(faults)
-	s.print("%d requests: %d answered, %d refused, %d cut; %d repeats, at most %.2f of the budget; %d resumptions, %d orders, %d cached parts used", summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.Repeats, summary.BudgetShare, summary.Resumptions, summary.Orders, summary.CacheUses)
-	s.print("struck: %s", strings.Join(faults, ", "))
+	_, _ = fmt.Fprintf(out, "%d requests: %d answered, %d refused, %d cut; %d repeats, at most %.2f of the budget; %d resumptions, %d orders, %d cached parts used\nstruck: %s\n",
+		summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.Repeats, summary.BudgetShare, summary.Resumptions, summary.Orders, summary.CacheUses, strings.Join(faults, ", "))
 }
 
 // callers starts the callers.
