--- a/internal/standin/checker/gone.go
+++ b/internal/standin/checker/gone.go
@@ -27,6 +27,9 @@
 			if run.At.After(end) {
 				late = append(late, fmt.Sprintf("%s reaches %s %v after its caller left %s", x.ID, run.Replica, run.At.Sub(a.EndedAt), x.Machine))
 			}
+			if !h.calm(x.SentAt, end, run.Replica, LinkTarget(run.Replica)) {
+				continue
+			}
 			if x.Kind != Resumable || !run.Runs || !run.endedAt.IsZero() && run.endedAt.Before(a.EndedAt) {
 				continue
 			}
--- a/internal/standin/checker/history.go
+++ b/internal/standin/checker/history.go
@@ -114,6 +114,9 @@
 // StoreTarget is the target of faults of the store.
 const StoreTarget = "store"
 
+// LinkTarget is the target of faults of the links to a replica.
+func LinkTarget(replica string) string { return replica + "/link" }
+
 // Version is a configuration or a version of weights that an operator wrote.
 type Version struct {
 	Number        int
--- a/internal/standin/relayer/relay.go
+++ b/internal/standin/relayer/relay.go
@@ -94,6 +94,17 @@
 	}
 }
 
+// ResetSilent resets the connections that have become silent.
+func (r *Relay) ResetSilent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		if c.silent {
+			c.reset()
+		}
+	}
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
--- a/internal/standin/soaker/caller.go
+++ b/internal/standin/soaker/caller.go
@@ -49,7 +49,11 @@
 func (c *caller) call(stop <-chan struct{}) {
 	for {
 		edge := c.deployment.edges[c.random.IntN(len(c.deployment.edges))]
-		connection, err := net.DialTimeout("tcp", edge.Front(), dialTimeout)
+		address := edge.Front()
+		if link := c.deployment.relay(callerLink(edge.Name())); link != nil {
+			address = link.Address()
+		}
+		connection, err := net.DialTimeout("tcp", address, dialTimeout)
 		if err != nil {
 			if !wait(stop, dialPause) {
 				return
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -33,6 +33,8 @@
 	// of model replicas, each with a sidecar.
 	Edges, Workers, Generators int
 	PageItems                  int
+	// Linked puts relays on the links of callers and of replicas too.
+	Linked bool
 }
 
 // deployment is a running fleet with all that is around it.
@@ -44,18 +46,18 @@
 	host, storeAddress string
 	server             *http.Server
 	edges, sides       []*launcher.Daemon
-	// links holds the relay to the store of each daemon, by its name.
-	links      map[string]*relayer.Relay
-	generators []*generator.Generator
-	group      *generator.Group
-	port       int
+	generators         []*generator.Generator
+	group              *generator.Group
+	port               int
 
 	// ctx ends when the deployment is closed.
 	ctx    context.Context
 	cancel context.CancelFunc
 
 	// mu guards the fields below.
-	mu            sync.Mutex
+	mu sync.Mutex
+	// links holds the relays by their names.
+	links         map[string]*relayer.Relay
 	workers       []*worker.Worker
 	joined        int
 	configuration int
@@ -102,6 +104,11 @@
 			return err
 		}
 		d.edges = append(d.edges, edge)
+		if d.options.Linked {
+			if _, err := d.link(callerLink(edge.Name()), edge.IP(), edge.Front()); err != nil {
+				return err
+			}
+		}
 	}
 	for _, edge := range d.edges {
 		if err := edge.AwaitReady(startTimeout); err != nil {
@@ -113,19 +120,56 @@
 
 // launch starts a daemon whose link to the store has a relay.
 func (d *deployment) launch(machine launcher.Machine) (*launcher.Daemon, error) {
-	link, err := relayer.New(machine.IP, d.storeAddress)
+	storeAddress, err := d.link(storeLink(machine.Name), machine.IP, d.storeAddress)
 	if err != nil {
 		return nil, err
 	}
-	d.links[machine.Name] = link
-	machine.Port, machine.StoreAddress = d.port, link.Address()
+	machine.Port, machine.StoreAddress = d.port, storeAddress
 	return launcher.New(d.options.Folder, machine, d.options.Program, d.options.Bounds, d.history)
 }
 
+// storeLink, callerLink and replicaLink are the names of the links of a daemon to the store, of
+// callers to an edge, and of daemons to a replica.
+func storeLink(daemon string) string { return daemon + "/store" }
+
+func callerLink(edge string) string { return edge + "/callers" }
+
+func replicaLink(replica string) string { return checker.LinkTarget(replica) }
+
+// link puts a relay on a link and returns its address.
+func (d *deployment) link(name, ip, target string) (string, error) {
+	relay, err := relayer.New(ip, target)
+	if err != nil {
+		return "", err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.links[name] = relay
+	return relay.Address(), nil
+}
+
+// relay returns the relay of a link.
+func (d *deployment) relay(name string) *relayer.Relay {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.links[name]
+}
+
+// advertise returns how the address of a replica is advertised.
+func (d *deployment) advertise(id, ip string) func(string) (string, error) {
+	return func(address string) (string, error) {
+		if !d.options.Linked {
+			return address, nil
+		}
+		return d.link(replicaLink(id), ip, address)
+	}
+}
+
 // addGenerator starts a model replica and its sidecar on one machine.
 func (d *deployment) addGenerator(i int) error {
 	ip := fleet.LoopbackHost()
-	g, err := generator.New(generator.Options{ID: fmt.Sprintf("m-%d", i), IP: ip, Service: modelService, Model: modelName, Zone: launcher.Zone, Dedicated: map[string]bool{dedicatedWorkspace: true}, Weights: 1}, d.store, d.history, d.group)
+	id := fmt.Sprintf("m-%d", i)
+	g, err := generator.New(generator.Options{ID: id, IP: ip, Advertise: d.advertise(id, ip), Service: modelService, Model: modelName, Zone: launcher.Zone, Dedicated: map[string]bool{dedicatedWorkspace: true}, Weights: 1}, d.store, d.history, d.group)
 	if err != nil {
 		return err
 	}
@@ -141,12 +185,15 @@
 // join starts a replica of the plain service.
 func (d *deployment) join() (*worker.Worker, error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.joined++
-	w, err := worker.New(worker.Options{ID: fmt.Sprintf("p-%d", d.joined), IP: d.host, Service: plainService, Zone: launcher.Zone, Drain: d.options.Bounds.Drain}, d.store, d.history)
+	id := fmt.Sprintf("p-%d", d.joined)
+	d.mu.Unlock()
+	w, err := worker.New(worker.Options{ID: id, IP: d.host, Advertise: d.advertise(id, d.host), Service: plainService, Zone: launcher.Zone, Drain: d.options.Bounds.Drain}, d.store, d.history)
 	if err != nil {
 		return nil, err
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.workers = append(d.workers, w)
 	return w, nil
 }
@@ -190,10 +237,10 @@
 	for _, w := range d.workers {
 		w.Close()
 	}
-	d.mu.Unlock()
 	for _, link := range d.links {
 		link.Close()
 	}
+	d.mu.Unlock()
 	if d.server != nil {
 		_ = d.server.Close()
 	}
--- a/internal/standin/soaker/fault.go
+++ b/internal/standin/soaker/fault.go
@@ -40,10 +40,22 @@
 	{weight: 3, strike: (*Soak).failStore, shortest: 100, longest: 3000},
 	{weight: 1, strike: (*Soak).cutWatches, shortest: 1000, longest: 5000},
 	{weight: 1, strike: (*Soak).dropHistory},
-	{weight: 3, strike: (*Soak).harmLink, shortest: 200, longest: 5000},
+	{weight: 3, strike: (*Soak).harmStoreLink, shortest: 200, longest: 5000},
 	{weight: 2, strike: (*Soak).restartGenerator},
 }
 
+// links holds faults of links.
+var links = []fault{
+	{weight: 2, strike: (*Soak).harmStoreLink, shortest: 200, longest: 5000},
+	{weight: 2, strike: (*Soak).harmCallerLink, shortest: 200, longest: 3000},
+	{weight: 4, strike: (*Soak).harmReplicaLink, shortest: 200, longest: 3000},
+	{weight: 1, strike: (*Soak).configure},
+	{weight: 1, strike: (*Soak).wantWeights},
+	{weight: 1, strike: (*Soak).join},
+	{weight: 1, strike: (*Soak).leave},
+	{weight: 1, strike: func(s *Soak) func() { s.drawDaemon().Terminate(); return nil }},
+}
+
 func (s *Soak) drawDaemon() *launcher.Daemon {
 	list := s.deployment.daemons()
 	return list[s.random.IntN(len(list))]
@@ -86,8 +98,8 @@
 func (s *Soak) misbehave() func() {
 	list := s.deployment.staying()
 	w, behaviour := list[s.random.IntN(len(list))], worker.Behaviour(1+s.random.IntN(int(worker.Behaviours)-1))
-	w.SetBehaviour(behaviour)
 	end := s.deployment.history.Disturb(w.ID(), "REPLICA "+behaviour.String(), true)
+	w.SetBehaviour(behaviour)
 	return func() {
 		w.SetBehaviour(worker.Behaves)
 		end()
@@ -100,8 +112,8 @@
 		return nil
 	}
 	g, trouble := s.deployment.generators[s.random.IntN(len(s.deployment.generators))], generator.Trouble(1+s.random.IntN(int(generator.Troubles)-1))
-	g.SetTrouble(trouble)
 	end := s.deployment.history.Disturb(g.ID(), "MODEL REPLICA "+trouble.String(), false)
+	g.SetTrouble(trouble)
 	return func() {
 		g.SetTrouble(generator.NoTrouble)
 		end()
@@ -133,8 +145,8 @@
 
 func (s *Soak) failStore() func() {
 	outage := s.random.IntN(len(outages))
-	s.deployment.store.SetOutage(outages[outage])
 	end := s.deployment.history.Disturb(checker.StoreTarget, "STORE "+[]string{"refuses", "hangs", "cuts"}[outage], false)
+	s.deployment.store.SetOutage(outages[outage])
 	return func() {
 		s.deployment.store.SetOutage(storekeeper.None)
 		end()
@@ -143,8 +155,8 @@
 
 // cutWatches has the store cut waiting watches, which is no outage.
 func (s *Soak) cutWatches() func() {
-	s.deployment.store.CutWatches(s.milliseconds(300, 1500))
 	end := s.deployment.history.Disturb("watches", "WATCHES CUT", true)
+	s.deployment.store.CutWatches(s.milliseconds(300, 1500))
 	return func() {
 		s.deployment.store.CutWatches(0)
 		end()
@@ -157,14 +169,45 @@
 	return nil
 }
 
-// harmLink harms the link of a daemon to the store.
-func (s *Soak) harmLink() func() {
-	daemon, fault := s.drawDaemon(), relayer.Fault(1+s.random.IntN(int(relayer.Faults)-1))
-	link := s.deployment.links[daemon.Name()]
-	link.SetFault(fault)
-	end := s.deployment.history.Disturb(daemon.Name(), "STORE LINK "+fault.String(), false)
+// harmStoreLink harms the link of a daemon to the store.
+func (s *Soak) harmStoreLink() func() {
+	name := s.drawDaemon().Name()
+	return s.harmLink(storeLink(name), name, "STORE LINK ")
+}
+
+// harmCallerLink harms the link of callers to an edge. Connections that became silent end with the
+// fault, so that each request that they cost falls into its time.
+func (s *Soak) harmCallerLink() func() {
+	name := s.deployment.edges[s.random.IntN(len(s.deployment.edges))].Name()
+	end := s.harmLink(callerLink(name), name, "CALLER LINK ")
+	return func() {
+		relay := s.deployment.relay(callerLink(name))
+		relay.SetFault(relayer.None)
+		relay.ResetSilent()
+		end()
+	}
+}
+
+// harmReplicaLink harms the link of all daemons to a replica.
+func (s *Soak) harmReplicaLink() func() {
+	var ids []string
+	for _, w := range s.deployment.staying() {
+		ids = append(ids, w.ID())
+	}
+	for _, g := range s.deployment.generators {
+		ids = append(ids, g.ID())
+	}
+	id := ids[s.random.IntN(len(ids))]
+	return s.harmLink(replicaLink(id), checker.LinkTarget(id), "REPLICA LINK ")
+}
+
+// harmLink harms a link, as a disturbance of a target.
+func (s *Soak) harmLink(link, target, name string) func() {
+	fault, relay := relayer.Fault(1+s.random.IntN(int(relayer.Faults)-1)), s.deployment.relay(link)
+	end := s.deployment.history.Disturb(target, name+fault.String(), false)
+	relay.SetFault(fault)
 	return func() {
-		link.SetFault(relayer.None)
+		relay.SetFault(relayer.None)
 		end()
 	}
 }
--- a/internal/standin/soaker/soak_test.go
+++ b/internal/standin/soaker/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -43,6 +44,18 @@
 	}
 }
 
+// TestProductSoak plays a short time on the product's own interface.
+func TestProductSoak(t *testing.T) {
+	binaries := os.Getenv("CYCLAMENWARD_BIN")
+	assert.Assert(t, binaries != "", "run this test by make test, which builds the programs")
+	t.Parallel()
+	broken, err := PlayProduct(ProductOptions{Seed: 1, Time: 4 * time.Second, Folder: t.TempDir(), ProductPath: filepath.Join(binaries, "cyclamenward"), StandinPath: filepath.Join(binaries, "standin"), Out: t.Output()})
+	assert.NilError(t, err)
+	for _, text := range broken {
+		t.Error(text)
+	}
+}
+
 // TestScenarios plays the cases of the review that take little time.
 func TestScenarios(t *testing.T) {
 	for _, name := range []string{"silence", "form", "watchcut"} {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -53,6 +53,8 @@
 // Options describe a replica.
 type Options struct {
 	ID, Service, Zone, IP string
+	// Advertise returns the address under which the one at which the replica listens is reached.
+	Advertise func(address string) (string, error)
 	// Drain is how long the replica serves on after it has said that it leaves.
 	Drain time.Duration
 }
@@ -78,7 +80,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for replica %s: %w", options.ID, err)
 	}
-	w := &Worker{options: options, address: listener.Addr().String(), born: time.Now().UnixMilli(), store: store, history: history}
+	address, err := options.Advertise(listener.Addr().String())
+	if err != nil {
+		return nil, fmt.Errorf("address of replica %s: %w", options.ID, err)
+	}
+	w := &Worker{options: options, address: address, born: time.Now().UnixMilli(), store: store, history: history}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(listener) }()
 	if err := w.writeEntry("ready"); err != nil {
