--- a/internal/standin/soaker/soak.go
+++ b/internal/standin/soaker/soak.go
@@ -22,6 +22,8 @@
 	plainCallers               int
 	streamCallers              int
 	faults                     []fault
+	// linked puts relays on the links of callers and replicas.
+	linked bool
 	// herd is set if most replicas fail all the while, and edges are killed one after the other.
 	herd bool
 }
@@ -32,6 +34,7 @@
 	{name: "planned", edges: 3, workers: 8, generators: 3, plainCallers: 12, streamCallers: 6, faults: planned},
 	{name: "herd", edges: 10, workers: 8, plainCallers: 2, herd: true},
 	{name: "unplanned", edges: 4, workers: 6, generators: 4, plainCallers: 8, streamCallers: 8, faults: unplanned},
+	{name: "links", edges: 3, workers: 6, generators: 3, plainCallers: 10, streamCallers: 6, faults: links, linked: true},
 }
 
 const (
@@ -69,7 +72,7 @@
 	bounds := checker.DefaultBounds()
 	// A shorter grace time lets planned ends cut what lasts too long within a short play.
 	bounds.Grace = 5 * time.Second
-	d, err := newDeployment(Options{Folder: options.Folder, Program: options.Program, Bounds: bounds, Edges: p.edges, Workers: p.workers, Generators: p.generators, PageItems: storekeeper.DefaultPageItems})
+	d, err := newDeployment(Options{Folder: options.Folder, Program: options.Program, Bounds: bounds, Edges: p.edges, Workers: p.workers, Generators: p.generators, PageItems: storekeeper.DefaultPageItems, Linked: p.linked})
 	if err != nil {
 		return nil, err
 	}
@@ -86,7 +89,7 @@
 	if summary.Answered < summary.Requests/leastAnsweredInMany {
 		broken = append(broken, fmt.Sprintf("SERVED: %d of %d requests are answered", summary.Answered, summary.Requests))
 	}
-	s.summarize(summary)
+	summarize(s.out, summary)
 	return broken, nil
 }
 
@@ -95,14 +98,14 @@
 }
 
 // summarize prints what was played.
-func (s *Soak) summarize(summary checker.Summary) {
+func summarize(out io.Writer, summary checker.Summary) {
 	var faults []string
 	for fault, count := range summary.Faults {
 		faults = append(faults, fmt.Sprintf("%s %d", fault, count))
 	}
 	slices.Sort(faults)
-	s.print("%d requests: %d answered, %d refused, %d cut; %d repeats, at most %.2f of the budget; %d resumptions, %d orders, %d cached parts used", summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.Repeats, summary.BudgetShare, summary.Resumptions, summary.Orders, summary.CacheUses)
-	s.print("struck: %s", strings.Join(faults, ", "))
+	_, _ = fmt.Fprintf(out, "%d requests: %d answered, %d refused, %d cut; %d repeats, at most %.2f of the budget; %d resumptions, %d orders, %d cached parts used\nstruck: %s\n",
+		summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.Repeats, summary.BudgetShare, summary.Resumptions, summary.Orders, summary.CacheUses, strings.Join(faults, ", "))
 }
 
 // callers starts the callers.
