A stream is kept when its replica's sidecar gets no report

When a sidecar, or an entry in its place, misses two reports of its replica, entries ended the replica's resumable streams first and looked for another replica then: with none that could continue them, with a rejection, or with a spent retry budget, the caller's stream was cut though the replica went on (LOST).

Cause: an attempt was canceled when its replica was reported as unreachable. Now a stream that has begun is raced as a silent one is, at once: it stays open until another replica has sent an event. Requests that wait for their first event are canceled as before, and so are streams over the own interface, whose transport allows one attempt at a time.

TestStreamOfUnreachableReplicaContinuesAtOnce holds the time at which another replica continues, the moment of the report; it passed before. internal/routing/router passes with the race detector.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -91,6 +91,10 @@
 	// unwatch stops the cancellation of the attempt when its replica becomes
 	// unreachable; nil if it is not watched.
 	unwatch func()
+	// unreachable is closed when the attempt's replica becomes unreachable after it has begun a
+	// stream, for which streaming is set; before, the attempt is canceled.
+	unreachable chan struct{}
+	streaming   atomic.Bool
 	// headAt is when the head of the answer arrived. soundRecorded is set once the answer
 	// was recorded as sound.
 	headAt        time.Time
@@ -359,7 +363,8 @@
 	d.timedOut.Store(false)
 	d.recalled.Store(false)
 	if d.canFailOver() {
-		d.unwatch = c.replica.registerFailover(d, cancel)
+		d.unreachable = make(chan struct{})
+		d.unwatch = c.replica.registerFailover(d, d.onUnreachable(d.attemptState, cancel))
 	}
 	d.unregister = r.registerWaiting(d)
 	reply, err := d.awaitHead(ctx, attempt)
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -152,9 +151,9 @@
 	// answeredVersions is the newest version of each model's weights that the replica's
 	// answers have named.
 	answeredVersions map[string]int
-	// failoverAttempts holds the cancel functions of the attempts that another replica
+	// failoverAttempts holds what ends the attempts that another replica
 	// can take over.
-	failoverAttempts map[*dispatch]context.CancelFunc
+	failoverAttempts map[*dispatch]func()
 }
 
 // ID returns the replica's ID.
@@ -526,16 +525,16 @@
 	}
 }
 
-// registerFailover registers the cancel function of an attempt, which is called when
+// registerFailover registers a function of an attempt, which is called once when
 // the replica's sidecar reports the replica as unreachable. The returned function
 // removes the registration.
-func (r *Replica) registerFailover(d *dispatch, cancel context.CancelFunc) func() {
+func (r *Replica) registerFailover(d *dispatch, onUnreachable func()) func() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.failoverAttempts == nil {
-		r.failoverAttempts = make(map[*dispatch]context.CancelFunc)
+		r.failoverAttempts = make(map[*dispatch]func())
 	}
-	r.failoverAttempts[d] = cancel
+	r.failoverAttempts[d] = onUnreachable
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -543,12 +542,12 @@
 	}
 }
 
-// cancelFailoverAttempts cancels the attempts that another replica can take over.
+// cancelFailoverAttempts has the attempts end that another replica can take over.
 func (r *Replica) cancelFailoverAttempts() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, cancel := range r.failoverAttempts {
-		cancel()
+	for _, onUnreachable := range r.failoverAttempts {
+		onUnreachable()
 	}
 	clear(r.failoverAttempts)
 }
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -55,6 +55,7 @@
 		if d.router.clock.Now().Sub(d.headAt) >= answerStartTime {
 			d.recordSound()
 		}
+		d.streaming.Store(true)
 		if d.inBacklog {
 			d.leaveBacklog()
 			d.recordCachedParts()
--- a/internal/routing/router/takeover.go
+++ b/internal/routing/router/takeover.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"io"
 )
@@ -35,6 +36,8 @@
 	case result = <-d.reading:
 		d.reading = nil
 		return result.event, result.err
+	case <-d.unreachable:
+		d.unreachable = nil
 	case <-d.router.clock.After(silenceTimeout):
 	}
 	if result, found := d.takeOver(); found {
@@ -51,6 +54,19 @@
 	return d.router.transport.Concurrent && !d.forked && !d.inBacklog && d.lastEventID >= 0 && d.request.Route.repeatable() && d.runAttempts < d.allowedAttempts && d.ctx.Err() == nil
 }
 
+// onUnreachable returns what is called when the replica of an attempt becomes unreachable to its
+// sidecar. It may go on all the same: a stream is kept until another replica continues it.
+func (d *dispatch) onUnreachable(attempt *attemptState, cancel context.CancelFunc) func() {
+	concurrent, unreachable := d.router.transport.Concurrent, attempt.unreachable
+	return func() {
+		if concurrent && attempt.streaming.Load() {
+			close(unreachable)
+			return
+		}
+		cancel()
+	}
+}
+
 // startReading has a goroutine read the next event of the current attempt.
 func (d *dispatch) startReading() {
 	reading, next := make(chan eventResult, 1), d.reply.NextEvent
--- a/internal/routing/router/unreachable_test.go
+++ b/internal/routing/router/unreachable_test.go
@@ -46,3 +46,75 @@
 		assert.Equal(t, len(ids), events)
 	})
 }
+
+// TestStreamOfUnreachableReplicaOutlivesRejections guards against streams that are ended since a sidecar
+// gets no report of their replica, though the replica goes on and no other continues them (LOST).
+func TestStreamOfUnreachableReplicaOutlivesRejections(t *testing.T) {
+	for _, others := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBed(1+others, nil)
+			var began string
+			b.router.transport.Concurrent = true
+			b.router.transport.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+				if began != "" {
+					return rejectionReply(), nil
+				}
+				began = a.Address
+				next := 0
+				reply := streamReply(0, 4, io.EOF)
+				events := reply.NextEvent
+				reply.NextEvent = func() (Event, error) {
+					if next++; next > 1 {
+						select {
+						case <-time.After(200 * time.Millisecond):
+						case <-ctx.Done():
+							return Event{}, errLost
+						}
+					}
+					return events()
+				}
+				return reply, nil
+			}
+			result := b.router.Begin(modelRequest(route(Streaming, 2, true), PromptPart{"a", 100}))
+			assert.Assert(t, result.Stream != nil)
+			time.AfterFunc(300*time.Millisecond, func() { b.pool.UpdateState(began, State{Phase: Unreachable, StartUnixMilli: 1}) })
+			ids, err := drainStream(result.Stream)
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, len(ids), 5)
+		})
+	}
+}
+
+// TestStreamOfUnreachableReplicaContinuesAtOnce guards against streams that wait for the end of a silence
+// though a sidecar has told that their replica cannot be reached.
+func TestStreamOfUnreachableReplicaContinuesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(2, nil)
+		var began string
+		b.router.transport.Concurrent = true
+		b.router.transport.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+			if began != "" {
+				return streamReply(a.LastEventID+1, 4, io.EOF), nil
+			}
+			began = a.Address
+			reply := streamReply(0, 1, io.EOF)
+			events := reply.NextEvent
+			reply.NextEvent = func() (Event, error) {
+				if event, err := events(); err == nil {
+					return event, nil
+				}
+				<-ctx.Done()
+				return Event{}, errLost
+			}
+			return reply, nil
+		}
+		start := time.Now()
+		result := b.router.Begin(modelRequest(route(Streaming, 2, true), PromptPart{"a", 100}))
+		assert.Assert(t, result.Stream != nil)
+		time.AfterFunc(300*time.Millisecond, func() { b.pool.UpdateState(began, State{Phase: Unreachable, StartUnixMilli: 1}) })
+		ids, err := drainStream(result.Stream)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.DeepEqual(t, ids, []int64{0, 1, 2, 3, 4})
+		assert.Equal(t, time.Since(start), 300*time.Millisecond)
+	})
+}
