A sidecar that has just started ends no requests

Cause: until its first report a sidecar tells that its replica is unreachable. Such a state names no start of the replica; it now keeps new requests away as before, but ends none. A replica that is gone ends its connections itself, or the deadline does.

Left: for the moment until the first report the replica gets no new requests, those of all sidecars that are restarted together included.

TestStartingSidecarEndsNoAttempt failed before ("broken").

--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -504,7 +504,8 @@
 	}
 	state.ReceivedAt = p.clock.Now()
 	replica.state.Store(&state)
-	if state.Phase == Unreachable {
+	if state.Phase == Unreachable && state.StartUnixMilli != 0 {
+		// A sidecar that names no start has had no report yet.
 		replica.cancelFailoverAttempts()
 	}
 }
--- a/internal/routing/router/unreachable_test.go
+++ b/internal/routing/router/unreachable_test.go
@@ -118,3 +118,25 @@
 		assert.Equal(t, time.Since(start), 300*time.Millisecond)
 	})
 }
+
+// TestStartingSidecarEndsNoAttempt guards against requests that are ended since their replica's sidecar
+// was restarted: until its first report it tells that the replica is unreachable.
+func TestStartingSidecarEndsNoAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(1, nil)
+		b.router.transport.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+			time.AfterFunc(100*time.Millisecond, func() { b.pool.UpdateState(a.Address, State{Phase: Unreachable}) })
+			select {
+			case <-time.After(300 * time.Millisecond):
+				return streamReply(0, 1, io.EOF), nil
+			case <-ctx.Done():
+				return nil, errLost
+			}
+		}
+		result := b.router.Begin(modelRequest(route(Streaming, 2, true), PromptPart{"a", 100}))
+		assert.Assert(t, result.Failure == nil, "%+v", result.Failure)
+		ids, err := drainStream(result.Stream)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.Equal(t, len(ids), 2)
+	})
+}
