--- a/internal/weights/orderer/order.go
+++ b/internal/weights/orderer/order.go
@@ -148,12 +148,14 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
-	// mu guards status and phaseSince.
+	// mu guards status, known and phaseSince.
 	mu sync.Mutex
 	// status is what is reported to other daemons; phaseSince is when its phase
 	// began.
 	status     router.State
 	phaseSince time.Time
+	// known is set once status is of a poll.
+	known bool
 
 	// The fields below are used by the polling goroutine only.
 
@@ -202,6 +204,14 @@
 	<-o.done
 }
 
+// Known reports whether the replica has answered, or has not often enough to be unreachable. Before,
+// Status says nothing of it.
+func (o *Orderer) Known() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.known
+}
+
 // Status returns the replica's state as of the last poll.
 func (o *Orderer) Status() router.State {
 	o.mu.Lock()
@@ -334,6 +344,7 @@
 	if phase != o.phase {
 		o.phaseSince = o.deps.Clock.Now()
 	}
+	o.known = true
 	o.status = router.State{
 		Phase:           phase,
 		StartUnixMilli:  o.report.StartUnixMilli,
