standin soak: its tests play the programs as they are built

The tests ran the daemons by the test binary, under the race detector, which also holds each process up for a second after its end. Now they play the programs of make build, as those of the fleet runner do. Losses are reported with their time.

--- a/internal/standin/checker/loss.go
+++ b/internal/standin/checker/loss.go
@@ -27,9 +27,9 @@
 		}
 		switch {
 		case len(x.runs) > 0 && h.calm(x.SentAt, a.EndedAt, x.Machine):
-			found = append(found, fmt.Sprintf("%s was passed on by %s to %s and ends without an answer after %v, stopped %v", x.ID, x.Machine, x.runs[0].Replica, a.EndedAt.Sub(x.SentAt), stopped))
+			found = append(found, fmt.Sprintf("%s was passed on by %s to %s and ends without an answer at %v after %v, stopped %v", x.ID, x.Machine, x.runs[0].Replica, a.EndedAt.Format(time.StampMicro), a.EndedAt.Sub(x.SentAt), stopped))
 		case stopped && a.EndedAt.Sub(a.Whole) > h.bounds.LossSlack && h.calm(x.SentAt.Add(-h.bounds.Stable), a.EndedAt, x.Machine, StoreTarget):
-			found = append(found, fmt.Sprintf("%s was read by %s, which is stopped, and ends without an answer after %v", x.ID, x.Machine, a.EndedAt.Sub(x.SentAt)))
+			found = append(found, fmt.Sprintf("%s was read by %s, which is stopped, and ends without an answer at %v after %v", x.ID, x.Machine, a.EndedAt.Format(time.StampMicro), a.EndedAt.Sub(x.SentAt)))
 		}
 	}
 	return found
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -27,7 +27,7 @@
 type Options struct {
 	// Folder holds the settings and the logs.
 	Folder  string
-	Program launcher.Program
+	Program string
 	Bounds  checker.Bounds
 	// Edges, Workers and Generators are the numbers of edges, of replicas of the plain service, and
 	// of model replicas, each with a sidecar.
