--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -135,18 +135,21 @@
 	// requested.
 	transfers transferLog
 
+	// passedOver counts the slow attempts since the last answer that another replica has answered
+	// first.
+	passedOver atomic.Int32
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// backoffUntil is when the replica may get requests again after consecutive
 	// failures.
 	backoffUntil        time.Time
 	consecutiveFailures int
-	// answeredAt is when the replica last answered a request. passedOver counts the slow
-	// attempts since then that another replica has answered first: until passedOverUntil, and
-	// while a request is in flight, a new one is expected to wait for passedOverWait.
+	// answeredAt is when the replica last answered a request. While passedOver is not 0, a new
+	// request is expected to wait for passedOverWait until passedOverUntil, and as long as another
+	// is in flight.
 	answeredAt, passedOverUntil time.Time
 	passedOverWait              time.Duration
-	passedOver                  int
 	// failureRate is a moving average of the share of failed requests.
 	failureRate float64
 	// answeredVersions is the newest version of each model's weights that the replica's
@@ -211,7 +214,8 @@
 func (r *Replica) recordSuccess(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.answeredAt, r.passedOverUntil, r.passedOver = now, time.Time{}, 0
+	r.answeredAt = now
+	r.passedOver.Store(0)
 	r.consecutiveFailures = 0
 	r.failureRate -= failureRateWeight * r.failureRate
 	r.backoffUntil = time.Time{}
@@ -226,16 +230,20 @@
 		return
 	}
 	r.passedOverWait = now.Sub(sentAt)
-	r.passedOverUntil = now.Add(min(minBackoff<<min(r.passedOver, 4), maxBackoff))
-	r.passedOver++
+	r.passedOverUntil = now.Add(min(minBackoff<<min(r.passedOver.Load(), 4), maxBackoff))
+	r.passedOver.Add(1)
 }
 
 // slowness returns how much longer than others the replica is expected to take for an answer. Of a
 // replica that was passed over, one request at a time finds out whether it still is slow.
-func (r *Replica) slowness(now time.Time) time.Duration {
+func (r *Replica) slowness(clock timekeeper.Clock) time.Duration {
+	if r.passedOver.Load() == 0 {
+		return 0
+	}
+	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Before(r.passedOverUntil) || r.passedOver > 0 && r.inFlight.Load() > 0 {
+	if now.Before(r.passedOverUntil) || r.inFlight.Load() > 0 {
 		return r.passedOverWait
 	}
 	return 0
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -54,7 +54,7 @@
 		active = max(active, int64(cand.state.Running+cand.state.Queued))
 	}
 	slots := int64(max(1, cand.descriptor.Slots))
-	wait := cand.replica.slowness(r.clock.Now()) + r.options.PlainRequestTime + time.Duration(active)*r.options.PlainRequestTime/time.Duration(4*slots)
+	wait := cand.replica.slowness(r.clock) + r.options.PlainRequestTime + time.Duration(active)*r.options.PlainRequestTime/time.Duration(4*slots)
 	if active >= slots {
 		wait += time.Duration(active-slots+1) * r.options.PlainRequestTime / time.Duration(slots)
 	}
