A value of 1 MB that does not compress is in force in time

With 22 entries and 42 sidecars in two regions, links of 1.25 MB/s at ten entries or at all, and 7.5 MB/s between the regions, such a value reached the last daemon after 9.3 s with fast entries that watch the store, and had not reached three after 16 s with slow ones only, of 4 s allowed; other data waited up to 1.7 s for an entry's link, of 0.5 s allowed.

Cause, by a trace of which source each late daemon had asked: half of a region requested the value over the link between the regions before the first copy had arrived; each transfer then made no progress for half a second, was requested elsewhere and went on being sent (up to 4 MB in vain at one daemon). Others had asked an entry with a slow link, which needs 3.4 s for a copy, twice that for two.

Now the turns between regions are as far apart as a copy takes; a request that is made again elsewhere calls the first transfer off; daemons tell the rates of their links, a slow one sends one transfer at a time and is asked after all others; and a sidecar that only knows slow sources reads the change from the store with one call, in its turn, and passes it on. Daemons of the build before take the new message for a refusal.

The sidecars' connections among themselves are simulated here, not in the older tests.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -88,6 +88,9 @@
 	// daemon before it requests the changes. A daemon that watches the store mostly
 	// receives them from there within that time.
 	PullDelay func() time.Duration
+	// UpdateFromStore brings the table up to date with one call of the store and reports whether
+	// it has. It is nil for daemons that do so only if they watch the store.
+	UpdateFromStore func(ctx context.Context) bool
 	// LinkBytesPerSecond is the rate of this daemon's link, 0 if it is not known. Large
 	// changes use a part of it.
 	LinkBytesPerSecond float64
@@ -136,9 +139,9 @@
 	// store names no older version than that of some other daemon.
 	startedAt time.Time
 	informed  atomic.Bool
-	// otherRegionPullDelay is how much longer this daemon waits for a change before it
-	// requests it from another region.
-	otherRegionPullDelay time.Duration
+	// otherRegionPullTurn is this daemon's place, from 0 to 1, among those of its region that
+	// request a change from another region.
+	otherRegionPullTurn float64
 	// largeRevision is the revision of the own copy of the store when the last large change
 	// arrived from another daemon.
 	largeRevision atomic.Uint64
@@ -181,13 +184,13 @@
 
 // New starts an announcer. An empty address means that it accepts no connections.
 func New(address string, deps Dependencies) (*Announcer, error) {
-	a := &Announcer{deps: deps, startedAt: deps.Clock.Now(), cancelByAddress: make(map[string]context.CancelFunc), otherRegionPullDelay: minOtherRegionPullDelay + rand.N(maxOtherRegionPullDelay-minOtherRegionPullDelay), refusedSince: make(map[string]time.Time), sessions: make(map[*session]bool), byReplica: make(map[string]*session), backlogChanged: NewBroadcaster()}
+	a := &Announcer{deps: deps, startedAt: deps.Clock.Now(), cancelByAddress: make(map[string]context.CancelFunc), otherRegionPullTurn: rand.Float64(), refusedSince: make(map[string]time.Time), sessions: make(map[*session]bool), byReplica: make(map[string]*session), backlogChanged: NewBroadcaster()}
 	if deps.Rank != 0 {
 		deps.Limits.SetSelf(divider.Member{ID: deps.Rank, Region: deps.Region})
 	}
 	deps.Isolator.OnUrgent(deps.Broadcaster.Send)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	a.puller = newPuller(deps.Clock, func(s *session) { a.tasks.Go(s.requestChanges) })
+	a.puller = newPuller(deps.Clock, func(s *session) { a.tasks.Go(s.requestChanges) }, func(s *session) { a.tasks.Go(s.stopChanges) })
 	a.tasks.Go(func() { a.puller.run(a.ctx) })
 	if address == "" {
 		return a, nil
@@ -464,6 +467,17 @@
 	return min(maxRateLimitInterval, time.Duration(len(a.sessions))*time.Second/maxMessagesPerSecond)
 }
 
+// pullTurn returns how much longer this daemon waits for a change before it requests it from
+// another region or reads it from the store. The daemons of the fleet do so one after the other.
+func (a *Announcer) pullTurn(spacing time.Duration) time.Duration {
+	a.mu.Lock()
+	daemons := len(a.sessions)
+	a.mu.Unlock()
+	daemons = max(daemons, a.deps.Table.Len())
+	span := max(minOtherRegionPullSpan, time.Duration(daemons)*spacing)
+	return minOtherRegionPullDelay + time.Duration(a.otherRegionPullTurn*float64(span))
+}
+
 // Peer is a daemon to connect to.
 type Peer struct {
 	// Address is its IP address and port.
--- a/internal/fleet/announcer/bandwidth_test.go
+++ b/internal/fleet/announcer/bandwidth_test.go
@@ -1,6 +1,7 @@
 package announcer
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -222,6 +224,10 @@
 	entries, sidecars []*linkedDaemon
 	// regions carries the data out of each region.
 	regions [2]*simulatedLink
+	// reads holds functions by which sidecars read the store's newest value, and storeReads
+	// counts their calls.
+	reads      sync.Map
+	storeReads atomic.Int64
 }
 
 // newLinkedFleet returns a fleet with, in each region, the given numbers of entries with
@@ -230,11 +236,23 @@
 func newLinkedFleet(fast, slow, sidecars int, watchersLink float64) *linkedFleet {
 	f := &linkedFleet{regions: [2]*simulatedLink{{bytesPerSecond: regionLink}, {bytesPerSecond: regionLink}}}
 	rank := uint64(3)
+	turns := rand.New(rand.NewPCG(3, 4))
 	add := func(region int, rank uint64, link float64, status *Status) *linkedDaemon {
 		d := &linkedDaemon{name: fmt.Sprint("10.", region, ".0.", len(f.entries)+len(f.sidecars), ":70"), region: region, up: &simulatedLink{bytesPerSecond: link}, down: &simulatedLink{bytesPerSecond: link}}
 		dependencies := fleetDependencies(rank, status)
 		dependencies.LinkBytesPerSecond = link
+		if status != nil {
+			dependencies.UpdateFromStore = func(context.Context) bool {
+				read, found := f.reads.Load(d)
+				if found {
+					f.storeReads.Add(1)
+					read.(func())()
+				}
+				return found
+			}
+		}
 		d.Announcer, _ = New("", dependencies)
+		d.otherRegionPullTurn = turns.Float64()
 		d.deps.Table.Apply(replicator.Delta{Revision: 1, Complete: true, Items: []replicator.Item{{Key: "c", Value: []byte("1"), Revision: 1}}})
 		return d
 	}
@@ -266,6 +284,21 @@
 	return f
 }
 
+// connectLanes connects each sidecar to three others, as the order in which replicas load new
+// weights does: the regions alternate in it.
+func (f *linkedFleet) connectLanes() {
+	perRegion := len(f.sidecars) / 2
+	queue := make([]*linkedDaemon, len(f.sidecars))
+	for i := range perRegion {
+		queue[2*i], queue[2*i+1] = f.sidecars[i], f.sidecars[perRegion+i]
+	}
+	for i, sidecar := range queue {
+		for lane := 3; lane <= 9; lane += 3 {
+			f.connect(sidecar, queue[(i-lane+len(queue))%len(queue)])
+		}
+	}
+}
+
 // stream returns the direction of a connection from one daemon to another.
 func (f *linkedFleet) stream(from, to *linkedDaemon) *simulatedStream {
 	s := &simulatedStream{links: []*simulatedLink{from.up, to.down}, changed: make(chan struct{})}
@@ -415,3 +448,68 @@
 		})
 	}
 }
+
+// randomValue returns a value of 1 MB that does not compress.
+func randomValue(seed uint64) []byte {
+	random := rand.New(rand.NewPCG(seed, 2))
+	value := make([]byte, 1<<20)
+	for i := range value {
+		value[i] = byte(random.Uint32())
+	}
+	return value
+}
+
+// writeStore has the store, which is in region 0, get a new value. The daemons that watch it read
+// it over their links, and sidecars when they ask for it.
+func (f *linkedFleet) writeStore(revision uint64, value []byte) {
+	for _, d := range f.daemons() {
+		read := func() {
+			for n := 0; n < len(value); n += segmentBytes {
+				at := time.Now()
+				if d.region != 0 {
+					at = f.regions[0].carry(segmentBytes, at)
+				}
+				<-time.After(time.Until(d.down.carry(segmentBytes, at)))
+			}
+			d.deps.Table.Apply(replicator.Delta{Revision: revision, Items: []replicator.Item{{Key: "c", Value: value, Revision: revision}}})
+		}
+		switch {
+		case d.deps.Rank == 0:
+			f.reads.Store(d, read)
+		case d.deps.Rank <= 3:
+			d.tasks.Go(read)
+		}
+	}
+}
+
+// TestIncompressibleValueIsInForceInTime guards against daemons that request a value of 1 MB that does
+// not compress from entries with slow links, or all at once over the link between the regions, and
+// again elsewhere while it is on its way. The daemons that watch the store read it over their links.
+func TestIncompressibleValueIsInForceInTime(t *testing.T) {
+	for name, fleet := range map[string]struct {
+		fast, slow int
+		watchers   float64
+	}{"fast watchers": {6, 5, fastLink}, "slow entries": {0, 11, slowLink}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLinkedFleet(fleet.fast, fleet.slow, 21, fleet.watchers)
+				f.connectLanes()
+				defer f.close()
+				<-time.After(3 * time.Second)
+				for _, d := range f.entries {
+					d.up.resetQueue()
+					d.down.resetQueue()
+				}
+				f.writeStore(2, randomValue(1))
+				slowest, missing := f.awaitRevision(2, 4*changeDeadline)
+				assert.Check(t, missing == 0 && slowest < changeDeadline, "%d daemons without it, the slowest after %v", missing, slowest)
+				longest := f.longestQueue()
+				for _, d := range f.entries {
+					longest = max(longest, d.down.queueTime())
+				}
+				t.Logf("slowest %v, longest queue %v, %d reads of the store by sidecars", slowest, longest, f.storeReads.Load())
+				assert.Check(t, longest < maxQueueTime, "data waited %v for an entry's link", longest)
+			})
+		})
+	}
+}
--- a/internal/fleet/announcer/pull.go
+++ b/internal/fleet/announcer/pull.go
@@ -37,8 +37,9 @@
 // from another one as soon as that refuses, makes no progress or ends.
 type puller[S comparable] struct {
 	clock timekeeper.Clock
-	// request requests the changes in a session. It must not block.
-	request func(S)
+	// request requests the changes in a session, and abandon has its other end send no more of
+	// them. They must not block.
+	request, abandon func(S)
 	// wake has an element when the fields below have changed.
 	wake chan struct{}
 
@@ -54,8 +55,8 @@
 	nextRequestAt time.Time
 }
 
-func newPuller[S comparable](clock timekeeper.Clock, request func(S)) *puller[S] {
-	return &puller[S]{clock: clock, request: request, wake: make(chan struct{}, 1), sources: make(map[S]*source[S])}
+func newPuller[S comparable](clock timekeeper.Clock, request, abandon func(S)) *puller[S] {
+	return &puller[S]{clock: clock, request: request, abandon: abandon, wake: make(chan struct{}, 1), sources: make(map[S]*source[S])}
 }
 
 // run requests changes until ctx ends.
@@ -80,11 +81,16 @@
 	p.mu.Lock()
 	now := p.clock.Now()
 	next, wait := p.choose(now)
+	silent := p.current
 	if next != nil {
 		p.current, p.progressAt, p.nextRequestAt = next.session, now, now.Add(requestRetryInterval)
 		wait = pullTimeout
 	}
 	p.mu.Unlock()
+	var none S
+	if next != nil && silent != none && silent != next.session {
+		p.abandon(silent)
+	}
 	if next != nil {
 		p.request(next.session)
 	}
--- a/internal/fleet/announcer/pull_test.go
+++ b/internal/fleet/announcer/pull_test.go
@@ -15,7 +15,7 @@
 func runPuller(t *testing.T) (*puller[string], <-chan string) {
 	t.Helper()
 	requests := make(chan string, 100)
-	p := newPuller(timekeeper.System{}, func(session string) { requests <- session })
+	p := newPuller(timekeeper.System{}, func(session string) { requests <- session }, func(string) {})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -61,11 +61,15 @@
 	otherRegionFillDelay = time.Second
 	// largeChangeBytes is the size of changes from which on their arrival is logged.
 	largeChangeBytes = 64 << 10
-	// Daemons wait for a change between minOtherRegionPullDelay and maxOtherRegionPullDelay
-	// longer before they request it from another region. Those that wait least then pass it
-	// on within theirs.
+	// Daemons wait for a change between minOtherRegionPullDelay and a time that grows with the
+	// fleet longer before they request it from another region: minOtherRegionPullSpan, or
+	// otherRegionPullSpacing for each daemon. Those that wait least then pass it on within
+	// theirs, and few copies of it share the link between the regions. It is the same, with
+	// storeReadSpacing, for sidecars that read it from the store.
 	minOtherRegionPullDelay = 100 * time.Millisecond
-	maxOtherRegionPullDelay = 900 * time.Millisecond
+	minOtherRegionPullSpan  = 800 * time.Millisecond
+	otherRegionPullSpacing  = 150 * time.Millisecond
+	storeReadSpacing        = 75 * time.Millisecond
 )
 
 // Status is the state of a replica as reported by its sidecar.
@@ -209,6 +213,12 @@
 	StreamRecords []pinner.Record `cbor:"29,keyasint,omitempty"`
 	OriginQuery   *originQuery    `cbor:"30,keyasint,omitempty"`
 	OriginReply   *originReply    `cbor:"31,keyasint,omitempty"`
+	// StopChanges ends the transfers to the sender, which requests the changes elsewhere. It is
+	// sent together with Busy.
+	StopChanges bool `cbor:"33,keyasint,omitempty"`
+	// LinkBytesPerSecond is the rate of the sender's link, 0 if it is not known. It is set in a
+	// session's first message.
+	LinkBytesPerSecond float64 `cbor:"32,keyasint,omitempty"`
 }
 
 // regular reports whether the message is one of those that are sent once per interval,
@@ -245,6 +255,8 @@
 	member atomic.Pointer[divider.Member]
 	// members are the entries that the other end, a sidecar, has listed, nil if it lists none.
 	members atomic.Pointer[[]divider.Member]
+	// slowLink is set if the other end has a link on which large changes take long.
+	slowLink atomic.Bool
 	// knowsEras is set if the other end knows eras of the store.
 	knowsEras atomic.Bool
 	// knowsStreams is set if the other end records streams. streamRecords are those to send.
@@ -264,8 +276,9 @@
 	// since a write may block for long.
 	writing chan struct{}
 
-	// lastTransfer is the number of the last transfer of large changes that was sent.
-	lastTransfer atomic.Uint64
+	// lastTransfer is the number of the last transfer of large changes that was sent, and
+	// stoppedTransfer that of the last one that the other end does not want any more.
+	lastTransfer, stoppedTransfer atomic.Uint64
 
 	// The fields below are used by the receiving goroutine only.
 
@@ -428,6 +441,7 @@
 	}
 	if sent.at.IsZero() {
 		m.Rank, m.Region, m.KnowsEras, m.KnowsStreams = deps.Rank, deps.Region, true, true
+		m.LinkBytesPerSecond = deps.LinkBytesPerSecond
 	}
 	newest := deps.Table.NewestRevision()
 	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision(newest)
@@ -570,6 +584,9 @@
 	for _, record := range m.StreamRecords {
 		s.announcer.deps.Streams.Add(record)
 	}
+	if m.LinkBytesPerSecond > 0 {
+		s.slowLink.Store(m.LinkBytesPerSecond < slowLinkBytesPerSecond)
+	}
 	position := replicator.Position(m.Era, m.Revision)
 	s.revision.Store(position)
 	if m.regular() {
@@ -583,6 +600,9 @@
 		if err := s.receivePart(m.Part); err != nil {
 			return err
 		}
+	case m.StopChanges:
+		s.stoppedTransfer.Store(s.lastTransfer.Load())
+		return nil
 	case m.Busy:
 		s.announcer.puller.refuse(s)
 		return nil
@@ -673,6 +693,13 @@
 	}
 }
 
+// stopChanges has the other end send no more of the changes that were requested from it.
+func (s *session) stopChanges() {
+	if err := s.send(message{Busy: true, StopChanges: true}); err != nil {
+		_ = s.conn.Close()
+	}
+}
+
 // offerChanges has changes requested once the other end's copy of the store, which has the
 // given revision, has been ahead for PullDelay, or at once if the own copy has never
 // been complete or has values with older versions than the other end's.
@@ -686,11 +713,26 @@
 		s.announcer.puller.withdraw(s)
 		return
 	}
-	cost := 0
+	delay, cost := s.pullDelay(revision > newest), 0
 	if s.otherRegion.Load() {
 		cost = 1
 	}
-	s.announcer.puller.offer(s, s.pullDelay(revision > newest), cost)
+	if s.slowLink.Load() {
+		cost += slowLinkCost
+		switch {
+		case s.announcer.readsStoreForOthers():
+			delay = max(delay, s.announcer.deps.PullDelay()+s.announcer.pullTurn(storeReadSpacing))
+		case !s.watchesStore.Load():
+			delay += slowLinkPullDelay
+		}
+	}
+	s.announcer.puller.offer(s, delay, cost)
+}
+
+// readsStoreForOthers reports whether this daemon, a sidecar, reads a change from the store that it
+// would get over a slow link otherwise, and passes it on.
+func (a *Announcer) readsStoreForOthers() bool {
+	return a.deps.UpdateFromStore != nil && a.deps.LinkBytesPerSecond >= slowLinkBytesPerSecond
 }
 
 // olderKeys returns the keys of which the other end has values with newer versions.
@@ -710,6 +752,11 @@
 		s.announcer.puller.remove(s)
 		return
 	}
+	if s.revision.Load() > newest && s.slowLink.Load() && s.announcer.readsStoreForOthers() && s.announcer.deps.UpdateFromStore(s.ctx) {
+		s.announcer.puller.remove(s)
+		s.announcer.announceLargeChange()
+		return
+	}
 	if err := s.send(message{WantChanges: true, AfterRevision: newest, WantKeys: olderKeys, AcceptsParts: true}); err != nil {
 		_ = s.conn.Close()
 	}
@@ -724,7 +771,7 @@
 	case !deps.Table.Filled() && s.otherRegion.Load():
 		return otherRegionFillDelay
 	case deps.Table.Filled() && behind && s.otherRegion.Load():
-		return deps.PullDelay() + s.announcer.otherRegionPullDelay
+		return deps.PullDelay() + s.announcer.pullTurn(otherRegionPullSpacing)
 	case deps.Table.Filled() && behind:
 		return deps.PullDelay()
 	}
--- a/internal/fleet/announcer/transfer.go
+++ b/internal/fleet/announcer/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -26,10 +27,21 @@
 	// uploadShare is the share of the link that transfers may use. The rest is left to
 	// requests and answers.
 	uploadShare = 0.25
+	// slowLinkBytesPerSecond is the rate below which a link counts as slow: a value of 1 MB takes
+	// most of a second on it. A daemon with such a link sends one transfer at a time, and others
+	// request changes from it only if they are missing for slowLinkPullDelay, unless it has them
+	// from the store.
+	slowLinkBytesPerSecond = 2 << 20
+	slowLinkPullDelay      = time.Second
+	// slowLinkCost has a source with a slow link come after all others.
+	slowLinkCost = 2
 	// compressionWindow bounds the memory of compression.
 	compressionWindow = 1 << 20
 )
 
+// errNotWanted means that the receiver of a transfer has requested it elsewhere.
+var errNotWanted = errors.New("no longer wanted")
+
 // part is a piece of compressed changes.
 type part struct {
 	// Transfer distinguishes the transfers of a session.
@@ -55,7 +67,11 @@
 func (a *Announcer) startUpload() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.upload.active >= maxUploads {
+	limit := maxUploads
+	if rate := a.deps.LinkBytesPerSecond; rate > 0 && rate < slowLinkBytesPerSecond {
+		limit = 1
+	}
+	if a.upload.active >= limit {
 		return false
 	}
 	a.upload.active++
@@ -179,6 +195,9 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("session ended: %w", ctx.Err())
 		}
+		if transfer <= s.stoppedTransfer.Load() {
+			return errNotWanted
+		}
 		if err := s.send(message{Part: &part{Transfer: transfer, TotalBytes: len(data), Data: piece}}); err != nil {
 			return err
 		}
