The next attempt of a stream is called off when its replica becomes unreachable

What callers would see: a stream that has broken off, and whose next replica becomes unreachable before its first event, waits until the deadline although others could continue it.

Cause: that an attempt has begun a stream was remembered for the attempts after it. TestNextAttemptOfAStreamFailsOver fails without the change ('connection was lost').

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -359,7 +359,8 @@
 		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
-	d.interrupted, d.continued = false, false
+	d.interrupted, d.continued, d.unreachable = false, false, nil
+	d.streaming.Store(false)
 	d.timedOut.Store(false)
 	d.recalled.Store(false)
 	if d.canFailOver() {
--- a/internal/routing/router/unreachable_test.go
+++ b/internal/routing/router/unreachable_test.go
@@ -140,3 +140,30 @@
 		assert.Equal(t, len(ids), 2)
 	})
 }
+
+// TestNextAttemptOfAStreamFailsOver guards against a stream that waits until its deadline: it has broken
+// off, and the replica that is to continue it becomes unreachable before its first event.
+func TestNextAttemptOfAStreamFailsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBed(3, nil)
+		attempts := 0
+		b.router.transport.Send = func(ctx context.Context, a *Attempt) (*Reply, error) {
+			switch attempts++; attempts {
+			case 1:
+				return streamReply(0, 1, errLost), nil
+			case 2:
+				time.AfterFunc(300*time.Millisecond, func() { b.pool.UpdateState(a.Address, State{Phase: Unreachable, StartUnixMilli: 1}) })
+				<-ctx.Done()
+				return nil, errLost
+			}
+			return streamReply(a.LastEventID+1, 4, io.EOF), nil
+		}
+		start := time.Now()
+		result := b.router.Begin(modelRequest(route(Streaming, 4, true), PromptPart{"a", 100}))
+		assert.Assert(t, result.Stream != nil)
+		ids, err := drainStream(result.Stream)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.DeepEqual(t, ids, []int64{0, 1, 2, 3, 4})
+		assert.Equal(t, time.Since(start), 300*time.Millisecond)
+	})
+}
