--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -154,8 +154,10 @@
 	// membership counts the changes of the connected entries.
 	membership atomic.Uint64
 
-	// puller requests changes of the store from other daemons.
-	puller *puller[*session]
+	// puller requests changes of the store from other daemons, and uploader bounds what is sent
+	// to them.
+	puller   *puller[*session]
+	uploader *uploader
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -169,8 +171,6 @@
 	// store, and storeWatchedSince since when there has been no gap of reportValidity or
 	// more between these reports.
 	storeWatchedAt, storeWatchedSince time.Time
-	// upload describes the transfers of large changes to others.
-	upload uploadState
 	// transfersUntil is when the link of the own replica has finished the transfers that
 	// were requested so far.
 	transfersUntil time.Time
@@ -184,7 +184,7 @@
 
 // New starts an announcer. An empty address means that it accepts no connections.
 func New(address string, deps Dependencies) (*Announcer, error) {
-	a := &Announcer{deps: deps, startedAt: deps.Clock.Now(), cancelByAddress: make(map[string]context.CancelFunc), otherRegionPullTurn: rand.Float64(), refusedSince: make(map[string]time.Time), sessions: make(map[*session]bool), byReplica: make(map[string]*session), backlogChanged: NewBroadcaster()}
+	a := &Announcer{deps: deps, uploader: newUploader(deps.Clock, deps.LinkBytesPerSecond), startedAt: deps.Clock.Now(), cancelByAddress: make(map[string]context.CancelFunc), otherRegionPullTurn: rand.Float64(), refusedSince: make(map[string]time.Time), sessions: make(map[*session]bool), byReplica: make(map[string]*session), backlogChanged: NewBroadcaster()}
 	if deps.Rank != 0 {
 		deps.Limits.SetSelf(divider.Member{ID: deps.Rank, Region: deps.Region})
 	}
--- a/internal/fleet/announcer/transfer.go
+++ b/internal/fleet/announcer/transfer.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/klauspost/compress/zstd"
 )
 
 // Changes of more than maxInlineBytes are not pushed. A daemon that learns that another has
@@ -51,109 +49,6 @@
 	Data       []byte `cbor:"3,keyasint"`
 }
 
-// uploadState is what a daemon sends to those that have requested changes.
-type uploadState struct {
-	active int
-	// freeAt is when the bytes that were sent so far have used up the upload rate.
-	freeAt time.Time
-	// encoded holds the changes after the revision encodedAfter up to encodedRevision,
-	// which several daemons request one after the other.
-	encoded                       []byte
-	encodedAfter, encodedRevision uint64
-}
-
-// startUpload reports whether another transfer may be sent now. If so, it counts it as
-// active until endUpload.
-func (a *Announcer) startUpload() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	limit := maxUploads
-	if rate := a.deps.LinkBytesPerSecond; rate > 0 && rate < slowLinkBytesPerSecond {
-		limit = 1
-	}
-	if a.upload.active >= limit {
-		return false
-	}
-	a.upload.active++
-	return true
-}
-
-func (a *Announcer) endUpload() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.upload.active--
-}
-
-// reserveUpload returns how long to wait before n more bytes may be sent.
-func (a *Announcer) reserveUpload(n int) time.Duration {
-	rate := a.deps.LinkBytesPerSecond * uploadShare
-	if rate <= 0 {
-		return 0
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
-	if a.upload.freeAt.Before(now) {
-		a.upload.freeAt = now
-	}
-	wait := a.upload.freeAt.Sub(now)
-	a.upload.freeAt = a.upload.freeAt.Add(time.Duration(float64(n) / rate * float64(time.Second)))
-	return wait
-}
-
-// encodeChanges returns changes after a revision in compressed form.
-func (a *Announcer) encodeChanges(delta replicator.Delta, after uint64, keys []string) ([]byte, error) {
-	reusable := len(keys) == 0
-	a.mu.Lock()
-	if u := &a.upload; reusable && u.encoded != nil && u.encodedAfter == after && u.encodedRevision == delta.Revision {
-		defer a.mu.Unlock()
-		return u.encoded, nil
-	}
-	a.mu.Unlock()
-	data, err := compressDelta(delta)
-	if err != nil {
-		return nil, err
-	}
-	if reusable {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.upload.encoded, a.upload.encodedAfter, a.upload.encodedRevision = data, after, delta.Revision
-	}
-	return data, nil
-}
-
-// compressDelta encodes and compresses a delta.
-func compressDelta(delta replicator.Delta) ([]byte, error) {
-	text, err := cbor.Marshal(delta)
-	if err != nil {
-		return nil, fmt.Errorf("encode changes: %w", err)
-	}
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(compressionWindow), zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		return nil, fmt.Errorf("compress changes: %w", err)
-	}
-	defer func() { _ = encoder.Close() }()
-	return encoder.EncodeAll(text, nil), nil
-}
-
-// decompressDelta is the inverse of compressDelta.
-func decompressDelta(data []byte) (replicator.Delta, error) {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxDecodedBytes), zstd.WithDecoderLowmem(true))
-	if err != nil {
-		return replicator.Delta{}, fmt.Errorf("decompress changes: %w", err)
-	}
-	defer decoder.Close()
-	text, err := decoder.DecodeAll(data, nil)
-	if err != nil {
-		return replicator.Delta{}, fmt.Errorf("decompress changes: %w", err)
-	}
-	var delta replicator.Delta
-	if err := cbor.Unmarshal(text, &delta); err != nil {
-		return replicator.Delta{}, fmt.Errorf("decode changes: %w", err)
-	}
-	return delta, nil
-}
-
 // answerRequest sends the changes that the other end requests. Large changes are sent by
 // another goroutine, unless too many transfers are being sent already.
 func (s *session) answerRequest(m *message) error {
@@ -163,12 +58,12 @@
 		a.deps.Recorder.Add("changes.sentBytes", delta.ValueBytes())
 		return s.send(message{Delta: &delta})
 	}
-	if !a.startUpload() {
+	if !a.uploader.start() {
 		a.deps.Recorder.Count("changes.refused")
 		return s.send(message{Busy: true})
 	}
 	a.tasks.Go(func() {
-		defer a.endUpload()
+		defer a.uploader.end()
 		if err := s.sendParts(s.ctx, delta, m.AfterRevision, m.WantKeys); err != nil {
 			a.deps.Logger.Debug("fleet: transfer of changes ended early.", "address", s.conn.RemoteAddr(), "err", err)
 		}
@@ -179,14 +74,14 @@
 // sendParts sends changes in parts until ctx ends.
 func (s *session) sendParts(ctx context.Context, delta replicator.Delta, after uint64, keys []string) error {
 	a := s.announcer
-	data, err := a.encodeChanges(delta, after, keys)
+	data, err := a.uploader.encode(delta, after, keys)
 	if err != nil {
 		return err
 	}
 	transfer := s.lastTransfer.Add(1)
 	for sent := 0; sent < len(data); {
 		piece := data[sent:min(sent+partBytes, len(data))]
-		if wait := a.reserveUpload(len(piece)); wait > 0 {
+		if wait := a.uploader.reserve(len(piece)); wait > 0 {
 			select {
 			case <-ctx.Done():
 			case <-a.deps.Clock.After(wait):
