A daemon waits for others of its region only if it has sessions with them

Cause: the time over which turns are spread came from the number of items, 12,000, half an hour, and not from the daemons of the region that could bring the change. An entry in a region without sidecars would have waited for as long.

Now it comes from the sessions with daemons of the own region, 300 ms each between regions and 150 ms for reads of the store by sidecars, and is 0.8 s without any, as it was before.

TestTurnsNeedNeighbors failed before (an hour in place of 0.9 s).

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -468,13 +468,18 @@
 }
 
 // pullTurn returns how much longer this daemon waits for a change before it requests it from
-// another region or reads it from the store. The daemons of the fleet do so one after the other.
+// another region or reads it from the store. Those of a region do so one after the other: a daemon
+// waits for as many as it is connected to, and with none it does not wait for others.
 func (a *Announcer) pullTurn(spacing time.Duration) time.Duration {
 	a.mu.Lock()
-	daemons := len(a.sessions)
+	neighbors := 0
+	for s := range a.sessions {
+		if !s.otherRegion.Load() {
+			neighbors++
+		}
+	}
 	a.mu.Unlock()
-	daemons = max(daemons, a.deps.Table.Len())
-	span := max(minOtherRegionPullSpan, time.Duration(daemons)*spacing)
+	span := max(minOtherRegionPullSpan, time.Duration(neighbors)*spacing)
 	return minOtherRegionPullDelay + time.Duration(a.otherRegionPullTurn*float64(span))
 }
 
--- a/internal/fleet/announcer/pull_test.go
+++ b/internal/fleet/announcer/pull_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/state/replicator"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"gotest.tools/v3/assert"
 )
@@ -88,3 +89,24 @@
 		assert.Equal(t, <-requests, "early")
 	})
 }
+
+// TestTurnsNeedNeighbors guards against a daemon that waits minutes for others of its region to request
+// a change from another one, since the fleet has many replicas, although it has no session with any.
+func TestTurnsNeedNeighbors(t *testing.T) {
+	a := &Announcer{deps: Dependencies{Table: replicator.New()}, sessions: make(map[*session]bool), otherRegionPullTurn: 1}
+	var items []replicator.Item
+	for i := range 12_000 {
+		items = append(items, replicator.Item{Key: replicaKey(i), Revision: 1})
+	}
+	a.deps.Table.Apply(replicator.Delta{Revision: 1, Complete: true, Items: items})
+	for range 50 {
+		far := new(session)
+		far.otherRegion.Store(true)
+		a.sessions[far] = true
+	}
+	assert.Equal(t, a.pullTurn(otherRegionPullSpacing), minOtherRegionPullDelay+minOtherRegionPullSpan)
+	for range 50 {
+		a.sessions[new(session)] = true
+	}
+	assert.Equal(t, a.pullTurn(otherRegionPullSpacing), minOtherRegionPullDelay+50*otherRegionPullSpacing)
+}
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -63,13 +63,13 @@
 	largeChangeBytes = 64 << 10
 	// Daemons wait for a change between minOtherRegionPullDelay and a time that grows with the
 	// fleet longer before they request it from another region: minOtherRegionPullSpan, or
-	// otherRegionPullSpacing for each daemon. Those that wait least then pass it on within
-	// theirs, and few copies of it share the link between the regions. It is the same, with
-	// storeReadSpacing, for sidecars that read it from the store.
+	// otherRegionPullSpacing for each session with a daemon of their own region. Those that wait
+	// least then pass it on within theirs, and few copies of it share the link between the regions.
+	// It is the same, with storeReadSpacing, for sidecars that read it from the store.
 	minOtherRegionPullDelay = 100 * time.Millisecond
 	minOtherRegionPullSpan  = 800 * time.Millisecond
-	otherRegionPullSpacing  = 150 * time.Millisecond
-	storeReadSpacing        = 75 * time.Millisecond
+	otherRegionPullSpacing  = 300 * time.Millisecond
+	storeReadSpacing        = 150 * time.Millisecond
 )
 
 // Status is the state of a replica as reported by its sidecar.
