Exchanges with sidecars end with the request

What callers see: an entry that is stopped closes their connections without an answer at the end of its drain limit, though the router fails what is unanswered by then (LOST).

Cause: the end of the process reaches the router's requests by their context, but a round trip over a link looked only at the context's deadline, that of the request, and the wait for an admission at no context at all. A sidecar that works sends keep-alive frames, so that the wait went on until the deadline. The outcome of a call was asked for in the same way, after the end too.

Now a round trip ends with its context, and so does the wait for an admission; no outcome is asked for once the context has ended. An attempt that is refused as the entry stops leaves its connection in the pool, as one does that has expired: it was dropped each time, and the next attempt waited for a handshake.

Beside it: callers who leave, a slow first attempt that is ended for a second one, and replicas that become unreachable end these waits, too, by the same contexts. Before, they had no effect on calls, so that the product may now repeat slow repeatable calls within its retry budget. A call that was sent runs to its end at its sidecar as before.

Not covered: the next token of a model's answer is awaited until the connection is closed. To cancel that exchange ends the job which a caller could take up again.

--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -142,9 +142,14 @@
 	x.stream = stream
 	m.attempt, m.incarnation, m.replicaID = request.AttemptID, request.SidecarIncarnation, a.ReplicaID
 	var frame link.Frame
-	if err := stream.Receive(&frame); err != nil {
+	stop := context.AfterFunc(x.ctx, stream.Cancel)
+	err = stream.Receive(&frame)
+	stop()
+	if err != nil {
 		stream.Cancel()
-		e.common.Client().DropConnection(a.Address)
+		if x.ctx.Err() == nil {
+			e.common.Client().DropConnection(a.Address)
+		}
 		return nil, fmt.Errorf("await admission: %w", err)
 	}
 	if frame.AttemptID != m.attempt || frame.RequestID != a.Request.ID {
@@ -178,7 +183,7 @@
 // openFailed drops the connection to the sidecar and returns the error for the router,
 // which is router.ErrNotSent if nothing was sent.
 func (e *Entry) openFailed(a *router.Attempt, err error) error {
-	if errors.Is(err, router.ErrExpired) || errors.Is(err, router.ErrOutdated) {
+	if errors.Is(err, router.ErrExpired) || errors.Is(err, router.ErrStopping) || errors.Is(err, router.ErrOutdated) {
 		return fmt.Errorf("%w: %w", router.ErrNotSent, err)
 	}
 	e.common.Client().DropConnection(a.Address)
@@ -401,6 +406,9 @@
 		e.recordStatus(m.service, a.Address, frame.Status)
 		return frame, nil
 	}
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("await answer: %w", errors.Join(err, ctx.Err()))
+	}
 	e.logger.Warn("entry: no usable answer to a call; asking for its outcome.", "request", a.Request.ID, "attempt", request.AttemptID, "err", err)
 	e.common.Client().DropConnection(a.Address)
 	request.Kind, request.Call, request.BeforeSend = link.Attach, nil, nil
--- a/peer/link/client.go
+++ b/peer/link/client.go
@@ -147,13 +147,14 @@
 }
 
 // RoundTrip sends a request, returns the first frame of the reply and cancels the
-// exchange.
+// exchange. It returns soon after ctx has ended.
 func (c *Client) RoundTrip(ctx context.Context, address string, request *Request) (*Frame, error) {
 	stream, err := c.Open(ctx, address, request)
 	if err != nil {
 		return nil, err
 	}
 	defer stream.Cancel()
+	defer context.AfterFunc(ctx, stream.Cancel)()
 	if deadline, ok := ctx.Deadline(); ok {
 		stream.SetReadDeadline(deadline)
 	}
