Runs that callers leave do not tell how long others take

What callers would see: in a planned stop a request is passed on that cannot end in time, and fails with 502 at the end, where it could have been refused as not run.

Cause: a run that was cut short, as its caller had left, counted as one that took that long. On a route whose callers leave early, fifty such runs were enough to know that all are short. Now they say only that a run takes at least so long: they do not count among the runs that must be known, nor in what is usual, but in the longest. A stream that is complete counts, whenever its caller closes.

--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -139,6 +139,7 @@
 		r.recorder.Count("failed." + string(result.Failure.Reason))
 	}
 	if result.Stream == nil {
+		d.run.left = result.Failure != nil && result.Failure.Reason == ReasonCallerGone
 		d.release()
 	}
 	if d.fallback != nil && d.fallback != result {
--- a/internal/routing/router/shutdown.go
+++ b/internal/routing/router/shutdown.go
@@ -104,12 +104,16 @@
 type run struct {
 	route   string
 	begunAt time.Time
+	// left is set if the caller has left before the end.
+	left bool
 }
 
 // endedRun is a run that has ended.
 type endedRun struct {
 	at   time.Time
 	took time.Duration
+	// left is set if it would have taken longer, but its caller had left.
+	left bool
 }
 
 func newRunTimes(clock timekeeper.Clock) *runTimes {
@@ -142,7 +146,7 @@
 		runs = slices.Delete(runs, 0, len(runs)-runSamples+1)
 	}
 	now := t.clock.Now()
-	t.ended[r.route] = append(runs, endedRun{now, now.Sub(r.begunAt)})
+	t.ended[r.route] = append(runs, endedRun{now, now.Sub(r.begunAt), r.left})
 }
 
 // usual returns how long a run of a route takes, but for a few of them, and false if too few are
@@ -158,8 +162,8 @@
 	return times[int(usualRunShare*float64(len(times)-1))], true
 }
 
-// longest returns the longest run of a route, those that have not ended included. It returns false
-// if too few are known to tell.
+// longest returns the longest run of a route, those that have not ended or whose callers have left
+// included. It returns false if too few are known to tell.
 func (t *runTimes) longest(route string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -168,6 +172,11 @@
 		return 0, false
 	}
 	longest := slices.Max(times)
+	for _, r := range t.ended[route] {
+		if r.left && t.clock.Now().Sub(r.at) < maxRunAge {
+			longest = max(longest, r.took)
+		}
+	}
 	for r := range t.running {
 		if r.route == route {
 			longest = max(longest, t.clock.Now().Sub(r.begunAt))
@@ -176,13 +185,13 @@
 	return longest, true
 }
 
-// recent returns how long the runs of a route took that have ended within maxRunAge. The caller
-// holds mu.
+// recent returns how long the runs of a route took that have ended within maxRunAge and whose callers
+// had not left. The caller holds mu.
 func (t *runTimes) recent(route string) []time.Duration {
 	var times []time.Duration
 	now := t.clock.Now()
 	for _, r := range t.ended[route] {
-		if now.Sub(r.at) < maxRunAge {
+		if !r.left && now.Sub(r.at) < maxRunAge {
 			times = append(times, r.took)
 		}
 	}
--- a/internal/routing/router/shutdown_test.go
+++ b/internal/routing/router/shutdown_test.go
@@ -209,3 +209,24 @@
 		assert.Check(t, !known, "runs are remembered for too long")
 	})
 }
+
+// TestRunsThatCallersLeaveTellNoTime guards against requests that are passed on late in a planned stop and
+// cut off at its end: runs that were cut short, as their callers had left, counted as short ones.
+func TestRunsThatCallersLeaveTellNoTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := stoppingBed(t, func(int) time.Duration { return 9 * time.Second }, func(int) *Reply { return answerReply(200, "late") })
+		for range minLongestRuns {
+			gone := make(chan struct{})
+			time.AfterFunc(100*time.Millisecond, func() { close(gone) })
+			request := newRequest(longRoute(AtMostOnce, 1, false))
+			request.CallerGone = gone
+			assert.Equal(t, b.router.Begin(request).Failure.Reason, ReasonCallerGone)
+		}
+		stop(t, b, 5*time.Second, 0)
+		began := len(b.attempts)
+		result := b.router.Begin(newRequest(longRoute(AtMostOnce, 1, false)))
+		assert.Equal(t, len(b.attempts), began, "a run of 9 s begins 5 s before the end")
+		assert.Equal(t, result.Failure.Reason, ReasonStopping)
+		assert.Check(t, result.Failure.NotRun)
+	})
+}
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -151,7 +151,16 @@
 }
 
 // Close ends the exchange with the replica and frees its resources.
-func (s *EventStream) Close() { s.dispatch.release() }
+func (s *EventStream) Close() {
+	if !s.complete {
+		select {
+		case <-s.dispatch.request.CallerGone:
+			s.dispatch.run.left = true
+		default:
+		}
+	}
+	s.dispatch.release()
+}
 
 // LogFields returns the keys and values of a log line about the stream: the last
 // replica, the expected and the actual time to its first event, and the numbers of
