A stream is begun late in a planned stop only if its deadline lies before the end

Cause: no guess from other runs is sure. A plain answer that does not end in time is replaced by 502; a stream whose head is out has no such end. So once balancers send callers elsewhere a stream is begun only if it ends by its deadline. Before that what is usual counts as for others: such a stream is still at work when it is cut, which the rule excuses, and a refusal costs each caller a second connection.

TestStreamThatMayOutliveTheDaemonIsRefused fails without the change.

--- a/internal/routing/router/shutdown.go
+++ b/internal/routing/router/shutdown.go
@@ -61,7 +61,8 @@
 
 // endsInTime reports whether an attempt that is sent now is expected to be over when the daemon
 // stops. While load balancers do not know of the stop yet, what is usual counts: to refuse costs the
-// callers more than a few runs that are cut short. Later only few come by themselves.
+// callers more than a few runs that are cut short. Later only few come by themselves, and it is the
+// longest run, or for a stream the deadline: one that is cut short cannot be answered any more.
 func (d *dispatch) endsInTime() bool {
 	s := d.router.shutdown
 	s.mu.Lock()
@@ -75,6 +76,7 @@
 	if !now.Before(reroutedAt) {
 		expected, known = d.router.runTimes.longest(d.request.Route.Name)
 		expected = time.Duration(longestRunMargin * float64(expected))
+		known = known && d.request.Route.Kind != Streaming
 	}
 	if left := d.timeLeft(); !known || left < expected {
 		expected = left
