A failing test: tokens are awaited beyond the end of an entry

The next token of a model's answer is awaited until the deadline of the request, whatever ends its context.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"testing"
 	"time"
 
@@ -116,3 +117,35 @@
 		assert.Equal(t, e.common.Client().Len(), 1, "%v", refusal)
 	}
 }
+
+// TestTokensAreNotAwaitedBeyondTheEnd guards against connections that are closed without an answer at the
+// end of a planned stop (LOST): an entry went on waiting for the next token of a model's answer.
+func TestTokensAreNotAwaitedBeyondTheEnd(t *testing.T) {
+	e, bundle := newTestEntry(t)
+	released := make(chan struct{})
+	address := startSidecar(t, bundle, func(request *link.Request, stream *link.Stream) {
+		sendTokens(request, stream, 0, 1, false)
+		<-released
+	})
+	t.Cleanup(func() { close(released) })
+	_, result := beginAnswer(e, 3, address)
+	assert.Assert(t, result.Failure == nil)
+	defer result.Stream.Close()
+	_, err := result.Stream.Next()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	e.router.Stop(ctx, 0)
+	ends := make(chan error, 1)
+	go func() {
+		_, err := result.Stream.Next()
+		ends <- err
+	}()
+	select {
+	case err := <-ends:
+		assert.Check(t, err != nil && !errors.Is(err, io.EOF))
+	case <-time.After(2 * time.Second):
+		t.Error("the answer goes on after the end")
+		assert.Check(t, <-ends != nil)
+	}
+}
