Tokens are awaited no longer than the request lives

Cause: the wait for the next token knew only the deadline of the request. At the end of a planned stop the connection was closed under it, where a whole answer should be 502 and a stream end with an error event; and an attempt whose caller had left, or which was ended, went on until its next token.

Now the wait ends with the context of the attempt. The end of the process is the cause of that context, and then the exchange is abandoned and not canceled: its sidecar keeps the answer, as for a lost connection, and the caller can take it up at another entry.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -119,15 +119,16 @@
 }
 
 // TestTokensAreNotAwaitedBeyondTheEnd guards against connections that are closed without an answer at the
-// end of a planned stop (LOST): an entry went on waiting for the next token of a model's answer.
+// end of a planned stop (LOST): an entry went on waiting for the next token of a model's answer. The
+// sidecar does not see it canceled, as the caller may take the answer up.
 func TestTokensAreNotAwaitedBeyondTheEnd(t *testing.T) {
 	e, bundle := newTestEntry(t)
-	released := make(chan struct{})
+	canceled := make(chan bool, 1)
 	address := startSidecar(t, bundle, func(request *link.Request, stream *link.Stream) {
 		sendTokens(request, stream, 0, 1, false)
-		<-released
+		<-stream.Context().Done()
+		canceled <- link.IsCanceled(context.Cause(stream.Context()))
 	})
-	t.Cleanup(func() { close(released) })
 	_, result := beginAnswer(e, 3, address)
 	assert.Assert(t, result.Failure == nil)
 	defer result.Stream.Close()
@@ -148,4 +149,5 @@
 		t.Error("the answer goes on after the end")
 		assert.Check(t, <-ends != nil)
 	}
+	assert.Check(t, !<-canceled, "the sidecar ends the answer")
 }
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -289,7 +289,10 @@
 	e, m := x.entry, x.payload
 	for {
 		var frame link.Frame
-		if err := x.stream.Receive(&frame); err != nil {
+		stop := context.AfterFunc(x.ctx, x.giveUp(x.stream))
+		err := x.stream.Receive(&frame)
+		stop()
+		if err != nil {
 			if !x.reattach(err) {
 				return router.Event{}, fmt.Errorf("read answer: %w", err)
 			}
@@ -320,6 +323,18 @@
 	}
 }
 
+// giveUp returns what ends an exchange once the context of its attempt has ended. The sidecar goes on if
+// that is because this entry stops: the caller may take the answer up at another one.
+func (x *exchange) giveUp(stream *link.Stream) func() {
+	return func() {
+		if errors.Is(context.Cause(x.ctx), router.ErrStopping) {
+			stream.Abandon()
+			return
+		}
+		stream.Cancel()
+	}
+}
+
 // reattach replaces a broken connection. It returns false if the attempt was canceled,
 // the deadline has passed, or attaching fails, for instance because the sidecar no longer
 // holds the attempt.
--- a/internal/routing/router/shutdown.go
+++ b/internal/routing/router/shutdown.go
@@ -29,9 +29,10 @@
 
 // shutdown is the planned end of the daemon.
 type shutdown struct {
-	// ended is done once the end has come. Requests that are not answered then fail.
+	// ended is done once the end has come, with ErrStopping as its cause. Requests that are not
+	// answered then fail.
 	ended  context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -43,7 +44,7 @@
 
 func newShutdown() *shutdown {
 	s := new(shutdown)
-	s.ended, s.cancel = context.WithCancel(context.Background())
+	s.ended, s.cancel = context.WithCancelCause(context.Background())
 	return s
 }
 
@@ -56,7 +57,7 @@
 	defer r.shutdown.mu.Unlock()
 	r.shutdown.end, _ = ctx.Deadline()
 	r.shutdown.reroutedAt = r.clock.Now().Add(delay)
-	context.AfterFunc(ctx, r.shutdown.cancel)
+	context.AfterFunc(ctx, func() { r.shutdown.cancel(ErrStopping) })
 }
 
 // endsInTime reports whether an attempt that is sent now is expected to be over when the daemon
--- a/peer/link/stream.go
+++ b/peer/link/stream.go
@@ -44,6 +44,8 @@
 
 	// codeCanceled resets a stream whose exchange was canceled on purpose.
 	codeCanceled quic.StreamErrorCode = 1
+	// codeAbandoned resets a stream whose exchange is not read on, but not canceled.
+	codeAbandoned quic.StreamErrorCode = 2
 	// codeClosed closes a connection without an error.
 	codeClosed quic.ApplicationErrorCode = 0
 )
@@ -220,6 +222,13 @@
 	s.release()
 }
 
+// Abandon ends the exchange as if the connection were lost: the peer does not see ErrCanceled. Receive
+// fails. It may be called from any goroutine.
+func (s *Stream) Abandon() {
+	s.stream.CancelRead(codeAbandoned)
+	s.release()
+}
+
 // release calls onRelease once.
 func (s *Stream) release() {
 	s.releaseOnce.Do(func() {
