What an independent review of planned stops found

- Streams of a product entry's stop: the entry now announces its stop before it waits for the end of its push loop, which no context bounds.
- An attempt that was not sent since the daemon stops ends its request: it could be tried again, paid for or not, when the guess of its run changed meanwhile.
It is not counted as run by a hedge.
- The refusal on connections that are closed names whole seconds on the product's own interface.
- The test of resumptions plays the time in which callers still come, too; that of new connections does not wait, and its plain requests have a plain route.

Ruled out by the review, by reading: a refusal that says 'not run' and is not; waits of the stopper beyond its context.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,8 @@
 	maxBodyBytes    = 16 << 20
 	// bodyRetryAfter is when a caller may come back whose body found no room.
 	bodyRetryAfter = time.Second
+	// closedRetryAfter is when a caller may come back whose connection is closed in a planned stop.
+	closedRetryAfter = time.Second
 	// requestReadTimeout bounds the time in which a whole request must arrive.
 	requestReadTimeout = 10 * time.Second
 	// callerIdleTimeout is how long a caller's connection is kept open between requests.
@@ -159,7 +161,7 @@
 		Logger:                       discardLogger{},
 		ErrorHandler:                 e.refuseUnreadable,
 	}
-	e.stopper = stopper.New(e.callerServer, e.callerListener, e.router.Stop, d.Clock)
+	e.stopper = stopper.New(e.callerServer, e.callerListener, closedRetryAfter, e.router.Stop, d.Clock)
 	e.publishMetrics()
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
@@ -201,8 +203,8 @@
 func (e *Entry) Drain(ctx context.Context) error {
 	e.logger.Info("entry: draining.")
 	e.cancel()
-	<-e.pushDone
 	err := e.stopper.Stop(ctx, e.settings.ShutdownDelay)
+	<-e.pushDone
 	if waitErr := e.linkServer.Wait(ctx); err == nil {
 		err = waitErr
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,9 @@
 	// bodyRetryAfter is when a caller may come back whose body found no room: bodies are held for
 	// as long as their requests take.
 	bodyRetryAfter = time.Second
+	// closedRetryAfter is when a caller may come back whose connection is closed in a planned stop:
+	// other daemons take its request at once.
+	closedRetryAfter = 50 * time.Millisecond
 	// maxHeadBytes bounds the request line and header fields of a request. Operators may
 	// allow callers 16 KB of them, and the HTTP library adds no margin of its own.
 	maxHeadBytes = 20 << 10
@@ -116,7 +119,7 @@
 		Logger:                       discardLogger{},
 	}
 	g.readinessServer = &fasthttp.Server{Handler: g.handleReady, ReadTimeout: readTimeout, IdleTimeout: readTimeout, NoDefaultServerHeader: true, Logger: discardLogger{}}
-	g.stopper = stopper.New(g.callerServer, g.callerListener, r.Stop, clock)
+	g.stopper = stopper.New(g.callerServer, g.callerListener, closedRetryAfter, r.Stop, clock)
 	go func() { g.serve(g.callerServer, g.callerListener) }()
 	go func() { g.serve(g.readinessServer, g.readinessListener) }()
 	return g, nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -65,11 +65,14 @@
 }
 
 func parse(ctx *fasthttp.RequestCtx, arrived time.Time) (*router.Request, bool) {
-	name, path := "r", string(ctx.Path())
+	name, kind, path := "r", router.Streaming, string(ctx.Path())
+	if strings.HasPrefix(path, "/load/") {
+		name, kind = "load", router.AtMostOnce
+	}
 	if rest, found := strings.CutPrefix(path, "/new"); found {
 		name, path = "new", rest
 	}
-	route := &router.Route{Name: name, Kind: router.Streaming, MaxAttempts: 1, Shares: []router.Share{{Service: "s", Weight: 1}}}
+	route := &router.Route{Name: name, Kind: kind, MaxAttempts: 1, Shares: []router.Share{{Service: "s", Weight: 1}}}
 	catalog := router.NewCatalog(1, router.Limits{}, []*router.Route{route}, nil, nil)
 	return &router.Request{
 		ID: "q", Catalog: catalog, Route: route, Arrived: arrived, Deadline: arrived.Add(20 * time.Second), LastEventID: -1, Message: path,
@@ -280,7 +283,6 @@
 		assert.Check(t, answer.Close)
 		// The route of these has no run yet, and their deadline lies behind the end.
 		assert.Equal(t, get(t, f.callerAddress, "/new/whole").StatusCode, http.StatusServiceUnavailable)
-		<-time.After(25 * time.Millisecond)
 	}
 	close(f.release)
 	rest, err := io.ReadAll(response.Body)
--- a/internal/gateway/stopper/stop.go
+++ b/internal/gateway/stopper/stop.go
@@ -49,15 +49,16 @@
 	servedAt time.Time
 }
 
-// refusal is the answer to a request that arrives on a connection which is being closed. It has not
-// run, and another daemon takes it at once.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// refusal is the answer to a request that arrives on a connection which is being closed, but for the
+// seconds after which the caller may come back. The request has not run.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %g\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// New returns the stopper of a server on a listener, neither of which serves yet. announce is called at the begin of a stop
+// New returns the stopper of a server on a listener, neither of which serves yet. Callers whose
+// connections are closed may come back after retryAfter. announce is called at the begin of a stop
 // with a context that ends when requests must have ended, and the delay of Stop.
-func New(server *fasthttp.Server, l *listener.Listener, announce func(ctx context.Context, delay time.Duration), clock timekeeper.Clock) *Stopper {
+func New(server *fasthttp.Server, l *listener.Listener, retryAfter time.Duration, announce func(ctx context.Context, delay time.Duration), clock timekeeper.Clock) *Stopper {
 	server.ConnState = listener.RecordState
-	l.SetRefusal([]byte(refusal))
+	l.SetRefusal(fmt.Appendf(nil, refusal, retryAfter.Seconds()))
 	return &Stopper{server: server, listener: l, announce: announce, clock: clock}
 }
 
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -86,8 +86,9 @@
 	sending <-chan answer
 	// unregister removes the attempt from those that wait for a head; nil if it is not registered.
 	unregister func()
-	// callerLeft is set once an attempt was not sent because the caller had left.
-	callerLeft bool
+	// callerLeft is set once an attempt was not sent because the caller had left, stopping once one
+	// was not because the daemon stops before it would end.
+	callerLeft, stopping bool
 	// unwatch stops the cancellation of the attempt when its replica becomes
 	// unreachable; nil if it is not watched.
 	unwatch func()
@@ -279,7 +280,7 @@
 	switch {
 	case d.timeLeft() < minTimeLeft:
 		return &Failure{Reason: ReasonDeadline, NotRun: d.runAttempts == 0, RetryAfter: minRetryAfter}
-	case !d.endsInTime():
+	case d.stopping || !d.endsInTime():
 		return d.stoppingFailure()
 	case d.ctx.Err() != nil:
 		// Another attempt of the request has gone on.
@@ -303,6 +304,7 @@
 		return 0, ErrExpired
 	}
 	if !d.endsInTime() {
+		d.stopping = true
 		return 0, ErrStopping
 	}
 	if replica := d.choice.replica; !d.router.pool.takesRequests(replica, replica.descriptor.Load()) {
--- a/internal/routing/router/hedge.go
+++ b/internal/routing/router/hedge.go
@@ -167,7 +167,7 @@
 		a.reply.Close()
 		a.discard(d)
 	}
-	if !errors.Is(a.err, ErrNotSent) && !errors.Is(a.err, ErrOutdated) && !errors.Is(a.err, ErrExpired) {
+	if !errors.Is(a.err, ErrNotSent) && !errors.Is(a.err, ErrOutdated) && !errors.Is(a.err, ErrExpired) && !errors.Is(a.err, ErrStopping) {
 		d.runAttempts++
 	}
 }
--- a/internal/routing/router/shutdown_test.go
+++ b/internal/routing/router/shutdown_test.go
@@ -170,17 +170,19 @@
 			})
 		})
 	}
-	t.Run("a stream that breaks off", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			b := stoppingBed(t, func(int) time.Duration { return 3 * time.Second }, func(int) *Reply { return streamReply(0, 3, errLost) })
-			b.router.runTimes.record("route", 1500*time.Millisecond)
-			stop(t, b, 5*time.Second, time.Second)
-			result := b.router.Begin(modelRequest(longRoute(Streaming, 3, true), PromptPart{"a", 100}))
-			_, err := drainStream(result.Stream)
-			assert.ErrorIs(t, err, errLost)
-			assert.Equal(t, len(b.attempts), 1)
+	for name, delay := range map[string]time.Duration{"a stream that breaks off": time.Second, "a stream that breaks off while callers still come": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := stoppingBed(t, func(int) time.Duration { return 3 * time.Second }, func(int) *Reply { return streamReply(0, 3, errLost) })
+				b.router.runTimes.record("route", 2500*time.Millisecond)
+				stop(t, b, 5*time.Second, delay)
+				result := b.router.Begin(modelRequest(longRoute(Streaming, 3, true), PromptPart{"a", 100}))
+				_, err := drainStream(result.Stream)
+				assert.ErrorIs(t, err, errLost)
+				assert.Equal(t, len(b.attempts), 1)
+			})
 		})
-	})
+	}
 }
 
 // TestUnansweredRequestsFailAtTheEnd guards against connections that are closed without an answer
