--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -525,7 +525,7 @@
 	return since, refused
 }
 
-// AnyRefused reports whether a host of a peer answers that nobody listens there.
+// AnyRefused reports whether a host of a peer refuses connections, as no process listens there.
 func (a *Announcer) AnyRefused() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/gateway/stopper/stop.go
+++ b/internal/gateway/stopper/stop.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// answerMargin is the time before the limit at which requests that have not ended are told so.
+	// answerMargin is the time before the limit at which requests that have not ended get their final answer.
 	answerMargin = 200 * time.Millisecond
 	// quietTime is how long no request may have arrived that is served before the listener is
 	// closed. While all are refused, the process that follows serves callers better.
@@ -107,7 +107,7 @@
 	case <-end.Done():
 	}
 	s.serveUntilQuiet(end)
-	// Callers whose requests have not arrived whole by then are told so.
+	// Requests that have not arrived whole by then time out.
 	defer context.AfterFunc(end, s.listener.EndReads)()
 	err := s.server.ShutdownWithContext(ctx)
 	if err != nil {
--- a/internal/routing/divider/divide.go
+++ b/internal/routing/divider/divide.go
@@ -92,7 +92,7 @@
 	// membersCheckedAt is when members that are no longer listed were last removed.
 	membersCheckedAt time.Time
 	// selfListedAt is when this daemon was last listed itself. sidecarsGone is set if it is known why
-	// nobody lists it: there are no sidecars. cutOff is set while it leaves its shares to others.
+	// it is not listed: there are no sidecars. cutOff is set while it leaves its shares to others.
 	selfListedAt         time.Time
 	sidecarsGone, cutOff bool
 	// fleet holds when each daemon was last listed, by its ID, for fleetMemory. lastListedAt is when
