Tests: one start of a drain, comments in the terms of the field

Two tests of the gateway had the same wait for a gateway that is no longer ready, one of them since the planned stop; startDrain serves both, with the same assertions. Five comments of tests and of the soak's checker name what is meant by its usual term.

--- a/internal/fleet/replacer/replace_test.go
+++ b/internal/fleet/replacer/replace_test.go
@@ -186,7 +186,7 @@
 	})
 }
 
-// TestAbsentReplicaStaysAttendedTo guards against a replica without a sidecar that nobody gives
+// TestAbsentReplicaStaysAttendedTo guards against a replica without a sidecar that gets no
 // orders for twelve seconds because its item was missing for three.
 func TestAbsentReplicaStaysAttendedTo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -125,6 +125,24 @@
 	return reply, nil
 }
 
+// startDrain drains the gateway, and returns once it is not ready. The returned channel is closed when
+// it is drained.
+func (f *fixture) startDrain(t *testing.T) <-chan struct{} {
+	t.Helper()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		f.gateway.Drain()
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.gateway.Ready() {
+			return poll.Continue("still ready")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+	return drained
+}
+
 func get(t *testing.T, address, path string) *http.Response {
 	t.Helper()
 	response, err := http.Get("http://" + address + path)
@@ -178,17 +196,7 @@
 	first := make([]byte, 7)
 	_, err := io.ReadFull(response.Body, first)
 	assert.NilError(t, err)
-	drained := make(chan struct{})
-	go func() {
-		defer close(drained)
-		f.gateway.Drain()
-	}()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if f.gateway.Ready() {
-			return poll.Continue("still ready")
-		}
-		return poll.Success()
-	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+	drained := f.startDrain(t)
 	assert.Equal(t, get(t, f.readyAddress, "/").StatusCode, http.StatusServiceUnavailable)
 	close(f.release)
 	rest, err := io.ReadAll(response.Body)
@@ -266,17 +274,7 @@
 		assert.Equal(t, get(t, f.callerAddress, fmt.Sprintf("/load/first/%d", i)).StatusCode, http.StatusOK)
 	}
 	response := get(t, f.callerAddress, "/whole")
-	drained := make(chan struct{})
-	go func() {
-		defer close(drained)
-		f.gateway.Drain()
-	}()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if f.gateway.Ready() {
-			return poll.Continue("still ready")
-		}
-		return poll.Success()
-	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+	drained := f.startDrain(t)
 	for i := range 20 {
 		answer := get(t, f.callerAddress, fmt.Sprintf("/load/%d", i))
 		assert.Equal(t, answer.StatusCode, http.StatusOK)
--- a/internal/routing/divider/fleet_test.go
+++ b/internal/routing/divider/fleet_test.go
@@ -129,7 +129,7 @@
 	})
 }
 
-// TestDaemonsKeepTheirSharesWithoutSidecars has all sidecars end: nobody lists the daemons, and limited
+// TestDaemonsKeepTheirSharesWithoutSidecars has all sidecars end: the daemons are listed no more, and limited
 // replicas still get what they may.
 func TestDaemonsKeepTheirSharesWithoutSidecars(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/routing/router/shutdown_test.go
+++ b/internal/routing/router/shutdown_test.go
@@ -186,8 +186,8 @@
 }
 
 // TestUnansweredRequestsFailAtTheEnd guards against connections that are closed without an answer
-// at the end of a planned stop (LOST): a request whose run takes longer than expected is told
-// that it may have run, and a stream breaks off. Neither counts against its replica.
+// at the end of a planned stop (LOST): a request whose run takes longer than expected fails
+// as one that may have run, and a stream breaks off. Neither counts against its replica.
 func TestUnansweredRequestsFailAtTheEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := stoppingBed(t, func(int) time.Duration { return 9 * time.Second }, func(int) *Reply { return answerReply(200, "late") })
--- a/internal/routing/router/unreachable_test.go
+++ b/internal/routing/router/unreachable_test.go
@@ -86,7 +86,7 @@
 }
 
 // TestStreamOfUnreachableReplicaContinuesAtOnce guards against streams that wait for the end of a silence
-// though a sidecar has told that their replica cannot be reached.
+// though a sidecar has reported their replica as unreachable.
 func TestStreamOfUnreachableReplicaContinuesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBed(2, nil)
--- a/internal/standin/checker/check.go
+++ b/internal/standin/checker/check.go
@@ -107,7 +107,7 @@
 	return false
 }
 
-// findRefusedRuns finds requests that run though their caller was told that they never will.
+// findRefusedRuns finds requests that run though they were refused as not run.
 func (h *History) findRefusedRuns() (found []string) {
 	for _, x := range h.order {
 		if x.Kind == AtMostOnce && x.answer != nil && promises(x.answer.Status) && len(x.ran()) > 0 {
