A failing check: requests that reach more replicas than their route allows

BUDGET is the name of several sentences, and the soak's check followed two of them, one for all services together.

The checker now reports each sentence as a multiple of its bound: the window of each service (that of all together stays), replicas that one request is sent to and runs on, time that is handed on, arrivals in pauses that replicas ask for. Model routes that may not be resumed allow one replica in the soak, as on both sites (they allowed two, which hid what is checked here). A new case sends more than the replicas have places for while weights change.

Ordinary: no fault is played, replicas are full or load weights.

--- a/internal/standin/checker/check_test.go
+++ b/internal/standin/checker/check_test.go
@@ -33,7 +33,7 @@
 // run has the request of an ID arrive as it was sent.
 func (p play) run(id, replica string, when time.Duration) *Run {
 	request := p.exchanges[id].Request
-	return p.Arrive(Arrival{ID: id, Replica: replica, Method: request.Method, Path: request.Path, Body: request.Body, Workspace: request.Workspace, After: -1, Runs: true, At: at(when)})
+	return p.Arrive(Arrival{ID: id, Replica: replica, Method: request.Method, Path: request.Path, Body: request.Body, Workspace: request.Workspace, After: -1, Deadline: request.Timeout, Runs: true, At: at(when)})
 }
 
 // strike records a fault that lasts for a second, or a planned stop that lasts on.
@@ -145,6 +145,42 @@
 				p.run("once", "r1", 0).Runs = false
 			}
 		},
+		"BUDGET: repeats of a service behind those of another": func(p play) {
+			for n := range 500 {
+				p.Send(Request{ID: fmt.Sprint("other", n), Service: "other", Machine: "e", SentAt: epoch})
+			}
+			x := p.exchanges["once"]
+			x.Service = "booking"
+			for range int(DefaultBounds().BudgetExtra) + 4 {
+				p.run("once", "r1", 0).Runs = false
+			}
+		},
+		"BUDGET: sent to more replicas, which reject it": func(p play) {
+			for n := range 3 {
+				p.run("once", fmt.Sprint("r", n), 0).Runs = false
+			}
+		},
+		"BUDGET: more time than the caller's": func(p play) {
+			for n := range maxLongDeadlines + 1 {
+				p.sendRepeatable(fmt.Sprint("long", n))
+				p.run(fmt.Sprint("long", n), "r1", 0).Deadline = 3600 * time.Millisecond
+			}
+		},
+		"BUDGET: more time than is left when sent again": func(p play) {
+			for n := range maxLongDeadlines + 1 {
+				p.sendRepeatable(fmt.Sprint("late", n))
+				p.run(fmt.Sprint("late", n), "r1", 0)
+				p.run(fmt.Sprint("late", n), "r2", 600*time.Millisecond)
+			}
+		},
+		"BUDGET: requests in a pause": func(p play) {
+			p.run("once", "r1", 0).Runs = false
+			p.exchanges["once"].runs[0].pause, p.exchanges["once"].runs[0].endedAt = 2*time.Second, epoch
+			for n := range maxPauseArrivals + 1 {
+				p.sendRepeatable(fmt.Sprint("in", n))
+				p.run(fmt.Sprint("in", n), "r1", time.Second)
+			}
+		},
 		"CONFIG: a route that was removed": func(p play) {
 			p.send("old", 1, epoch)
 			p.run("old", "r1", 0)
@@ -205,6 +241,11 @@
 	p.Send(Request{ID: id, Machine: "e", Method: "GET", Path: "/v/x", Workspace: "w", Kind: Repeatable, Timeout: 3 * time.Second, Since: since, Until: since + 1, SentAt: when})
 }
 
+// sendRepeatable sends a request that may run again.
+func (p play) sendRepeatable(id string) {
+	p.Send(Request{ID: id, Machine: "e", Method: "GET", Path: "/look/x", Workspace: "w", Kind: Repeatable, Timeout: 3 * time.Second, MaxAttempts: 2, SentAt: epoch})
+}
+
 // TestCheckersAllow plays what the rules excuse.
 func TestCheckersAllow(t *testing.T) {
 	for name, allowed := range map[string]func(p play){
@@ -213,6 +254,21 @@
 			p.run("once", "r2", 0)
 			p.answer(sealed("once", "r2"))
 		},
+		"requests that come early in a pause, or behind it": func(p play) {
+			p.run("once", "r1", 0).Runs = false
+			p.exchanges["once"].runs[0].pause, p.exchanges["once"].runs[0].endedAt = 2*time.Second, epoch
+			for n, when := range []time.Duration{400 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond, time.Second, time.Second, 2100 * time.Millisecond} {
+				p.sendRepeatable(fmt.Sprint("in", n))
+				p.run(fmt.Sprint("in", n), "r1", when)
+			}
+		},
+		"time that shrinks when sent again": func(p play) {
+			for n := range maxLongDeadlines + 1 {
+				p.sendRepeatable(fmt.Sprint("late", n))
+				p.run(fmt.Sprint("late", n), "r1", 0)
+				p.run(fmt.Sprint("late", n), "r2", 600*time.Millisecond).Deadline = 2400 * time.Millisecond
+			}
+		},
 		"a machine that was killed": func(p play) {
 			p.strike("e", "KILL", 0)
 			p.run("once", "r1", 0)
--- a/internal/standin/checker/fields.go
+++ b/internal/standin/checker/fields.go
@@ -1,6 +1,9 @@
 package checker
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Header fields of the platform's protocol, spelled here a second time so that the daemons are not
 // tested against their own names.
@@ -21,6 +24,7 @@
 	FieldTokenCounts    = "X-Cyclamenward-Token-Counts"
 	FieldPromptPrefix   = "X-Cyclamenward-Prompt-Prefix"
 	FieldLastEventID    = "Last-Event-Id"
+	FieldRetryAfter     = "Retry-After"
 )
 
 // Bounds are the figures of the promises. The daemons get them as settings.
@@ -54,3 +58,15 @@
 		Lease: 3 * time.Second, Version: 8 * time.Second,
 	}
 }
+
+// DeadlineOf decodes the field with the time that is left, 0 if that is not valid.
+func DeadlineOf(field string) time.Duration {
+	milliseconds, err := strconv.Atoi(field)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// Seconds encodes a time as the seconds of a header field.
+func Seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- a/internal/standin/checker/history.go
+++ b/internal/standin/checker/history.go
@@ -23,6 +23,8 @@
 // Request is what a caller sends.
 type Request struct {
 	ID, Machine, Method, Path, Body, Workspace string
+	// Service is the service that the request is for.
+	Service string
 	// Prompt is the field of the parts of the prompt, "" for plain services.
 	Prompt string
 	// ContentType is "" if the request names none.
@@ -48,8 +50,10 @@
 	After int
 	// Weights is the version of the replica's weights, 0 for plain services.
 	Weights int
-	Runs    bool
-	At      time.Time
+	// Deadline is how much time the replica is given, 0 if it is not named.
+	Deadline time.Duration
+	Runs     bool
+	At       time.Time
 }
 
 // Run is one arrival at a replica.
@@ -62,6 +66,16 @@
 	brokeOff bool
 	// progressAt is when it made its first event.
 	progressAt time.Time
+	// pause is how long the replica wants nothing from the machine after endedAt.
+	pause time.Duration
+}
+
+// Reject records that the replica does not run the request, and asks for a pause if it is not 0.
+func (r *Run) Reject(pause time.Duration) {
+	r.End(false)
+	r.history.mu.Lock()
+	defer r.history.mu.Unlock()
+	r.pause = pause
 }
 
 // Progress records that the run made an event.
@@ -272,9 +286,8 @@
 	// Repeats counts the arrivals beyond the first of each request, Resumptions the runs that went
 	// on with a stream. Orders and CacheUses count what ONE, STALE and WALL are about.
 	Repeats, Resumptions, Orders, CacheUses int
-	// BudgetShare is the most that a window had of the retry budget.
-	BudgetShare float64
-	Faults      map[string]int
+	Budget                                  BudgetShares
+	Faults                                  map[string]int
 }
 
 // Summary returns the counts up to now.
@@ -302,6 +315,6 @@
 	for _, d := range h.disturbances {
 		s.Faults[d.Fault]++
 	}
-	s.BudgetShare, _ = h.worstBudget()
+	s.Budget = h.budgetShares()
 	return s
 }
--- a/internal/standin/generator/serve.go
+++ b/internal/standin/generator/serve.go
@@ -139,6 +139,7 @@
 	run := g.history.Arrive(checker.Arrival{
 		ID: id, Replica: g.options.ID, Method: r.Method, Path: r.RequestURI, Body: string(body), Workspace: r.Header.Get(checker.FieldWorkspace),
 		Prompt: r.Header.Get(checker.FieldPromptPrefix), Authorization: r.Header.Get("Authorization"), After: after, Weights: admitted.weights, Runs: admitted.status == http.StatusOK, At: at,
+		Deadline: checker.DeadlineOf(r.Header.Get(checker.FieldDeadline)),
 	})
 	w.Header().Set(checker.FieldRequestID, id)
 	if admitted.status != http.StatusOK {
--- a/internal/standin/soaker/caller.go
+++ b/internal/standin/soaker/caller.go
@@ -94,7 +94,7 @@
 	if c.random.IntN(2) == 0 {
 		name, kind = "book", checker.AtMostOnce
 	}
-	request := checker.Request{Method: http.MethodPost, Path: "/" + name + "/x%2Fy?q=a+b", Body: strings.Repeat("crate\x00\r\n", c.random.IntN(200)), Kind: kind, Timeout: plainTimeout, MaxAttempts: plainAttempts}
+	request := checker.Request{Method: http.MethodPost, Path: "/" + name + "/x%2Fy?q=a+b", Body: strings.Repeat("crate\x00\r\n", c.random.IntN(200)), Service: plainService, Kind: kind, Timeout: plainTimeout, MaxAttempts: plainAttempts}
 	if c.random.IntN(slowOne) == 0 {
 		request.Path += fmt.Sprintf("&%s=%d", worker.WorkParameter, c.random.IntN(maxWorkMs))
 	}
@@ -104,7 +104,7 @@
 // drawVersioned draws a request on the route that one of the newest configurations has added.
 func drawVersioned(c *caller) (checker.Request, string) {
 	since := max(1, c.deployment.newestConfiguration()-c.random.IntN(versionsKept+2))
-	request := checker.Request{Method: http.MethodGet, Path: fmt.Sprintf("/v%d/x", since), Kind: checker.Repeatable, Timeout: plainTimeout, MaxAttempts: plainAttempts, Since: since, Until: since + versionsKept - 1}
+	request := checker.Request{Method: http.MethodGet, Path: fmt.Sprintf("/v%d/x", since), Service: plainService, Kind: checker.Repeatable, Timeout: plainTimeout, MaxAttempts: plainAttempts, Since: since, Until: since + versionsKept - 1}
 	return request, c.drawWorkspace(&request)
 }
 
@@ -113,11 +113,11 @@
 
 // drawStream draws a request for a stream.
 func drawStream(c *caller) (checker.Request, string) {
-	name, kind := "chat", checker.Resumable
+	name, kind, attempts := "chat", checker.Resumable, streamAttempts
 	if c.random.IntN(3) == 0 {
-		name, kind = "once", checker.AtMostOnce
+		name, kind, attempts = "once", checker.AtMostOnce, onceAttempts
 	}
-	request := checker.Request{Method: http.MethodPost, Path: "/" + name + "/x", Body: "reconcile heat 3", Kind: kind, Events: generator.Events, Timeout: streamTimeout, MaxAttempts: streamAttempts}
+	request := checker.Request{Method: http.MethodPost, Path: "/" + name + "/x", Body: "reconcile heat 3", Service: modelService, Kind: kind, Events: generator.Events, Timeout: streamTimeout, MaxAttempts: attempts}
 	request.Prompt = fmt.Sprintf("5c1e07a%d:400,91bd3f%02x:200", c.random.IntN(promptSubjects), c.random.IntN(256))
 	return request, c.drawWorkspace(&request)
 }
--- a/internal/standin/soaker/case.go
+++ b/internal/standin/soaker/case.go
@@ -26,7 +26,7 @@
 	})
 	d.sendAll(len(d.generators)*generator.Slots, 1, true, func(c *caller) (checker.Request, string) {
 		request, key := drawStream(c)
-		request.Path, request.Kind = "/chat/x", checker.Resumable
+		request.Path, request.Kind, request.MaxAttempts = "/chat/x", checker.Resumable, streamAttempts
 		return request, key
 	})
 	stopped.Wait()
@@ -44,7 +44,7 @@
 // playForms sends bookings whose bodies are forms, whole and in chunks.
 func playForms(d *deployment, quiet bool) error {
 	d.sendAll(4, 20, false, func(c *caller) (checker.Request, string) {
-		request := checker.Request{Method: http.MethodPost, Path: "/book/x", Body: formBody, Kind: checker.AtMostOnce, Timeout: plainTimeout, MaxAttempts: plainAttempts}
+		request := checker.Request{Method: http.MethodPost, Path: "/book/x", Body: formBody, Service: plainService, Kind: checker.AtMostOnce, Timeout: plainTimeout, MaxAttempts: plainAttempts}
 		if !quiet {
 			request.ContentType = "multipart/form-data; boundary=club-form"
 		}
@@ -119,7 +119,7 @@
 
 // drawQuick draws a plain request that takes little time.
 func drawQuick(c *caller) (checker.Request, string) {
-	request := checker.Request{Method: http.MethodGet, Path: "/look/x", Kind: checker.Repeatable, Timeout: plainTimeout, MaxAttempts: plainAttempts}
+	request := checker.Request{Method: http.MethodGet, Path: "/look/x", Service: plainService, Kind: checker.Repeatable, Timeout: plainTimeout, MaxAttempts: plainAttempts}
 	return request, c.drawWorkspace(&request)
 }
 
@@ -138,3 +138,37 @@
 	d.sendAll(12, 60, true, drawQuick)
 	return nil
 }
+
+const (
+	// busyTime is how long replicas are full, weightsInterval the time between two versions of the
+	// weights then, and busyCallers the number of callers of each of the two services.
+	busyTime, weightsInterval = 12 * time.Second, 1500 * time.Millisecond
+	busyCallers               = 60
+)
+
+// playBusy sends more than the replicas have places for while new weights are named: replicas
+// reject what they have no place for and what comes while they load weights.
+func playBusy(d *deployment, quiet bool) error {
+	callers := busyCallers
+	if quiet {
+		callers /= busyCallers / 6
+	}
+	stop := make(chan struct{})
+	var tasks sync.WaitGroup
+	d.startCallers(&tasks, stop, "p", callers, drawPlain)
+	d.startCallers(&tasks, stop, "s", callers/2, drawStream)
+	defer tasks.Wait()
+	defer close(stop)
+	for end := time.After(busyTime); ; {
+		select {
+		case <-end:
+			return nil
+		case <-time.After(weightsInterval):
+		}
+		if !quiet {
+			if err := d.wantWeights(); err != nil {
+				return err
+			}
+		}
+	}
+}
--- a/internal/standin/soaker/configuration.go
+++ b/internal/standin/soaker/configuration.go
@@ -17,6 +17,8 @@
 	plainTimeout, streamTimeout = 3 * time.Second, 15 * time.Second
 	plainAttempts               = 3
 	streamAttempts              = 2
+	// onceAttempts is for streams that may not be resumed, as in the users' deployments.
+	onceAttempts = 1
 	// versionsKept is for how many versions the configuration keeps the route that a version adds.
 	versionsKept = 2
 )
@@ -43,10 +45,10 @@
 	plain := func(name, kind string) map[string]any {
 		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": plainService, "route-kind": kind, "timeout-ms": plainTimeout.Milliseconds(), "target-latency-ms": 200, "priority": 2, "max-attempts": plainAttempts, "public": false}
 	}
-	stream := func(name string, resumable bool) map[string]any {
-		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": modelService, "route-kind": "streaming", "timeout-ms": streamTimeout.Milliseconds(), "target-latency-ms": 600, "priority": 0, "max-attempts": streamAttempts, "public": false, "session-affinity": true, "resumable": resumable, "gap-aim-ms": 400}
+	stream := func(name string, resumable bool, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": modelService, "route-kind": "streaming", "timeout-ms": streamTimeout.Milliseconds(), "target-latency-ms": 600, "priority": 0, "max-attempts": attempts, "public": false, "session-affinity": true, "resumable": resumable, "gap-aim-ms": 400}
 	}
-	routes := []any{plain("look", "idempotent"), plain("book", "non_idempotent"), stream("chat", true), stream("once", false)}
+	routes := []any{plain("look", "idempotent"), plain("book", "non_idempotent"), stream("chat", true, streamAttempts), stream("once", false, onceAttempts)}
 	for v := max(1, version-versionsKept+1); v <= version; v++ {
 		routes = append(routes, plain(fmt.Sprintf("v%d", v), "idempotent"))
 	}
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -33,6 +33,10 @@
 	// of model replicas, each with a sidecar.
 	Edges, Workers, Generators int
 	PageItems                  int
+	// Places is how many requests a replica of the plain service runs at once, 0 for any number, and
+	// Pause the pause that it asks for when it rejects others.
+	Places int
+	Pause  time.Duration
 	// Linked puts relays on the links of callers and of replicas too.
 	Linked bool
 }
@@ -188,7 +192,7 @@
 	d.joined++
 	id := fmt.Sprintf("p-%d", d.joined)
 	d.mu.Unlock()
-	w, err := worker.New(worker.Options{ID: id, IP: d.host, Advertise: d.advertise(id, d.host), Service: plainService, Zone: launcher.Zone, Drain: d.options.Bounds.Drain}, d.store, d.history)
+	w, err := worker.New(worker.Options{ID: id, IP: d.host, Advertise: d.advertise(id, d.host), Service: plainService, Zone: launcher.Zone, Drain: d.options.Bounds.Drain, Places: d.options.Places, Pause: d.options.Pause}, d.store, d.history)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/soaker/memory.go
+++ b/internal/standin/soaker/memory.go
@@ -52,7 +52,7 @@
 func (d *deployment) uploadAll(callers int) {
 	body := strings.Repeat("x", largeBytes)
 	d.sendNamed("u", callers, uploadRounds, false, func(c *caller) (checker.Request, string) {
-		request := checker.Request{Method: http.MethodPost, Path: "/book/x", Body: body, Kind: checker.AtMostOnce, Timeout: largeTimeout, MaxAttempts: plainAttempts}
+		request := checker.Request{Method: http.MethodPost, Path: "/book/x", Body: body, Service: plainService, Kind: checker.AtMostOnce, Timeout: largeTimeout, MaxAttempts: plainAttempts}
 		return request, c.drawWorkspace(&request)
 	})
 }
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -36,6 +36,7 @@
 	"paged":     {Options{Edges: 1, Workers: 800}, playPages},
 	"stalecopy": {Options{Edges: 5, Workers: 1200, Generators: 2}, playOlderCopies},
 	"watchcut":  {Options{Edges: 2, Workers: 40}, playWatchCuts},
+	"busy":      {Options{Edges: 5, Workers: 6, Generators: 4, Places: 6, Pause: 2 * time.Second}, playBusy},
 	"memory":    {Options{Edges: 1, Workers: 3}, playMemory},
 }
 
@@ -65,7 +66,8 @@
 		return nil, err
 	}
 	summary := d.history.Summary()
-	_, _ = fmt.Fprintf(p.Out, "%s: %d requests, %d answered, %d refused, %d cut\n", name, summary.Requests, summary.Answered, summary.Refused, summary.Cut)
+	_, _ = fmt.Fprintln(p.Out, name)
+	summarize(p.Out, summary)
 	if summary.Answered == 0 {
 		return nil, errNothingRan
 	}
@@ -103,6 +105,14 @@
 // stableSlack is waited beyond the bounds, so that requests are later than them.
 const stableSlack = 500 * time.Millisecond
 
+// startCallers starts callers, every second of them with a connection for each request.
+func (d *deployment) startCallers(tasks *sync.WaitGroup, stop <-chan struct{}, prefix string, callers int, draw func(*caller) (checker.Request, string)) {
+	for n := range callers {
+		c := &caller{deployment: d, name: fmt.Sprintf("%s%02d", prefix, n), random: rand.New(rand.NewPCG(1, uint64(n))), draw: draw, fresh: n%2 == 1}
+		tasks.Go(func() { c.call(stop) })
+	}
+}
+
 // sendAll has callers send requests, each on connections of its own, until all have sent a number.
 func (d *deployment) sendAll(callers, requests int, fresh bool, draw func(*caller) (checker.Request, string)) {
 	d.sendNamed("c", callers, requests, fresh, draw)
--- a/internal/standin/soaker/soak.go
+++ b/internal/standin/soaker/soak.go
@@ -103,8 +103,8 @@
 		faults = append(faults, fmt.Sprintf("%s %d", fault, count))
 	}
 	slices.Sort(faults)
-	_, _ = fmt.Fprintf(out, "%d requests: %d answered, %d refused, %d cut; %d repeats, at most %.2f of the budget; %d resumptions, %d orders, %d cached parts used\nstruck: %s\n",
-		summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.Repeats, summary.BudgetShare, summary.Resumptions, summary.Orders, summary.CacheUses, strings.Join(faults, ", "))
+	_, _ = fmt.Fprintf(out, "%d requests: %d answered, %d refused, %d cut; %d repeats; %d resumptions, %d orders, %d cached parts used\nof the bounds on repeats: %s\nstruck: %s\n",
+		summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.Repeats, summary.Resumptions, summary.Orders, summary.CacheUses, summary.Budget, strings.Join(faults, ", "))
 }
 
 // callers starts the callers.
--- a/internal/standin/soaker/soak_test.go
+++ b/internal/standin/soaker/soak_test.go
@@ -57,3 +57,10 @@
 		})
 	}
 }
+
+// TestBusyReplicasGetNoMoreAttempts guards against requests that reach more replicas than their route
+// allows because replicas that are full or load weights reject them (BUDGET).
+func TestBusyReplicasGetNoMoreAttempts(t *testing.T) {
+	broken, err := PlayScenario("busy", Play{Folder: t.ArtifactDir(), Program: binary(t, "cyclamenward-platform"), Out: t.Output()})
+	held(t, broken, err)
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -33,11 +33,15 @@
 	Truncates
 	// AnswersLate takes lateness longer.
 	AnswersLate
-	// Behaviours is the number of behaviours.
+	// Behaviours is the number of behaviours that seeds draw.
 	Behaviours
+	// Pauses rejects like a replica that is full, and asks for a pause.
+	Pauses
+	// Misdirects says that another replica is meant.
+	Misdirects
 )
 
-var behaviourNames = [Behaviours]string{"behaves", "rejects", "drops before", "drops after", "truncates", "answers late"}
+var behaviourNames = [...]string{"behaves", "rejects", "drops before", "drops after", "truncates", "answers late", "", "pauses", "misdirects"}
 
 func (b Behaviour) String() string { return behaviourNames[b] }
 
@@ -57,6 +61,10 @@
 	Advertise func(address string) (string, error)
 	// Drain is how long the replica serves on after it has said that it leaves.
 	Drain time.Duration
+	// Places is how many requests the replica runs at once, 0 for any number. It rejects others,
+	// and asks for Pause if that is not 0.
+	Places int
+	Pause  time.Duration
 }
 
 // Worker is a replica of a plain service.
@@ -68,6 +76,8 @@
 	history   *checker.History
 	server    *http.Server
 	behaviour atomic.Int32
+	// running counts the requests that run.
+	running atomic.Int32
 
 	// mu guards the field below.
 	mu   sync.Mutex
@@ -159,16 +169,31 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.options.Places > 0 && int(w.running.Add(1)) > w.options.Places && behaviour == Behaves {
+		behaviour = Pauses
+	}
+	defer w.running.Add(-1)
 	run := w.history.Arrive(checker.Arrival{
 		ID: id, Replica: w.options.ID, Method: request.Method, Path: request.RequestURI, Body: string(body), Workspace: request.Header.Get(checker.FieldWorkspace),
-		Prompt: request.Header.Get(checker.FieldPromptPrefix), Authorization: request.Header.Get("Authorization"), After: -1, Runs: behaviour != Rejects && behaviour != DropsBefore, At: at,
+		Prompt: request.Header.Get(checker.FieldPromptPrefix), Authorization: request.Header.Get("Authorization"), After: -1, Runs: behaviour.runs(), At: at,
+		Deadline: checker.DeadlineOf(request.Header.Get(checker.FieldDeadline)),
 	})
 	switch behaviour {
-	case Rejects:
-		run.End(false)
+	case Rejects, Pauses:
 		header.Set(checker.FieldNotExecuted, "1")
+		pause := time.Duration(0)
+		if behaviour == Pauses && w.options.Pause > 0 {
+			pause = w.options.Pause
+			header.Set(checker.FieldRetryAfter, checker.Seconds(pause))
+		}
+		run.Reject(pause)
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case Misdirects:
+		run.Reject(0)
+		header.Set(checker.FieldReplicaID, w.options.ID)
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
 	case DropsBefore, DropsAfter:
 		run.End(true)
 		panic(http.ErrAbortHandler)
@@ -189,6 +214,15 @@
 	_, _ = io.WriteString(out, answer)
 }
 
+// runs reports whether a replica that behaves so begins to work on requests.
+func (b Behaviour) runs() bool {
+	switch b {
+	case Rejects, DropsBefore, Pauses, Misdirects:
+		return false
+	}
+	return true
+}
+
 // work waits as long as the request takes. It returns false if its connection ends first.
 func work(request *http.Request, behaviour Behaviour) bool {
 	duration := workTime
