One request reaches no more replicas than its route allows

Reproduced in the ordinary course of things: replicas that are full or load weights reject a request, and it goes from one to the next.

Cause: a limit that is kept by a count of something else. Attempts that may have run were counted against max-attempts, rejections against a number of their own (three replicas, also on routes that allow one), and rejections that name a pause against nothing. The users' protocol speaks of the replicas to which a client attempt is sent; their rule of those on which it runs. The limit now is the set of replicas that the request was sent to, shared by all its attempts and entered right before the first byte; both sentences hold.

--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -41,8 +41,9 @@
 	// EventGapTarget is the longest time between two events at which a stream has its
 	// full value.
 	EventGapTarget time.Duration
-	// MaxAttempts is how many backend servers may run one request.
-	MaxAttempts int
+	// MaxAttempts is how many backend servers may run one request, MaxReplicas how many it may be
+	// sent to, those that reject it included, 0 for any number.
+	MaxAttempts, MaxReplicas int
 	// Priority is the rank of the requests, 0 first.
 	Priority int
 	// Public routes need no key.
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -35,6 +35,8 @@
 	// the last event when allowedAttempts was last raised.
 	runAttempts, rejectedAttempts, allowedAttempts int
 	renewedAtEvent                                 int64
+	// sentTo is shared with forks.
+	sentTo *sentReplicas
 	// pinnedVersion is the weights version that must produce the answer, 0 for any.
 	pinnedVersion int
 	// pinnedSoftware is the software version that must produce the answer, nil for any.
@@ -118,7 +120,7 @@
 // newDispatch prepares the dispatch of a request. Its context ends at the deadline or
 // when the caller leaves.
 func newDispatch(router *Router, request *Request) *dispatch {
-	d := &dispatch{attemptState: new(attemptState), router: router, request: request, run: router.runTimes.begin(request.Route.Name), service: router.serviceState(request.Route.pickService()), isolationKeys: request.Prompt.isolationKeys(), lastEventID: request.LastEventID, renewedAtEvent: request.LastEventID, pinnedVersion: request.WeightsVersion, allowedAttempts: request.Route.MaxAttempts}
+	d := &dispatch{attemptState: new(attemptState), router: router, request: request, run: router.runTimes.begin(request.Route.Name), service: router.serviceState(request.Route.pickService()), isolationKeys: request.Prompt.isolationKeys(), lastEventID: request.LastEventID, renewedAtEvent: request.LastEventID, pinnedVersion: request.WeightsVersion, allowedAttempts: request.Route.MaxAttempts, sentTo: &sentReplicas{limit: request.Route.MaxReplicas}}
 	ctx, cancel := context.WithDeadline(router.shutdown.ended, request.Deadline)
 	d.ctx, d.cancel = ctx, cancel
 	d.service.budget.Earn()
@@ -232,6 +234,9 @@
 		if failure := d.checkIsolated(); failure != nil {
 			return failure
 		}
+		if !d.sentTo.allowsAnother(nil) {
+			return d.sentFailure()
+		}
 		c, found := d.router.choose(d.request, d.service, d.excluded, d.pins())
 		if !found {
 			return d.noReplicaFailure()
@@ -310,6 +315,10 @@
 	if replica := d.choice.replica; !d.router.pool.takesRequests(replica, replica.descriptor.Load()) {
 		return 0, ErrOutdated
 	}
+	if !d.sentTo.add(d.choice.replica) {
+		// Another attempt of the request was sent meanwhile.
+		return 0, ErrOutdated
+	}
 	return remaining, nil
 }
 
@@ -358,7 +367,7 @@
 		r.pool.addTransfer(c.source, c.replica, c.transferTime)
 	}
 	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "software", descriptor.SoftwareVersion, "service", d.service.name, "pace", d.service.Pace(), "reason", c.reason,
-		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes)
+		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes, "route", request.Route.Name, "sent", d.sentTo.count(), "ran", d.runAttempts, "most", request.Route.MaxAttempts)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
 	d.interrupted, d.continued, d.unreachable = false, false, nil
@@ -382,7 +391,7 @@
 // canFailOver reports whether another replica could take over the request from one that
 // may be running it.
 func (d *dispatch) canFailOver() bool {
-	return d.request.Route.repeatable() && d.runAttempts+1 < d.allowedAttempts
+	return d.request.Route.repeatable() && d.runAttempts+1 < d.allowedAttempts && d.sentTo.allowsAnother(d.choice.replica)
 }
 
 // recordAttemptError records that the current attempt got no usable answer.
@@ -420,6 +429,9 @@
 	if d.runAttempts > 0 && (!route.repeatable() || d.runAttempts >= d.allowedAttempts) {
 		return d.lastFailure
 	}
+	if !d.sentTo.allowsAnother(nil) {
+		return d.sentFailure()
+	}
 	maxRejections := defaultMaxRejections
 	if route.MaxRejections > 0 {
 		maxRejections = route.MaxRejections
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -201,7 +201,7 @@
 		return cause
 	}
 	d.renewAttempts()
-	if d.runAttempts >= d.allowedAttempts || !d.spendRetry() {
+	if d.runAttempts >= d.allowedAttempts || !d.sentTo.allowsAnother(nil) || !d.spendRetry() {
 		return cause
 	}
 	d.lastFailure = &Failure{Reason: ReasonReplicaFailed}
--- a/internal/routing/router/takeover.go
+++ b/internal/routing/router/takeover.go
@@ -51,7 +51,7 @@
 // mayBeTakenOver reports whether another replica may continue the stream while the current
 // attempt is open.
 func (d *dispatch) mayBeTakenOver() bool {
-	return d.router.transport.Concurrent && !d.forked && !d.inBacklog && d.lastEventID >= 0 && d.request.Route.repeatable() && d.runAttempts < d.allowedAttempts && d.ctx.Err() == nil
+	return d.router.transport.Concurrent && !d.forked && !d.inBacklog && d.lastEventID >= 0 && d.request.Route.repeatable() && d.runAttempts < d.allowedAttempts && d.sentTo.allowsAnother(d.choice.replica) && d.ctx.Err() == nil
 }
 
 // onUnreachable returns what is called when the replica of an attempt becomes unreachable to its
--- a/internal/routing/router/takeover_test.go
+++ b/internal/routing/router/takeover_test.go
@@ -43,8 +43,9 @@
 	// open holds all attempts, in the order in which they began.
 	open       []*scriptedStream
 	violations []string
-	// runs is the number of attempts that may have run.
-	runs int
+	// runs is the number of attempts that may have run, reached the replicas that got one.
+	runs    int
+	reached map[string]bool
 }
 
 // scriptedStream is one attempt at a replica.
@@ -68,6 +69,10 @@
 	}
 	stream := &scriptedStream{closed: make(chan struct{}), sent: a.LastEventID}
 	s.open = append(s.open, stream)
+	if s.reached == nil {
+		s.reached = make(map[string]bool)
+	}
+	s.reached[a.ReplicaID] = true
 	if !script.rejected {
 		s.runs++
 	}
@@ -146,13 +151,27 @@
 	s.violations = append(s.violations, fmt.Sprintf("an attempt was ended after event %d while its replica was at work and no other continued", closed.sent))
 }
 
+// silencePlay plays scripts against a router.
+type silencePlay struct {
+	scripts []streamScript
+	timeout time.Duration
+	// maxReplicas is the limit of the route, 0 for none.
+	maxReplicas int
+}
+
 // playSilence plays scripts against a router and returns what broke a promise.
-func playSilence(t *testing.T, scripts []streamScript, timeout time.Duration) (violations []string) {
+func playSilence(t *testing.T, scripts []streamScript, timeout time.Duration) []string {
+	return silencePlay{scripts: scripts, timeout: timeout}.run(t)
+}
+
+// run returns what broke a promise.
+func (p silencePlay) run(t *testing.T) (violations []string) {
 	synctest.Test(t, func(*testing.T) {
-		replicas := &scriptedReplicas{scripts: scripts, timeout: timeout}
+		replicas := &scriptedReplicas{scripts: p.scripts, timeout: p.timeout}
 		b := newTestBed(6, nil)
-		b.router.transport = Transport{Send: replicas.begin, Concurrent: timeout == 0}
+		b.router.transport = Transport{Send: replicas.begin, Concurrent: p.timeout == 0}
 		request := modelRequest(route(Streaming, scriptedMaxAttempts, true), PromptPart{"a", 100})
+		request.Route.MaxReplicas = p.maxReplicas
 		request.Route.Timeout = time.Hour
 		request.Deadline = request.Arrived.Add(time.Hour)
 		result := b.router.Begin(request)
@@ -181,6 +200,9 @@
 		if retries := int(b.router.recorder.Counters()["retries"]); retries < len(replicas.open)-1 {
 			violations = append(violations, fmt.Sprintf("%d attempts, but only %d retries were taken from the budget", len(replicas.open), retries))
 		}
+		if reached := len(replicas.reached); p.maxReplicas > 0 && reached > p.maxReplicas {
+			violations = append(violations, fmt.Sprintf("the request reaches %d replicas of %d", reached, p.maxReplicas))
+		}
 		if replicas.runs > scriptedMaxAttempts {
 			violations = append(violations, fmt.Sprintf("the request runs %d times", replicas.runs))
 		}
