Sidecars are not asked beyond the end of an entry

What callers see: on the product's own interface, an entry that stops closes connections without an answer at the end of its drain limit (LOST).

Of the steps of an exchange two still had a limit of their own: fetching a newer configuration, which had no context at all, and the first frame of an answer that is attached to over a new connection. Both waited 0.6 s, however near the end was.

TestSidecarsAreNotAskedBeyondTheEnd: both cases ended 0.61 s after the sidecar was asked, twice each, with the end 0.05 s after that; with the change it passes, three times, and once under the race detector.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/admitter"
 	"github.com/cyclamenward/cyclamenward/decoder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
 	"github.com/cyclamenward/cyclamenward/peer/link"
@@ -151,3 +152,59 @@
 	}
 	assert.Check(t, !<-canceled, "the sidecar ends the answer")
 }
+
+// TestSidecarsAreNotAskedBeyondTheEnd guards against connections that are closed without an answer at the
+// end of a planned stop (LOST): an entry went on waiting for a newer configuration from a sidecar, or
+// for the rest of a model's answer over a new connection.
+func TestSidecarsAreNotAskedBeyondTheEnd(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// answer answers the first request, unanswered is the kind of the one that follows.
+		answer     func(request *link.Request, stream *link.Stream, firstToken <-chan struct{})
+		unanswered link.RequestKind
+	}{
+		{"a newer configuration", func(request *link.Request, stream *link.Stream, _ <-chan struct{}) {
+			_ = stream.Send(&link.Frame{Kind: link.Failure, RequestID: request.RequestID, AttemptID: request.AttemptID, Outcome: admitter.NotRun, Code: link.CodeRevisionOutdated})
+		}, link.Sync},
+		{"the rest of an answer", func(request *link.Request, stream *link.Stream, firstToken <-chan struct{}) {
+			sendTokens(request, stream, 0, 1, false)
+			<-firstToken
+			stream.Cancel()
+		}, link.Attach},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e, bundle := newTestEntry(t)
+			released, firstToken, reached := make(chan struct{}), make(chan struct{}), make(chan time.Time, 8)
+			address := startSidecar(t, bundle, func(request *link.Request, stream *link.Stream) {
+				if request.Kind != tc.unanswered {
+					tc.answer(request, stream, firstToken)
+					return
+				}
+				reached <- time.Now()
+				<-released
+			})
+			t.Cleanup(func() { close(released) })
+			ends := make(chan time.Time, 1)
+			go func() {
+				_, result := beginAnswer(e, 3, address)
+				if result.Stream != nil {
+					_, _ = result.Stream.Next()
+					close(firstToken)
+					_, _ = result.Stream.Next()
+					result.Stream.Close()
+				}
+				ends <- time.Now()
+			}()
+			var asked time.Time
+			select {
+			case asked = <-reached:
+			case <-ends:
+				t.Fatal("the request has ended before the sidecar is asked")
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			e.router.Stop(ctx, 0)
+			assert.Check(t, (<-ends).Sub(asked) < attachTimeout)
+		})
+	}
+}
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -114,7 +114,7 @@
 		}
 		// An answer that has begun must continue on the same weights version.
 		boundVersion := m.sequence.WeightsVersion()
-		if corrections >= maxCorrections || !e.applyCorrection(m, a, frame) || (frame.Code == link.CodeWeightsNotServed && (servedVersion == "" || (boundVersion != "" && servedVersion != boundVersion))) {
+		if corrections >= maxCorrections || !e.applyCorrection(ctx, m, a, frame) || (frame.Code == link.CodeWeightsNotServed && (servedVersion == "" || (boundVersion != "" && servedVersion != boundVersion))) {
 			return e.handleFailure(m, a, frame)
 		}
 		if frame.Code == link.CodeWeightsNotServed {
@@ -195,13 +195,13 @@
 
 // applyCorrection updates the outdated information for which a sidecar refused an attempt.
 // It returns false if the attempt failed for another reason or the update is not usable.
-func (e *Entry) applyCorrection(m *payload, a *router.Attempt, frame *link.Frame) bool {
+func (e *Entry) applyCorrection(ctx context.Context, m *payload, a *router.Attempt, frame *link.Frame) bool {
 	if frame.Outcome != admitter.NotRun {
 		return false
 	}
 	switch frame.Code {
 	case link.CodeRevisionOutdated:
-		ctx, cancel := context.WithTimeout(context.Background(), attachTimeout)
+		ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 		defer cancel()
 		e.common.CatchUp(ctx, a.Address)
 		if !m.switchRevision(e.currentCatalog().byName[m.service.document.Service]) {
@@ -373,7 +373,10 @@
 	}
 	var frame link.Frame
 	stream.SetReadDeadline(time.Now().Add(attachTimeout))
-	if err := stream.Receive(&frame); err != nil || frame.Kind != link.Admitted || frame.AttemptID != m.attempt {
+	stop := context.AfterFunc(x.ctx, x.giveUp(stream))
+	err = stream.Receive(&frame)
+	stop()
+	if err != nil || frame.Kind != link.Admitted || frame.AttemptID != m.attempt {
 		stream.Cancel()
 		return fmt.Errorf("attach: first frame %q: %w", frame.Kind, errors.Join(err, sequencer.ErrOtherAttempt))
 	}
@@ -402,7 +405,7 @@
 		if frame.Kind != link.Failure {
 			return nil, fmt.Errorf("unexpected frame %q", frame.Kind)
 		}
-		if corrections >= maxCorrections || !e.applyCorrection(m, a, frame) {
+		if corrections >= maxCorrections || !e.applyCorrection(ctx, m, a, frame) {
 			return e.handleFailure(m, a, frame)
 		}
 	}
--- a/internal/entry/transport_test.go
+++ b/internal/entry/transport_test.go
@@ -34,7 +34,7 @@
 	clock, logger := timekeeper.System{}, log.New(io.Discard)
 	common, err := daemon.New(daemon.Options{
 		Identity: daemon.Identity{AvailabilityZone: "z", Region: "r"}, TLS: bundle.ClientConfig(), Clock: clock, Logger: logger,
-		Gossip: spreader.Options{ExchangeInterval: time.Hour},
+		Gossip: spreader.Options{ExchangeInterval: time.Hour, ExchangeTimeout: time.Second},
 	})
 	assert.NilError(t, err)
 	t.Cleanup(common.Close)
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -47,7 +47,8 @@
 	defer func() { _ = logFile.Close() }()
 	p.command = exec.Command(p.path, p.args...)
 	p.command.Stdout, p.command.Stderr = logFile, logFile
-	p.command.Env = append(os.Environ(), p.environment...)
+	// The race detector holds up the end of a process for a second by default.
+	p.command.Env = append(append(os.Environ(), "GORACE=atexit_sleep_ms=0"), p.environment...)
 	// What this process started ends with it, however it ends.
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
