Bodies in chunks wait for room like others

What callers saw: while the memory for bodies was taken, a request with a body in chunks was refused at once (503), whatever its priority, where one with a length waits for up to a second; at the same moment a refusal hit callers for their framing.

Cause: the size of such a body is not known, so nothing was named to wait for. Now it waits for the least size that is tried, 64 KB, in the one queue with all others, and takes as much as there is room for when its turn comes. Ruled out: waiting for the largest size, which holds up whoever is behind for three times the largest body.

TestBodiesInChunksWaitForRoom fails before: each of three bodies is refused at once, now they are admitted when 0.5 s later room becomes free, by urgency, and a fourth is refused after one second. The test of what there is at once stays as it is, in virtual time, as its refusals wait now.

--- a/internal/gateway/reserver/reserve.go
+++ b/internal/gateway/reserver/reserve.go
@@ -1,8 +1,8 @@
 // Package reserver reserves memory for the bodies of requests before they are read, and for
 // answers, so that those of all connections together stay within a budget.
 //
-// A body whose length is known waits for a while until there is room, unread in the kernel. One
-// that comes in chunks may be as large as there is room for. What a reservation is for is known
+// A body waits for a while until there is room, unread in the kernel. One that comes in chunks, whose
+// length is not known, may be as large as there is room for then. What a reservation is for is known
 // by the head of its request, which stays at its place until the request is answered.
 package reserver
 
@@ -60,8 +60,8 @@
 }
 
 // Admit returns how many bytes of the body of a request may be read, of which maxBytes are
-// allowed. It waits for room if the head names a length, behind requests of a more urgent
-// priority: lower values go first. A longer body than it returns must be refused.
+// allowed. It waits for room behind requests of a more urgent priority: lower values go first. A
+// longer body than it returns must be refused.
 func (r *Reserver) Admit(header *fasthttp.RequestHeader, maxBytes, priority int) int {
 	r.drop(header)
 	admitted := r.admit(header, maxBytes, priority)
@@ -80,15 +80,52 @@
 			return length
 		}
 	default:
-		for _, size := range append([]int{maxBytes}, chunkedSizes[:]...) {
-			if size <= maxBytes && r.reserve(header, bodyClaim(chunkedFactor*size, priority), 0) {
-				return size
-			}
+		if size := r.reserveChunked(header, maxBytes, priority); size > 0 {
+			return size
 		}
 	}
 	return min(maxBytes, FreeBytes)
 }
 
+// reserveChunked reserves what room there is for a body in chunks, of which maxBytes are allowed. If
+// there is not enough for the least size, it waits for that. It returns 0 if there is no room.
+func (r *Reserver) reserveChunked(header *fasthttp.RequestHeader, maxBytes, priority int) int {
+	sizes := []int{maxBytes}
+	for _, size := range chunkedSizes {
+		if size < maxBytes {
+			sizes = append(sizes, size)
+		}
+	}
+	for _, size := range sizes {
+		if r.reserve(header, bodyClaim(chunkedFactor*size, priority), 0) {
+			return size
+		}
+	}
+	least := sizes[len(sizes)-1]
+	if !r.reserve(header, bodyClaim(chunkedFactor*least, priority), maxWait) {
+		return 0
+	}
+	for _, size := range sizes {
+		if r.extend(header, bodyClaim(chunkedFactor*(size-least), priority)) {
+			return size
+		}
+	}
+	return least
+}
+
+// extend adds to the reservation of a body if there is room now.
+func (r *Reserver) extend(header *fasthttp.RequestHeader, more claim) bool {
+	if !r.budget.reserve(context.Background(), more, 0) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry := r.unclaimed[header]
+	entry.bytes += more.bytes
+	r.unclaimed[header] = entry
+	return true
+}
+
 // roundUp returns the size of the buffer into which the HTTP library reads a body.
 func roundUp(length int) int { return 1 << bits.Len(uint(length-1)) }
 
--- a/internal/gateway/reserver/reserve_test.go
+++ b/internal/gateway/reserver/reserve_test.go
@@ -76,22 +76,66 @@
 
 // TestChunksGetTheRoomThatIsThere has bodies in chunks, whose size is not known, one after the other.
 func TestChunksGetTheRoomThatIsThere(t *testing.T) {
-	budget := reserver.NewBudget(3*maxBody, 3*maxBody, timekeeper.System{})
-	r := reserver.New(budget, timekeeper.System{})
-	first, second := head(-1), head(-1)
-	assert.Equal(t, r.Admit(first, maxBody, 0), maxBody)
-	assert.Equal(t, r.Admit(second, maxBody, 0), reserver.FreeBytes)
-	assert.Check(t, !r.Refuse(second, maxBody), "there was no room")
-	release := r.Claim(first, 100<<10)
-	assert.Equal(t, budget.Reserved(), 100<<10)
-	assert.Equal(t, r.Admit(second, maxBody, 0), 512<<10)
-	assert.Check(t, !r.Refuse(second, maxBody), "there was no room")
-	release()
-	assert.Equal(t, r.Admit(second, maxBody, 0), maxBody)
-	assert.Check(t, r.Refuse(second, maxBody), "it is too large")
-	assert.Equal(t, budget.Reserved(), 0)
-	assert.Equal(t, r.Admit(head(-1), 1000, 0), 1000)
-	assert.Check(t, r.Refuse(head(maxBody+1), maxBody), "it is too large")
+	synctest.Test(t, func(t *testing.T) {
+		budget := reserver.NewBudget(3*maxBody, 3*maxBody, timekeeper.System{})
+		r := reserver.New(budget, timekeeper.System{})
+		first, second := head(-1), head(-1)
+		assert.Equal(t, r.Admit(first, maxBody, 0), maxBody)
+		assert.Equal(t, r.Admit(second, maxBody, 0), reserver.FreeBytes)
+		assert.Check(t, !r.Refuse(second, maxBody), "there was no room")
+		release := r.Claim(first, 100<<10)
+		assert.Equal(t, budget.Reserved(), 100<<10)
+		assert.Equal(t, r.Admit(second, maxBody, 0), 512<<10)
+		assert.Check(t, !r.Refuse(second, maxBody), "there was no room")
+		release()
+		assert.Equal(t, r.Admit(second, maxBody, 0), maxBody)
+		assert.Check(t, r.Refuse(second, maxBody), "it is too large")
+		assert.Equal(t, budget.Reserved(), 0)
+		assert.Equal(t, r.Admit(head(-1), 1000, 0), 1000)
+		assert.Check(t, r.Refuse(head(maxBody+1), maxBody), "it is too large")
+	})
+}
+
+// TestBodiesInChunksWaitForRoom guards against requests that are refused for their framing: a body in
+// chunks found no room at once, where one with a length waits for it.
+func TestBodiesInChunksWaitForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := reserver.NewBudget(limit, limit, timekeeper.System{})
+		r := reserver.New(budget, timekeeper.System{})
+		large := head(limit)
+		assert.Equal(t, r.Admit(large, limit, 0), limit)
+		release := r.Claim(large, limit)
+		const chunkedBody = maxBody / 8
+		began := time.Now()
+		var tasks sync.WaitGroup
+		after := make(map[int]time.Duration)
+		var mu sync.Mutex
+		for _, priority := range []int{5, 1, 9} {
+			tasks.Go(func() {
+				header := head(-1)
+				admitted := r.Admit(header, chunkedBody, priority)
+				assert.Check(t, admitted == chunkedBody, "%d", admitted)
+				mu.Lock()
+				after[priority] = time.Since(began)
+				mu.Unlock()
+				release := r.Claim(header, 3*chunkedBody)
+				<-time.After(100 * time.Millisecond)
+				release()
+			})
+		}
+		<-time.After(500 * time.Millisecond)
+		release()
+		tasks.Wait()
+		assert.Check(t, after[1] == 500*time.Millisecond && after[5] >= after[1] && after[9] >= after[5], "%v", after)
+
+		assert.Equal(t, r.Admit(large, limit, 0), limit)
+		began = time.Now()
+		refused := head(-1)
+		assert.Equal(t, r.Admit(refused, maxBody, 0), reserver.FreeBytes)
+		assert.Equal(t, time.Since(began), time.Second, "it waits for a bounded time")
+		assert.Check(t, !r.Refuse(refused, maxBody), "there was no room")
+		assert.Equal(t, budget.Reserved(), limit)
+	})
 }
 
 // TestReservationsStayWithinTheLimit reserves from many goroutines at once.
