--- a/internal/standin/program/soak.go
+++ b/internal/standin/program/soak.go
@@ -31,16 +31,18 @@
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			soak := &soakTool{program: c.String("platform"), logs: c.String("logs"), keep: c.Bool("keep"), print: func(format string, args ...any) { _, _ = fmt.Fprintf(c.Root().Writer, format+"\n", args...) }}
-			if name := c.String("scenario"); name != "" {
-				soak.play(name, func(folder string) ([]string, error) {
-					return soaker.PlayScenario(name, soaker.Play{Folder: folder, Program: soak.program, Out: c.Root().Writer, Quiet: c.Bool("quiet")})
-				})
-				return soak.result()
-			}
 			first, last, err := seedRange(c.Uint64("seed"), c.String("seeds"))
 			if err != nil {
 				return err
 			}
+			if name := c.String("scenario"); name != "" {
+				for seed := first; seed <= last; seed++ {
+					soak.play(name, func(folder string) ([]string, error) {
+						return soaker.PlayScenario(name, soaker.Play{Folder: folder, Program: soak.program, Out: c.Root().Writer, Quiet: c.Bool("quiet"), Seed: seed})
+					})
+				}
+				return soak.result()
+			}
 			length := time.Duration(c.Float("minutes") * float64(time.Minute))
 			for seed := first; seed <= last; seed++ {
 				soak.play(fmt.Sprintf("seed-%d", seed), func(folder string) ([]string, error) {
--- a/internal/standin/soaker/case.go
+++ b/internal/standin/soaker/case.go
@@ -1,7 +1,12 @@
 package soaker
 
 import (
+	"errors"
+	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -153,12 +158,7 @@
 	if quiet {
 		callers /= busyCallers / 6
 	}
-	stop := make(chan struct{})
-	var tasks sync.WaitGroup
-	d.startCallers(&tasks, stop, "p", callers, drawPlain)
-	d.startCallers(&tasks, stop, "s", callers/2, drawStream)
-	defer tasks.Wait()
-	defer close(stop)
+	defer d.crowd(callers)()
 	for end := time.After(busyTime); ; {
 		select {
 		case <-end:
@@ -172,3 +172,31 @@
 		}
 	}
 }
+
+// crowd starts callers of both services and returns what ends them.
+func (d *deployment) crowd(callers int) (end func()) {
+	stop := make(chan struct{})
+	var tasks sync.WaitGroup
+	d.startCallers(&tasks, stop, "p", callers, drawPlain)
+	d.startCallers(&tasks, stop, "s", callers/2, drawStream)
+	return func() {
+		close(stop)
+		tasks.Wait()
+	}
+}
+
+// playTroubled does what playBusy does while all kinds of drawn faults strike.
+func playTroubled(d *deployment, quiet bool) error {
+	end := d.crowd(busyCallers)
+	defer end()
+	if quiet {
+		<-time.After(busyTime)
+		return nil
+	}
+	s := &Soak{deployment: d, plan: plan{faults: append(slices.Clone(planned), unplanned...)}, random: rand.New(rand.NewPCG(d.options.Seed, 0)), out: io.Discard}
+	s.disturb(busyTime)
+	if broken := s.recover(); len(broken) > 0 {
+		return errors.New(strings.Join(broken, "; "))
+	}
+	return nil
+}
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -39,6 +39,8 @@
 	Pause  time.Duration
 	// Linked puts relays on the links of callers and of replicas too.
 	Linked bool
+	// Seed draws what a scenario leaves open.
+	Seed uint64
 }
 
 // deployment is a running fleet with all that is around it.
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -21,6 +21,8 @@
 	Out     io.Writer
 	// Quiet leaves the trouble out.
 	Quiet bool
+	// Seed draws what a scenario leaves open.
+	Seed uint64
 }
 
 // scenario is a deployment with what is done to it.
@@ -37,6 +39,7 @@
 	"stalecopy": {Options{Edges: 5, Workers: 1200, Generators: 2}, playOlderCopies},
 	"watchcut":  {Options{Edges: 2, Workers: 40}, playWatchCuts},
 	"busy":      {Options{Edges: 5, Workers: 6, Generators: 4, Places: 6, Pause: 2 * time.Second}, playBusy},
+	"troubled":  {Options{Edges: 5, Workers: 6, Generators: 4, Places: 6, Pause: 2 * time.Second}, playTroubled},
 	"memory":    {Options{Edges: 1, Workers: 3}, playMemory},
 }
 
@@ -52,7 +55,7 @@
 	if !found {
 		return nil, fmt.Errorf("no scenario %q", name)
 	}
-	s.options.Folder, s.options.Program = p.Folder, p.Program
+	s.options.Folder, s.options.Program, s.options.Seed = p.Folder, p.Program, p.Seed
 	s.options.Bounds, s.options.PageItems = checker.DefaultBounds(), storekeeper.DefaultPageItems
 	d, err := newDeployment(s.options)
 	if err != nil {
