The listener is closed also if a stop cuts requests off

Cause: the shutdown of the server and that of the listener shared one limit. If a request ran to that limit, the listener was told to stop with no time left: its sockets stayed open behind the end of the stop.

--- a/internal/gateway/stopper/stop.go
+++ b/internal/gateway/stopper/stop.go
@@ -26,6 +26,8 @@
 	// maxServingTime is how long requests that arrive after the delay keep the server accepting
 	// connections.
 	maxServingTime = 10 * time.Second
+	// closeTime is the time after the limit in which the listener is closed if requests were cut off.
+	closeTime = 100 * time.Millisecond
 	// checkInterval is the interval at which it is checked whether requests run.
 	checkInterval = 50 * time.Millisecond
 )
@@ -91,7 +93,7 @@
 
 // Stop stops the server. It serves for the delay, and then until no request runs and none
 // arrives that can be served. Requests that are being read or answered then have until the end of
-// ctx. An error means that some were cut off.
+// ctx. An error means that some were cut off. The listener is closed soon after ctx has ended.
 func (s *Stopper) Stop(ctx context.Context, delay time.Duration) error {
 	end, cancel := context.WithCancel(ctx)
 	if limit, found := ctx.Deadline(); found {
@@ -113,7 +115,14 @@
 	if err != nil {
 		err = fmt.Errorf("requests were cut off: %w", err)
 	}
-	if stopErr := s.listener.Stop(ctx); stopErr != nil {
+	closing := ctx
+	if limit, found := ctx.Deadline(); found {
+		// The listener is closed in any case, so that no caller connects to a process that ends.
+		var cancelClosing context.CancelFunc
+		closing, cancelClosing = context.WithDeadline(context.WithoutCancel(ctx), limit.Add(closeTime))
+		defer cancelClosing()
+	}
+	if stopErr := s.listener.Stop(closing); stopErr != nil {
 		err = errors.Join(err, stopErr)
 	}
 	return err
