standin: ports of daemons are not those that the system gives away

Cause: the harness looks for a TCP port that is free and gives it to a daemon that listens on UDP a moment later. The link clients of other daemons send UDP from any address, on a port that the system draws from the same range, which then is taken on all hosts. Ruled out: a fault of the daemon, which says why it ends.

Ports are drawn below the system's range now, and tried for both protocols.

--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -4,7 +4,10 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -114,22 +117,45 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+n%254, pid>>8&0xff, 1+pid%254)
 }
 
+// Ports of freeAddresses. They are below those that the system gives to sockets by itself: one that sends
+// UDP from any address takes its port from all hosts.
+const minPort, maxPort = 15000, 30000
+
+// maxPortTries bounds how many ports are tried for an address.
+const maxPortTries = 100
+
 // freeAddresses returns n different loopback addresses whose ports are free.
 func freeAddresses(n int) ([]string, error) {
-	var listeners []net.Listener
+	var sockets []io.Closer
 	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
+		for _, s := range sockets {
+			_ = s.Close()
 		}
 	}()
 	addresses, host := make([]string, n), LoopbackHost()
 	for i := range addresses {
-		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-		if err != nil {
-			return nil, fmt.Errorf("reserve a loopback port: %w", err)
+		for try := 0; addresses[i] == ""; try++ {
+			address := net.JoinHostPort(host, fmt.Sprint(minPort+rand.IntN(maxPort-minPort)))
+			reserved, err := reserve(address)
+			if err == nil {
+				addresses[i], sockets = address, append(sockets, reserved...)
+			} else if try == maxPortTries {
+				return nil, fmt.Errorf("reserve a loopback port: %w", err)
+			}
 		}
-		listeners = append(listeners, l)
-		addresses[i] = l.Addr().String()
 	}
 	return addresses, nil
 }
+
+// reserve takes a port for TCP and UDP until the sockets are closed.
+func reserve(address string) ([]io.Closer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("listen for packets: %w", err), l.Close())
+	}
+	return []io.Closer{l, packets}, nil
+}
