A test of callers' requests that do not end

Extensions of a chunk are not stored, and end with the time for a whole request, 10 s; the others are refused at their limit of bytes. Not covered: the product's own interface, dripped bytes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,11 +59,16 @@
 	r := router.New(options, pool, router.Transport{Send: f.send}, clock, log.New(io.Discard), recorder.New())
 	var err error
 	f.gateway, err = gateway.New(gateway.Settings{Address: f.callerAddress, ReadyAddress: f.readyAddress, IdleTimeout: time.Minute, Grace: 5 * time.Second, Memory: reserver.NewBudget(1<<20, 1<<20, timekeeper.System{})},
-		gateway.Protocol{Parse: parse, WriteHead: writeHead, WriteFailure: writeFailure}, r, func() bool { return true }, clock, log.New(io.Discard))
+		gateway.Protocol{MaxBody: maxBody, Parse: parse, WriteHead: writeHead, WriteFailure: writeFailure}, r, func() bool { return true }, clock, log.New(io.Discard))
 	assert.NilError(t, err)
 	return f
 }
 
+// maxTestBody is the size of the largest body.
+const maxTestBody = 128 << 10
+
+func maxBody(*fasthttp.RequestHeader) (bytes, priority int) { return maxTestBody, 0 }
+
 func parse(ctx *fasthttp.RequestCtx, arrived time.Time) (*router.Request, bool) {
 	name, kind, path := "r", router.Streaming, string(ctx.Path())
 	if strings.HasPrefix(path, "/load/") {
@@ -179,6 +184,40 @@
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
 
+// TestEndlessRequestsAreRefused guards against memory that callers take with requests that do not end, and
+// against callers that wait for an answer to them.
+func TestEndlessRequestsAreRefused(t *testing.T) {
+	for name, tc := range map[string]struct {
+		begin, more string
+		status      int
+	}{
+		"head":             {"GET /whole HTTP/1.1\r\nHost: h\r\n", "X-Field: " + strings.Repeat("x", 1000) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"one field":        {"GET /whole HTTP/1.1\r\nHost: h\r\nX-Field: ", strings.Repeat("x", 1000), http.StatusRequestHeaderFieldsTooLarge},
+		"path":             {"GET /whole", strings.Repeat("x", 1000), http.StatusRequestHeaderFieldsTooLarge},
+		"body in chunks":   {"POST /whole HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 0x400) + "\r\n", http.StatusRequestEntityTooLarge},
+		"chunk extensions": {"POST /whole HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 1000), http.StatusBadRequest},
+		"trailers":         {"POST /whole HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: " + strings.Repeat("x", 1000) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			connection, err := net.Dial("tcp", f.callerAddress)
+			assert.NilError(t, err)
+			defer func() { _ = connection.Close() }()
+			assert.NilError(t, connection.SetDeadline(time.Now().Add(15*time.Second)))
+			go func() {
+				_, err := io.WriteString(connection, tc.begin)
+				for err == nil {
+					_, err = io.WriteString(connection, tc.more)
+				}
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, tc.status)
+			assert.Check(t, response.Close, "the connection goes on")
+		})
+	}
+}
+
 // TestFailureStatus checks that a rejected request is reported as not run, and one whose
 // answer was lost as a failure after which it may have run.
 func TestFailureStatus(t *testing.T) {
