--- a/internal/standin/soaker/case.go
+++ b/internal/standin/soaker/case.go
@@ -146,9 +146,10 @@
 
 const (
 	// busyTime is how long replicas are full, weightsInterval the time between two versions of the
-	// weights then, and busyCallers the number of callers of each of the two services.
+	// weights then.
 	busyTime, weightsInterval = 12 * time.Second, 1500 * time.Millisecond
-	busyCallers               = 60
+	// busyCallers is the number of callers of the plain service then, and quietCallers without trouble.
+	busyCallers, quietCallers = 60, 6
 )
 
 // playBusy sends more than the replicas have places for while new weights are named: replicas
@@ -156,7 +157,7 @@
 func playBusy(d *deployment, quiet bool) error {
 	callers := busyCallers
 	if quiet {
-		callers /= busyCallers / 6
+		callers = quietCallers
 	}
 	defer d.crowd(callers)()
 	for end := time.After(busyTime); ; {
@@ -173,7 +174,7 @@
 	}
 }
 
-// crowd starts callers of both services and returns what ends them.
+// crowd starts callers of both services, half as many of the models, and returns what ends them.
 func (d *deployment) crowd(callers int) (end func()) {
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
