--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -92,6 +92,10 @@
 	// reason is a code for the log line, such as "cached" or "spill".
 	loss   float64
 	reason string
+	// beyondPace is set if the limit of the paced replica is used up. passedOver is the paced
+	// replica that would have been chosen if its limit were not, or nil.
+	beyondPace bool
+	passedOver *Replica
 }
 
 // candidate is one replica with a snapshot of its properties, taken once for a
@@ -105,6 +109,8 @@
 	// eligible is set if the replica may get the request. In small groups one that may
 	// not still counts as a possible home of prompts.
 	eligible bool
+	// beyondPace is set if the replica is paced and its limit is used up.
+	beyondPace bool
 }
 
 // selection is the working state of one choice among the replicas of a service.
@@ -163,17 +169,24 @@
 	} else {
 		s.sample(g)
 	}
-	best, found := choice{}, false
+	var best, beyond choice
+	var found, foundBeyond bool
 	for i := range s.candidates {
 		if !s.candidates[i].eligible {
 			continue
 		}
 		c, ok := s.evaluate(&s.candidates[i])
-		if ok && (!found || c.loss < best.loss) {
+		switch {
+		case !ok:
+		case s.candidates[i].beyondPace:
+			if !foundBeyond || c.loss < beyond.loss {
+				beyond, foundBeyond = c, true
+			}
+		case !found || c.loss < best.loss:
 			best, found = c, true
 		}
 	}
-	return best, found
+	return s.settle(best, beyond, found, foundBeyond)
 }
 
 // addCandidate adds a replica as a candidate. It returns false for one that leaves or has
@@ -185,11 +198,12 @@
 	}
 	backingOff, failureRate := replica.inBackoff(s.now)
 	c := candidate{replica: replica, descriptor: descriptor, state: replica.FreshState(s.now), failureRate: failureRate}
-	c.eligible = !backingOff && s.router.pool.waitRemaining(replica, descriptor, s.now) <= 0 && !slices.Contains(s.excluded, replica) && (c.state == nil || c.state.Phase <= Preparing)
+	c.eligible = s.router.pool.waitRemaining(replica, descriptor, s.now) <= 0 && !slices.Contains(s.excluded, replica) && (c.state == nil || c.state.Phase <= Preparing)
 	if s.request.Prompt != nil {
 		c.weightsVersion = replica.WeightsVersion(s.request.Prompt.Model, s.now)
 		c.eligible = c.eligible && (s.pins.weights == 0 || c.weightsVersion == 0 || c.weightsVersion == s.pins.weights)
 	}
+	c.eligible = c.eligible && s.checkPace(&c, backingOff)
 	s.candidates = append(s.candidates, c)
 	return true
 }
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/routing/pacer"
 )
 
 const (
@@ -111,6 +113,8 @@
 	timedOut, recalled atomic.Bool
 	// firstEventDelay is the time from sentAt to the first event.
 	firstEventDelay time.Duration
+	// flight is the attempt as the pacer of its replica counts it.
+	flight pacer.Flight
 	// inBacklog is set while the attempt counts in its replica's backlogTokens, until
 	// its first event; countedInFlight while it counts in the replica's inFlight, until
 	// it ends.
@@ -162,6 +166,7 @@
 	}
 	d.closeSending()
 	d.leaveBacklog()
+	d.flight.Withdrawn()
 	if d.countedInFlight {
 		d.countedInFlight = false
 		d.choice.replica.inFlight.Add(-1)
@@ -244,8 +249,12 @@
 		if failure := d.checkAdmission(c); failure != nil {
 			return failure
 		}
+		if !d.takePace(c) {
+			continue
+		}
 		if !d.router.pool.limits.Take(c.replica.descriptor.Load().limited()) {
 			// Another request has taken the last permit since the choice.
+			d.flight.Withdrawn()
 			continue
 		}
 		err := d.send(c)
@@ -408,7 +417,7 @@
 	d.router.logger.Info("route: attempt failed.", "request", d.request.ID, "content", d.request.ContentKey, "replica", replica.ID(), "notSent", notSent, "err", err)
 	d.excluded = append(d.excluded, replica)
 	if d.ctx.Err() == nil && !d.recalled.Load() {
-		replica.recordFailure(d.router.clock.Now())
+		d.recordFailure(notSent)
 	}
 	if notSent {
 		d.rejectedAttempts++
@@ -487,11 +496,13 @@
 	if reply.Status >= 500 && d.request.Route.repeatable() && d.fallback == nil {
 		d.fallback = &Result{Reply: reply, Body: body}
 		d.lastFailure = &Failure{Reason: ReasonReplicaFailed}
+		d.flight.Answered()
 		d.excluded = append(d.excluded, replica)
 		r.logger.Info("route: replica answered with a server error.", "request", d.request.ID, "replica", replica.ID(), "status", reply.Status)
 		return nil, false
 	}
 	d.leaveBacklog()
+	d.flight.Answered()
 	d.recordAnswerTime()
 	if reply.Status < 300 {
 		d.recordSound()
@@ -524,6 +535,9 @@
 		// A replica rejects once for each pause, so that these need no limit but the budget.
 		d.rejectedAttempts++
 	}
+	if !d.reply.WrongReplica {
+		d.flight.Rejected()
+	}
 	d.router.recorder.Count("attempts.rejected")
 	d.excluded = append(d.excluded, replica)
 	d.router.logger.Info("route: rejected.", "request", d.request.ID, "replica", replica.ID(), "status", d.reply.Status,
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
+	"github.com/cyclamenward/cyclamenward/internal/routing/pacer"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"github.com/zeebo/xxh3"
 )
@@ -138,6 +139,9 @@
 	// first.
 	passedOver atomic.Int32
 
+	// pacer holds the replica's limit after a start or recovery. It is nil until the first.
+	pacer atomic.Pointer[pacer.Pacer]
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// backoffUntil is when the replica may get requests again after consecutive
@@ -199,14 +203,16 @@
 	}
 }
 
-// recordFailure starts a backoff whose length doubles with each consecutive failure.
-func (r *Replica) recordFailure(now time.Time) {
+// recordFailure starts a backoff whose length doubles with each consecutive failure, and returns
+// their number.
+func (r *Replica) recordFailure(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failureRate += failureRateWeight * (1 - r.failureRate)
 	backoff := minBackoff << min(r.consecutiveFailures, 4)
 	r.consecutiveFailures++
 	r.backoffUntil = now.Add(min(backoff, maxBackoff))
+	return r.consecutiveFailures
 }
 
 // recordSuccess ends the backoff.
@@ -262,6 +268,8 @@
 	leaving *LeavingRegistry
 	// limits holds this daemon's shares of the limits that replicas name.
 	limits *divider.Divider
+	// pacing has replicas be paced after a start or recovery.
+	pacing pacingSwitch
 	// view is never changed, only replaced.
 	view atomic.Pointer[view]
 	// onBacklog is called with the address of a replica when this daemon's backlog there
@@ -313,7 +321,10 @@
 			descriptor.StartUnixMilli = max(descriptor.StartUnixMilli, replica.descriptor.Load().StartUnixMilli)
 		}
 		if replica == nil || replica.descriptor.Load().StartUnixMilli != descriptor.StartUnixMilli || replica.Address() != descriptor.Address {
+			last := replica
 			replica = &Replica{hash: xxh3.HashString(descriptor.ID)}
+			replica.descriptor.Store(&descriptor)
+			p.noteStart(replica, last, old)
 		}
 		if descriptor.Draining {
 			p.leaving.Record(descriptor.incarnation())
@@ -511,7 +522,7 @@
 		return
 	}
 	state.ReceivedAt = p.clock.Now()
-	replica.state.Store(&state)
+	p.notePhase(replica, replica.state.Swap(&state), &state)
 	if state.Phase == Unreachable && state.StartUnixMilli != 0 {
 		// A sidecar that names no start has had no report yet.
 		replica.cancelFailoverAttempts()
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -47,6 +47,9 @@
 	// UpdateList brings the list of replicas up to the moment of the call and reports whether that
 	// was possible; nil means that the list is always current.
 	UpdateList func(context.Context) bool
+	// PacedStarts reports whether the replicas of a service are paced after a start or recovery; nil
+	// means that none are.
+	PacedStarts func(service string) bool
 }
 
 // Router chooses replicas for the requests of one daemon and sends the requests to
@@ -101,6 +104,7 @@
 		waiting:   make(map[*dispatch]bool),
 	}
 	r.isolator.OnIsolated(r.recallIsolated)
+	r.paceStarts()
 	return r
 }
 
