--- a/internal/routing/pacer/pace.go
+++ b/internal/routing/pacer/pace.go
@@ -28,7 +28,9 @@
 	// in a round from all daemons.
 	minLimit, openLimit = 0.25, 32
 	// shrinkFactor is what is left of the limit after late answers or a rejection.
-	shrinkFactor = 0.6
+	shrinkFactor = 0.7
+	// laterGrowth is by which part of itself the limit grows in a round once it has shrunk.
+	laterGrowth = 0.25
 	// lateFactor is how many times as long as expected, and as the replica usually takes, a late
 	// answer takes.
 	lateFactor = 1.6
@@ -36,7 +38,7 @@
 	lateMargin = 60 * time.Millisecond
 	// soundQueueTargets is the longest wait for other requests, as a multiple of the latency target,
 	// with which the limit grows, lateQueueTargets that with which it shrinks.
-	soundQueueTargets, lateQueueTargets = 0.25, 0.5
+	soundQueueTargets, lateQueueTargets = 0.4, 0.75
 	// maxSlowness bounds by how much a replica is slower than expected without being late.
 	maxSlowness = 4
 	// slownessWeight is the weight of one slower answer in what a replica usually takes.
@@ -44,6 +46,9 @@
 	// quietRounds is after how many rounds with sound answers and without a refusal the limit does
 	// not bind any more.
 	quietRounds = 3
+	// soundRounds is how many sound rounds, less late ones, open a replica that is as fast as expected,
+	// also if the limit binds: the choice itself keeps its queue short from then on.
+	soundRounds = 6
 	// fallMemory is how long after a fall the next one makes the replica begin lower.
 	fallMemory = 15 * time.Second
 	// maxFalls bounds how often the first limit is halved.
@@ -120,7 +125,7 @@
 	mu    sync.Mutex
 	cause Cause
 	// limit is how many units of work all daemons send in a round. It doubles in each round until it
-	// has shrunk once, and then grows by one.
+	// has shrunk once, and then grows more slowly.
 	limit  float64
 	shrunk bool
 	share  float64
@@ -138,8 +143,9 @@
 	probing bool
 	// grewAt and shrankAt are when the limit last changed by a round, refusedAt is when it last bound.
 	grewAt, shrankAt, refusedAt time.Time
-	// quiet counts the rounds with sound answers and without a refusal.
-	quiet int
+	// sound counts the rounds with sound answers, less those with late ones, quiet those of them since
+	// the limit last bound.
+	sound, quiet int
 	// target is the tightest latency target of the requests that were considered, 0 if none had one.
 	target time.Duration
 	// slowness is how many times as long as expected the replica takes at best, 0 if unknown.
@@ -187,7 +193,7 @@
 	if cause != NewWeights {
 		halvings = min(p.falls, maxFalls)
 	}
-	p.cause, p.shrunk, p.probing, p.quiet, p.slowness = cause, false, true, 0, 0
+	p.cause, p.shrunk, p.probing, p.sound, p.quiet, p.slowness = cause, false, true, 0, 0, 0
 	p.limit = max(minLimit, cause.firstLimit()/float64(int(1)<<halvings))
 	p.round, p.outstanding = firstRound, 0
 	p.updateShare()
@@ -382,12 +388,11 @@
 
 // grow records sound work of a number of units. The caller holds mu.
 func (p *Pacer) grow(now time.Time, units float64) {
+	growth := min(1, units/max(1, p.window()))
 	if p.shrunk {
-		// One more unit for each round that this daemon's answers fill.
-		p.limit += min(1, units/max(1, p.window()))
-	} else {
-		p.limit *= 1 + min(1, units/max(1, p.window()))
+		growth *= laterGrowth
 	}
+	p.limit *= 1 + growth
 	p.endRound(now)
 }
 
@@ -395,6 +400,7 @@
 // The caller holds mu.
 func (p *Pacer) endRound(now time.Time) {
 	if now.Sub(p.grewAt) >= p.round {
+		p.sound++
 		p.quiet++
 		if p.refusedAt.After(p.grewAt) {
 			p.quiet = 0
@@ -402,7 +408,7 @@
 		p.grewAt = now
 		p.updateShare()
 	}
-	if p.limit >= openLimit || p.quiet >= quietRounds {
+	if p.limit >= openLimit || p.quiet >= quietRounds || p.sound >= soundRounds && p.slowness < lateFactor {
 		p.paced.Store(false)
 		p.notify(Opened, p.cause)
 	}
@@ -414,7 +420,7 @@
 	if now.Sub(p.shrankAt) < p.round {
 		return
 	}
-	p.shrankAt = now
+	p.shrankAt, p.sound = now, max(0, p.sound-1)
 	p.limit = max(minLimit, shrinkFactor*p.limit)
 	p.allowance = min(p.allowance, math.Ceil(p.window()))
 	p.notify(Shrunk, cause)
