--- a/internal/routing/pacer/pace.go
+++ b/internal/routing/pacer/pace.go
@@ -24,13 +24,13 @@
 	firstRound = 250 * time.Millisecond
 	// roundWeight is the weight of one answer in the moving average of the round.
 	roundWeight = 0.3
-	// minLimit is the lowest limit, openLimit the one at which a replica is open, in units of work
+	// minLimit is the lowest limit, openLimit the one at which a slow replica is open, in units of work
 	// in a round from all daemons.
 	minLimit, openLimit = 0.25, 32
 	// shrinkFactor is what is left of the limit after late answers or a rejection.
 	shrinkFactor = 0.7
 	// laterGrowth is by which part of itself the limit grows in a round once it has shrunk.
-	laterGrowth = 0.25
+	laterGrowth = 0.5
 	// lateFactor is how many times as long as expected, and as the replica usually takes, a late
 	// answer takes.
 	lateFactor = 1.6
@@ -46,9 +46,9 @@
 	// quietRounds is after how many rounds with sound answers and without a refusal the limit does
 	// not bind any more.
 	quietRounds = 3
-	// soundRounds is how many sound rounds, less late ones, open a replica that is as fast as expected,
-	// also if the limit binds: the choice itself keeps its queue short from then on.
-	soundRounds = 6
+	// soundRounds is how many sound rounds, less late ones, open a replica also if the limit binds: the
+	// choice itself keeps its queue short from then on.
+	soundRounds = 4
 	// fallMemory is how long after a fall the next one makes the replica begin lower.
 	fallMemory = 15 * time.Second
 	// maxFalls bounds how often the first limit is halved.
@@ -77,7 +77,7 @@
 	if c == Recovered {
 		return 2
 	}
-	return 4
+	return 6
 }
 
 // Options are the dependencies of a pacer.
@@ -124,10 +124,12 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	cause Cause
-	// limit is how many units of work all daemons send in a round. It doubles in each round until it
-	// has shrunk once, and then grows more slowly.
+	// limit is how many units of work all daemons send in a round. It grows by up to its double in each
+	// round until it has shrunk once, and then more slowly.
 	limit  float64
 	shrunk bool
+	// base is the limit at the beginning of the round that grewAt began.
+	base float64
 	share  float64
 	round  time.Duration
 	// allowance is how many units this daemon may send in the round that began at roundAt; it may be
@@ -195,7 +197,7 @@
 	}
 	p.cause, p.shrunk, p.probing, p.sound, p.quiet, p.slowness = cause, false, true, 0, 0, 0
 	p.limit = max(minLimit, cause.firstLimit()/float64(int(1)<<halvings))
-	p.round, p.outstanding = firstRound, 0
+	p.base, p.round, p.outstanding = p.limit, firstRound, 0
 	p.updateShare()
 	p.allowance, p.roundAt = p.draw(), now
 	p.movableAt, p.grewAt, p.shrankAt, p.refusedAt = now, now, time.Time{}, now
@@ -388,11 +390,12 @@
 
 // grow records sound work of a number of units. The caller holds mu.
 func (p *Pacer) grow(now time.Time, units float64) {
-	growth := min(1, units/max(1, p.window()))
+	// One answer alone says less than a round of them.
+	growth := min(1, units/max(2, p.window()))
 	if p.shrunk {
 		growth *= laterGrowth
 	}
-	p.limit *= 1 + growth
+	p.limit = min(p.limit*(1+growth), 2*p.base)
 	p.endRound(now)
 }
 
@@ -405,10 +408,10 @@
 		if p.refusedAt.After(p.grewAt) {
 			p.quiet = 0
 		}
-		p.grewAt = now
+		p.grewAt, p.base = now, p.limit
 		p.updateShare()
 	}
-	if p.limit >= openLimit || p.quiet >= quietRounds || p.sound >= soundRounds && p.slowness < lateFactor {
+	if p.slowness < lateFactor && (p.quiet >= quietRounds || p.sound >= soundRounds) || p.limit >= openLimit && p.sound >= soundRounds {
 		p.paced.Store(false)
 		p.notify(Opened, p.cause)
 	}
@@ -422,6 +425,7 @@
 	}
 	p.shrankAt, p.sound = now, max(0, p.sound-1)
 	p.limit = max(minLimit, shrinkFactor*p.limit)
+	p.base = p.limit
 	p.allowance = min(p.allowance, math.Ceil(p.window()))
 	p.notify(Shrunk, cause)
 }
@@ -474,7 +478,7 @@
 		return
 	}
 	p.probing = false
-	p.judge(p.options.Clock.Now(), false, queue, max(1, p.window()))
+	p.judge(p.options.Clock.Now(), false, time.Duration(max(1, p.slowness)*float64(queue)), 1)
 }
 
 // Limit returns the limit of all daemons, in units of work in a round, and 0 for an open replica.
--- a/internal/routing/router/opening.go
+++ b/internal/routing/router/opening.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,9 @@
 	// beyondPaceTargets is the longest expected wait at a replica whose limit is used up with which it
 	// gets a request that would be late elsewhere, as a multiple of the latency target.
 	beyondPaceTargets = 0.5
+	// newListTime is how long the list of a service's replicas counts as new: replicas that start
+	// together are listed one by one.
+	newListTime = 4 * time.Second
 	// seriesOfFailures is how many failures in a row make a replica paced; one alone is followed by a
 	// backoff only.
 	seriesOfFailures = 2
@@ -71,15 +75,25 @@
 	}
 }
 
-// noteStart has a replica be paced that the list has not had before, if it had others of the
-// service: a daemon that has just started knows no replica. last is the one that had the ID before,
-// or nil.
+// recordServices records since when each service has replicas. The caller holds mu.
+func (p *Pool) recordServices(v *view, now time.Time) {
+	maps.DeleteFunc(p.servedSince, func(service string, _ time.Time) bool { return v.byService[service] == nil })
+	for service := range v.byService {
+		if _, known := p.servedSince[service]; !known {
+			p.servedSince[service] = now
+		}
+	}
+}
+
+// noteStart has a replica be paced that the list has not had before. While the list of a service is
+// new itself, as after the start of this daemon, its replicas may have served for long. last is the
+// one that had the ID before, or nil. The caller holds mu.
 func (p *Pool) noteStart(replica, last *Replica, old *view) {
 	descriptor := replica.descriptor.Load()
 	if last == nil {
 		last = old.byAddress[descriptor.Address]
 	}
-	if old.byService[descriptor.Service] != nil {
+	if since, known := p.servedSince[descriptor.Service]; known && p.clock.Now().Sub(since) >= newListTime {
 		p.beginPace(replica, pacer.Started, last)
 	}
 }
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -282,6 +282,8 @@
 	removed map[string]removedReplica
 	// software holds the software versions of each service's replicas. It is guarded by mu.
 	software map[string]*softwareLog
+	// servedSince holds since when the list has replicas of each service. It is guarded by mu.
+	servedSince map[string]time.Time
 	// currentAt is when the list of replicas was last known to be current. It is guarded by mu.
 	currentAt time.Time
 }
@@ -301,7 +303,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(clock timekeeper.Clock) *Pool {
-	p := &Pool{clock: clock, leaving: NewLeavingRegistry(clock), limits: divider.New(clock), removed: make(map[string]removedReplica), software: make(map[string]*softwareLog)}
+	p := &Pool{clock: clock, leaving: NewLeavingRegistry(clock), limits: divider.New(clock), removed: make(map[string]removedReplica), software: make(map[string]*softwareLog), servedSince: make(map[string]time.Time)}
 	p.view.Store(&view{})
 	return p
 }
@@ -338,6 +340,7 @@
 	}
 	p.view.Store(next)
 	now := p.clock.Now()
+	p.recordServices(next, now)
 	for id, replica := range old.byID {
 		if next.byID[id] == nil {
 			p.removed[id] = removedReplica{Replica: replica, at: now}
