--- a/internal/routing/pacer/pace.go
+++ b/internal/routing/pacer/pace.go
@@ -21,7 +21,7 @@
 	// minRound and maxRound bound the time in which the limit may be used once and doubles.
 	minRound, maxRound = 100 * time.Millisecond, 500 * time.Millisecond
 	// firstRound is the round before the first answer.
-	firstRound = 250 * time.Millisecond
+	firstRound = 150 * time.Millisecond
 	// roundWeight is the weight of one answer in the moving average of the round.
 	roundWeight = 0.3
 	// minLimit is the lowest limit, openLimit the one at which a slow replica is open, in units of work
@@ -77,7 +77,7 @@
 	if c == Recovered {
 		return 2
 	}
-	return 6
+	return 4
 }
 
 // Options are the dependencies of a pacer.
@@ -478,7 +478,9 @@
 		return
 	}
 	p.probing = false
-	p.judge(p.options.Clock.Now(), false, time.Duration(max(1, p.slowness)*float64(queue)), 1)
+	if p.target == 0 || max(1, p.slowness)*float64(queue) <= soundQueueTargets*float64(p.target) {
+		p.grow(p.options.Clock.Now(), 1)
+	}
 }
 
 // Limit returns the limit of all daemons, in units of work in a round, and 0 for an open replica.
--- a/internal/routing/router/opening.go
+++ b/internal/routing/router/opening.go
@@ -122,8 +122,8 @@
 }
 
 // checkPace reports whether a candidate may get the request as far as its failures and its pace
-// go. It sets beyondPace of one whose limit is used up. A sound replica in a backoff gets what its
-// limit has room for, to find out early whether it has recovered.
+// go. It sets beyondPace of one whose limit is used up. A replica in a backoff gets movable requests for
+// which its limit has room, to find out early whether it has recovered.
 func (s *selection) checkPace(c *candidate, backingOff bool) bool {
 	p := c.replica.pacer.Load()
 	if !p.Paced() {
@@ -133,7 +133,7 @@
 		p.Reported(c.state.ReceivedAt, queue)
 	}
 	c.beyondPace = !p.Admits(s.request.movable(), s.request.Route.LatencyTarget)
-	return !backingOff || !c.beyondPace
+	return !backingOff || !c.beyondPace && s.request.movable()
 }
 
 // reportedQueue returns how long a request waits for others at a replica by the report of its sidecar, and
--- a/internal/routing/router/opening_test.go
+++ b/internal/routing/router/opening_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -217,41 +216,58 @@
 	}
 }
 
-// arrivals returns how many requests arrived at a replica in a span, and how long one waited at most.
-func (r *openingReplica) arrived(from, to time.Time) (count int, longest time.Duration) {
-	for _, a := range r.arrivals {
-		if !a.at.Before(from) && a.at.Before(to) {
+// arrived returns how many requests arrived at the given replicas in a span, and how many of them could not
+// be in time any more.
+func (f *openingFleet) arrived(from, to time.Time, replicas ...int) (count, late int) {
+	target := f.request(0).Route.LatencyTarget
+	for _, i := range replicas {
+		for _, a := range f.replicas[i].arrivals {
+			if a.at.Before(from) || !a.at.Before(to) {
+				continue
+			}
 			count++
-			longest = max(longest, a.queue)
+			if a.queue+f.work > target {
+				late++
+			}
 		}
 	}
-	return count, longest
+	return count, late
 }
 
-// checkOpening returns what is wrong with how the replicas were loaded that came back at a time: until
-// openingBound a queue in which a request is late, or less than nine tenths of their share in the second
-// after it.
-func (f *openingFleet) checkOpening(back time.Time, replicas ...int) (wrong []string) {
-	target, bound := f.request(0).Route.LatencyTarget, back.Add(openingBound)
-	all, own := 0, 0
-	for i, r := range f.replicas {
-		count, _ := r.arrived(bound, bound.Add(2*time.Second))
-		all += count
-		if !slices.Contains(replicas, i) {
-			continue
-		}
-		own += count
-		for _, w := range []time.Duration{300*time.Millisecond, 600*time.Millisecond, time.Second} { c, q := r.arrived(back, back.Add(w)); fmt.Print(" ", c, "/", q.Milliseconds()) }
-		fmt.Println()
-		if _, queue := r.arrived(back, back.Add(time.Second)); queue > target-f.work {
-			wrong = append(wrong, fmt.Sprintf("replica %d flooded: queue %s", i, queue))
-		}
+// opening adds up how replicas were loaded that came back, over several plays.
+type opening struct {
+	// early counts the requests there until openingBound, late those of them that came too late.
+	early, late int
+	// share is the sum of their shares in the two seconds after openingBound, as multiples of the average
+	// of all replicas.
+	share float64
+	plays int
+}
+
+// add adds a play of a fleet whose given replicas came back at a time.
+func (o *opening) add(f *openingFleet, back time.Time, replicas ...int) {
+	bound := back.Add(openingBound)
+	early, late := f.arrived(back, bound, replicas...)
+	own, _ := f.arrived(bound, bound.Add(2*time.Second), replicas...)
+	everywhere := make([]int, len(f.replicas))
+	for i := range everywhere {
+		everywhere[i] = i
+	}
+	all, _ := f.arrived(bound, bound.Add(2*time.Second), everywhere...)
+	o.early, o.late, o.plays = o.early+early, o.late+late, o.plays+1
+	o.share += float64(own*len(f.replicas)) / float64(all*len(replicas))
+}
+
+// wrong returns what is wrong: more of the early requests came too late than a share of them, or the replicas
+// had less than a part of the average work.
+func (o *opening) wrong(maxLate, minShare float64) (faults []string) {
+	if late := float64(o.late) / float64(max(1, o.early)); late > maxLate {
+		faults = append(faults, fmt.Sprintf("flooded: %.2f of %d requests too late", late, o.early))
 	}
-	fmt.Println("SHARE", float64(own*len(f.replicas))/float64(all*len(replicas)))
-	if share := float64(own*len(f.replicas)) / float64(all*len(replicas)); share < 0.9 {
-		wrong = append(wrong, fmt.Sprintf("replicas idle: %.2f of their share", share))
+	if share := o.share / float64(o.plays); share < minShare {
+		faults = append(faults, fmt.Sprintf("idle: %.2f of the average", share))
 	}
-	return wrong
+	return faults
 }
 
 // promptRequest returns a request of 2,500 tokens, which a replica prefills in 42 ms.
@@ -263,58 +279,125 @@
 
 const promptWork = 42 * time.Millisecond
 
-// TestOpeningAfterCrashUnderFullLoad has a quarter of the replicas crash for 3 s while the others
-// have as much work as they can do. When they are back, they are neither flooded nor left idle. A
-// pacer that opens at once and one that never opens are caught by the check.
-func TestOpeningAfterCrashUnderFullLoad(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		share float64
-		sound bool
-	}{{"paced", 1.0 / openingDaemons, true}, {"opens at once", 1000, false}, {"never opens", 1e-9, false}} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newOpeningFleet(1, promptWork, c.share, promptRequest)
-				back := time.Now().Add(6 * time.Second)
-				f.run(10*time.Second, 0.7*openingReplicas/promptWork.Seconds(), map[time.Duration]func(){
-					3 * time.Second: func() { f.crash(0, 1, 2, 3, 4, 5) },
-					6 * time.Second: func() { f.restart(0, 1, 2, 3, 4, 5) },
-				})
-				wrong := f.checkOpening(back, 0, 1, 2, 3, 4, 5)
-				t.Log(f.sent, f.inTime, f.refused, f.failedAttempts, wrong)
-				assert.Equal(t, len(wrong) == 0, c.sound, "%v", wrong)
+// Shares of a pace with which each daemon keeps to it, and those of broken pacers.
+const (
+	soundShare      = 1.0 / openingDaemons
+	opensAtOnce     = 1000
+	neverOpens      = 1e-9
+	openingPlays    = 6
+	openingCrashed  = 3 * time.Second
+	openingReturned = 6 * time.Second
+	openingEnd      = 10 * time.Second
+)
+
+// playCrash has a quarter of the replicas crash for three seconds, in several plays. The load is so high that
+// the others have nearly as much work meanwhile as they can do. restarted is called for each replica that
+// is back.
+func playCrash(t *testing.T, plays, slots int, work time.Duration, share float64, request func(int) *Request, restarted func(*openingReplica)) (result opening) {
+	t.Helper()
+	back := []int{0, 1, 2, 3, 4, 5}
+	for range plays {
+		synctest.Test(t, func(*testing.T) {
+			f := newOpeningFleet(slots, work, share, request)
+			returned := time.Now().Add(openingReturned)
+			f.run(openingEnd, 0.7*openingReplicas*float64(slots)/work.Seconds(), map[time.Duration]func(){
+				openingCrashed: func() { f.crash(back...) },
+				openingReturned: func() {
+					f.restart(back...)
+					for _, i := range back {
+						restarted(f.replicas[i])
+					}
+				},
 			})
+			result.add(f, returned, back...)
 		})
 	}
+	return result
 }
 
-func TestOpeningSlow(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		share float64
-		sound bool
-	}{{"paced", 1.0 / openingDaemons, true}, {"opens at once", 1000, false}, {"off", 0, false}} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newOpeningFleet(1, promptWork, c.share, promptRequest)
-				back := time.Now().Add(6 * time.Second)
-				f.run(10*time.Second, 0.7*openingReplicas/promptWork.Seconds(), map[time.Duration]func(){
-					3 * time.Second: func() { f.crash(0, 1, 2, 3, 4, 5) },
-					6 * time.Second: func() { f.restart(0, 1, 2, 3, 4, 5); for i := range 6 { f.replicas[i].slowUntil = back.Add(3*time.Second) } },
-				})
-				all, own := 0, 0
-				late := 0
-				for i, r := range f.replicas {
-					c, _ := r.arrived(back.Add(time.Second), back.Add(3*time.Second))
-					all += c
-					if i < 6 { own += c 
-					for _, a := range r.arrivals { if a.at.After(back) && a.at.Before(back.Add(3*time.Second)) && a.queue > 316*time.Millisecond { late++ } }
-					_, q := r.arrived(back, back.Add(3*time.Second))
-					fmt.Print(" ", q.Milliseconds())
-					}
-				}
-				fmt.Println(c.name, "share", float64(own)/6*24/float64(all), "late", late, f.sent, f.inTime, f.refused)
-			})
-		})
+// TestOpeningAfterCrashUnderFullLoad guards against replicas that are flooded or left idle when they are
+// back from a crash. A pacer that never opens is caught.
+func TestOpeningAfterCrashUnderFullLoad(t *testing.T) {
+	sound := playCrash(t, openingPlays, 1, promptWork, soundShare, promptRequest, func(*openingReplica) {})
+	assert.Equal(t, len(sound.wrong(0.05, 0.9)), 0, "%v", sound.wrong(0.05, 0.9))
+	closed := playCrash(t, 1, 1, promptWork, neverOpens, promptRequest, func(*openingReplica) {})
+	assert.Assert(t, len(closed.wrong(0.05, 0.9)) > 0, "%+v", closed)
+}
+
+// TestOpeningOfSlowReplicas guards against floods of replicas that are half as fast for three seconds after
+// their start. They find their lower pace. A pacer that opens at once is caught.
+func TestOpeningOfSlowReplicas(t *testing.T) {
+	slow := func(r *openingReplica) { r.slowUntil = time.Now().Add(3 * time.Second) }
+	sound := playCrash(t, openingPlays, 1, promptWork, soundShare, promptRequest, slow)
+	assert.Equal(t, len(sound.wrong(0.33, 0.5)), 0, "%v", sound.wrong(0.33, 0.5))
+	flooded := playCrash(t, 1, 1, promptWork, opensAtOnce, promptRequest, slow)
+	assert.Assert(t, len(flooded.wrong(0.33, 0.5)) > 0, "%+v", flooded)
+}
+
+// TestOpeningOfPlainServersWithSixSlots is the crash of plain servers, of which nobody reports the load.
+func TestOpeningOfPlainServersWithSixSlots(t *testing.T) {
+	sound := playCrash(t, openingPlays, 6, 120*time.Millisecond, soundShare, plainRequest, func(*openingReplica) {})
+	assert.Equal(t, len(sound.wrong(0.05, 0.9)), 0, "%v", sound.wrong(0.05, 0.9))
+	closed := playCrash(t, 1, 6, 120*time.Millisecond, neverOpens, plainRequest, func(*openingReplica) {})
+	assert.Assert(t, len(closed.wrong(0.05, 0.9)) > 0, "%+v", closed)
+}
+
+// playAtHalfLoad plays events for ten seconds while the replicas have half the work that they can do.
+func playAtHalfLoad(t *testing.T, share float64, events func(f *openingFleet) map[time.Duration]func()) *openingFleet {
+	t.Helper()
+	var f *openingFleet
+	synctest.Test(t, func(*testing.T) {
+		f = newOpeningFleet(1, promptWork, share, promptRequest)
+		f.run(openingEnd, 0.5*openingReplicas/promptWork.Seconds(), events(f))
+	})
+	return f
+}
+
+// TestOpeningOfAllReplicasAtOnce guards against refusals because of a pace alone: all replicas start anew at
+// the same moment.
+func TestOpeningOfAllReplicasAtOnce(t *testing.T) {
+	f := playAtHalfLoad(t, soundShare, func(f *openingFleet) map[time.Duration]func() {
+		return map[time.Duration]func(){openingReturned: func() {
+			for i := range f.replicas {
+				f.restart(i)
+			}
+		}}
+	})
+	assert.Equal(t, f.refused, 0)
+	assert.Assert(t, float64(f.inTime) > 0.95*float64(f.sent), "%d of %d", f.inTime, f.sent)
+}
+
+// TestOpeningWithNewWeightsInTurn guards against requests that are late or refused because replicas open
+// which have loaded new weights one after the other.
+func TestOpeningWithNewWeightsInTurn(t *testing.T) {
+	f := playAtHalfLoad(t, soundShare, func(f *openingFleet) map[time.Duration]func() {
+		events := make(map[time.Duration]func())
+		for i, r := range f.replicas {
+			begin := time.Second + time.Duration(i)*300*time.Millisecond
+			events[begin] = func() { r.loading = true }
+			events[begin+500*time.Millisecond] = func() { r.loading = false }
+		}
+		return events
+	})
+	assert.Equal(t, f.refused, 0)
+	assert.Assert(t, float64(f.inTime) > 0.95*float64(f.sent), "%d of %d", f.inTime, f.sent)
+}
+
+// TestOpeningOfFlappingReplicas guards against ever more requests lost at replicas that go down and up by
+// turns: with a pace they lose fewer than with a backoff alone.
+func TestOpeningOfFlappingReplicas(t *testing.T) {
+	flap := func(f *openingFleet) map[time.Duration]func() {
+		events := make(map[time.Duration]func())
+		for at := 2 * time.Second; at < 9*time.Second; at += 1400 * time.Millisecond {
+			events[at] = func() { f.crash(0, 1, 2) }
+			events[at+700*time.Millisecond] = func() { f.restart(0, 1, 2) }
+		}
+		return events
+	}
+	paced, unpaced := 0, 0
+	for range openingPlays {
+		paced += playAtHalfLoad(t, soundShare, flap).failedAttempts
+		unpaced += playAtHalfLoad(t, 0, flap).failedAttempts
 	}
+	assert.Assert(t, paced < unpaced, "%d, %d without a pace", paced, unpaced)
 }
