--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -14,6 +14,7 @@
 	return append(commonSettings(),
 		setting{name: "caller-address", usage: "IP address and TCP port for callers", required: true, check: checkAddress},
 		setting{name: "operator-token-hash", usage: "SHA-256 of the operators' token in hexadecimal; without it the operator API refuses all", check: checkHash},
+		setting{name: "paced-services", usage: "services whose backend servers get work at a pace found from their answers after a start or recovery, separated by commas; * for all", check: checkServices},
 		setting{name: "settle", usage: "time to go on serving after SIGTERM while the balancer notices", defaultValue: "3s", check: checkDuration},
 	)
 }
@@ -41,6 +42,7 @@
 		CallerAddress:     c.String("caller-address"),
 		OperatorTokenHash: c.String("operator-token-hash"),
 		ShutdownDelay:     durationOf(c, "settle"),
+		PacedServices:     splitList(c.String("paced-services")),
 	}
 	e, err := entry.New(settings, entry.Dependencies{
 		Common:   p.common,
--- a/internal/command/setting.go
+++ b/internal/command/setting.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/entry"
 	"github.com/urfave/cli/v3"
 )
 
@@ -69,6 +70,19 @@
 	return nil
 }
 
+// checkServices checks names of services; * stands for all.
+func checkServices(value string) error {
+	for _, name := range splitList(value) {
+		if name == entry.AllServices {
+			continue
+		}
+		if err := checkName(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func checkAddress(value string) error {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		return fmt.Errorf("%q is not an IP address with a port, as in 10.0.0.7:7443", value)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,17 @@
 	// ShutdownDelay is how long a draining entry keeps serving after Ready turns false, so
 	// that the load balancer detects that first.
 	ShutdownDelay time.Duration
+	// PacedServices names the services whose replicas are paced after a start or recovery;
+	// AllServices stands for all.
+	PacedServices []string
+}
+
+// AllServices stands for all services in Settings.PacedServices.
+const AllServices = "*"
+
+// pacesStarts implements router.Options.PacedStarts.
+func (s Settings) pacesStarts(service string) bool {
+	return slices.Contains(s.PacedServices, service) || slices.Contains(s.PacedServices, AllServices)
 }
 
 // Dependencies are the components that an entry uses. TLS is the server configuration
@@ -185,6 +197,7 @@
 		RetryBudget: limiter.BudgetLimits{Ratio: retryBudgetRatio, Extra: retryBudgetExtra, Window: retryBudgetWindow},
 		// Replicas with old weights serve until they have loaded the new ones.
 		SupersededAt: func(string, int) (time.Time, bool) { return time.Time{}, false },
+		PacedStarts:  e.settings.pacesStarts,
 	}, e.pool, e.transport(), e.clock, e.logger, e.recorder)
 }
 
--- a/internal/routing/pacer/pace.go
+++ b/internal/routing/pacer/pace.go
@@ -129,9 +129,9 @@
 	limit  float64
 	shrunk bool
 	// base is the limit at the beginning of the round that grewAt began.
-	base float64
-	share  float64
-	round  time.Duration
+	base  float64
+	share float64
+	round time.Duration
 	// allowance is how many units this daemon may send in the round that began at roundAt; it may be
 	// negative after a large request. What is left of a round is lost: if daemons saved it, all could
 	// send at once.
