--- a/internal/routing/pacer/pace.go
+++ b/internal/routing/pacer/pace.go
@@ -173,7 +173,7 @@
 // Begin has the replica be paced. If it is paced already, it begins again only if it has answered
 // since. before is the pacer of the replica's last incarnation or nil: falls add up.
 func (p *Pacer) Begin(cause Cause, before *Pacer) {
-	falls, fellAt := before.history()
+	falls, fellAt, down := before.history()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
@@ -183,11 +183,13 @@
 	if fellAt.After(p.fellAt) {
 		p.falls, p.fellAt = falls, fellAt
 	}
-	// Weights in turn are no falls.
+	// Weights in turn are no falls, and a crash and the restart after it are one.
 	if cause != NewWeights {
-		p.falls++
-		if p.fellAt.IsZero() || now.Sub(p.fellAt) >= fallMemory {
+		switch {
+		case p.fellAt.IsZero() || now.Sub(p.fellAt) >= fallMemory:
 			p.falls = 0
+		case !down:
+			p.falls++
 		}
 		p.fellAt = now
 	}
@@ -206,14 +208,15 @@
 	p.notify(Paced, cause)
 }
 
-// history returns how often the replica has fallen in short succession, and when it last did.
-func (p *Pacer) history() (falls int, fellAt time.Time) {
+// history returns how often the replica has fallen in short succession, when it last did, and whether it has
+// not answered since a failure.
+func (p *Pacer) history() (falls int, fellAt time.Time, down bool) {
 	if p == nil {
-		return 0, time.Time{}
+		return 0, time.Time{}, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.falls, p.fellAt
+	return p.falls, p.fellAt, p.paced.Load() && p.probing && p.cause == Recovered
 }
 
 // updateShare reads this daemon's share. The caller holds mu.
@@ -346,8 +349,9 @@
 	return p
 }
 
-// Answered records that the request was answered now.
-func (f *Flight) Answered() {
+// Answered records that the request was answered now. free is set if the replica says that nothing waits
+// there: that speaks for all daemons' requests.
+func (f *Flight) Answered(free bool) {
 	p := f.end()
 	if p == nil {
 		return
@@ -358,7 +362,12 @@
 	p.round = min(maxRound, max(minRound, p.round+time.Duration(roundWeight*float64(took-p.round))))
 	p.probing = false
 	late := p.late(took, f.request.Expected)
-	p.judge(now, late, took-time.Duration(p.slowness*float64(f.request.Work)), f.units)
+	units := f.units
+	if free {
+		units = max(2, p.window())
+		p.sound++
+	}
+	p.judge(now, late, took-time.Duration(p.slowness*float64(f.request.Work)), units)
 }
 
 // judge changes the limit by whether answers are late and how long requests wait for others at the
--- a/internal/routing/pacer/pace_test.go
+++ b/internal/routing/pacer/pace_test.go
@@ -83,7 +83,7 @@
 				flights := f.send(usual)
 				<-time.After(100 * time.Millisecond)
 				for i := range flights {
-					flights[i].Answered()
+					flights[i].Answered(false)
 				}
 				for _, p := range f.pacers {
 					p.Reported(time.Now(), 0)
@@ -105,7 +105,7 @@
 			flights := f.send(usual)
 			<-time.After(after)
 			for i := range flights {
-				flights[i].Answered()
+				flights[i].Answered(false)
 			}
 		}
 		answer(100 * time.Millisecond)
@@ -129,7 +129,7 @@
 			flights := f.send(usual)
 			<-time.After(200 * time.Millisecond)
 			for i := range flights {
-				flights[i].Answered()
+				flights[i].Answered(false)
 			}
 		}
 		assert.Assert(t, !f.pacers[0].Paced() || f.pacers[0].Limit() > Started.firstLimit())
@@ -211,7 +211,7 @@
 		p := f.pacers[0]
 		p.Begin(Started, nil)
 		flights := f.send(usual)
-		flights[0].Answered()
+		flights[0].Answered(false)
 		p.Begin(Reachable, nil)
 		before := p.Limit()
 		for i := range flights {
@@ -230,7 +230,7 @@
 	defer p.mu.Unlock()
 	assert.Equal(t, testing.AllocsPerRun(100, func() {
 		flight, taken := p.Take(usual, false)
-		flight.Answered()
+		flight.Answered(false)
 		if p.Paced() || !taken {
 			panic("paced")
 		}
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -496,13 +496,13 @@
 	if reply.Status >= 500 && d.request.Route.repeatable() && d.fallback == nil {
 		d.fallback = &Result{Reply: reply, Body: body}
 		d.lastFailure = &Failure{Reason: ReasonReplicaFailed}
-		d.flight.Answered()
+		d.flight.Answered(reply.Running >= 0 && reply.Queued == 0)
 		d.excluded = append(d.excluded, replica)
 		r.logger.Info("route: replica answered with a server error.", "request", d.request.ID, "replica", replica.ID(), "status", reply.Status)
 		return nil, false
 	}
 	d.leaveBacklog()
-	d.flight.Answered()
+	d.flight.Answered(reply.Running >= 0 && reply.Queued == 0)
 	d.recordAnswerTime()
 	if reply.Status < 300 {
 		d.recordSound()
