--- a/internal/routing/router/opening_test.go
+++ b/internal/routing/router/opening_test.go
@@ -57,8 +57,8 @@
 	// mu guards the replicas and the fields below.
 	mu                    sync.Mutex
 	sent, inTime, refused int
-	// failedAttempts counts attempts at replicas that are down.
-	failedAttempts int
+	// lostAttempts counts attempts at replicas that are down or go down before the answer.
+	lostAttempts int
 }
 
 // newOpeningFleet returns a fleet of replicas with a number of slots, in each of which a request takes
@@ -88,7 +88,7 @@
 	f.mu.Lock()
 	r, now := f.replicas[i], time.Now()
 	if !r.up {
-		f.failedAttempts++
+		f.lostAttempts++
 		f.mu.Unlock()
 		return nil, ErrNotSent
 	}
@@ -109,10 +109,15 @@
 	r.freeAt[slot] = began.Add(work)
 	r.arrivals = append(r.arrivals, arrival{now, began.Sub(now)})
 	r.running++
+	start := r.start
 	f.mu.Unlock()
 	<-time.After(began.Add(work).Sub(now))
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !r.up || r.start != start {
+		f.lostAttempts++
+		return nil, errLost
+	}
 	r.running--
 	if a.Request.Prompt == nil {
 		reply := answerReply(200, "done")
@@ -212,6 +217,7 @@
 		r := f.replicas[i]
 		r.up = true
 		r.start++
+		r.running = 0
 		clear(r.freeAt)
 	}
 }
@@ -396,8 +402,41 @@
 	}
 	paced, unpaced := 0, 0
 	for range openingPlays {
-		paced += playAtHalfLoad(t, soundShare, flap).failedAttempts
-		unpaced += playAtHalfLoad(t, 0, flap).failedAttempts
+		paced += playAtHalfLoad(t, soundShare, flap).lostAttempts
+		unpaced += playAtHalfLoad(t, 0, flap).lostAttempts
 	}
+	t.Log(paced, unpaced)
 	assert.Assert(t, paced < unpaced, "%d, %d without a pace", paced, unpaced)
 }
+
+// TestWhichReplicasArePaced has replicas start, fail and come back: they are paced if their service is, but not
+// those that a daemon knows since its own start.
+func TestWhichReplicasArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, service := range []string{"s", "other"} {
+			b := newTestBed(3, func(int, *Attempt) (*Reply, error) { return nil, ErrNotSent })
+			b.router.options.PacedStarts = func(name string) bool { return name == service }
+			b.router.paceStarts()
+			paced := func(i int) bool { return b.pool.ReplicaByID(fmt.Sprint("i-", i)).pacer.Load().Paced() }
+			list := func(replicas int) (list []Descriptor) {
+				for i := range replicas {
+					list = append(list, descriptor(i, 1))
+				}
+				return list
+			}
+			b.pool.SetReplicas(list(4))
+			assert.Assert(t, !paced(3), "the list is new")
+			<-time.After(newListTime)
+			b.pool.SetReplicas(list(5))
+			assert.Equal(t, paced(4), service == "s", "new")
+			for i, phase := range []Phase{Unreachable, Loading, Preparing} {
+				b.pool.UpdateState(descriptor(i, 1).Address, State{Phase: phase, StartUnixMilli: 1})
+				b.pool.UpdateState(descriptor(i, 1).Address, State{StartUnixMilli: 1})
+				assert.Equal(t, paced(i), service == "s" && phase > Preparing, "%s before", phase)
+			}
+			b.pool.SetReplicas(list(3)[2:])
+			b.router.Begin(newRequest(route(Repeatable, 2, false)))
+			assert.Equal(t, paced(2), service == "s", "no connection")
+		}
+	})
+}
