standin: no port of a daemon is one that the system gives away

Cause: not traced, the log of the edge was not kept. Suspected: drew the ports of the product's daemons below the system's range, but its twin in the launcher of the platform's roles still took one that the system gives, one after the other, so that a relay on the same host or the other listener could get it. Ruled out: faults, as none is played before all edges are ready.

Both use FreePorts now. An edge that does not get ready is reported with the end of its output and how often it ended.

--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -76,6 +77,15 @@
 // LogPath returns the file that holds the process's output.
 func (p *Process) LogPath() string { return p.logPath }
 
+// LastOutput returns the end of the process's output, "" if it cannot be read.
+func (p *Process) LastOutput() string {
+	text, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return ""
+	}
+	return string(text[max(0, len(text)-lastOutputBytes):])
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) error {
 	if err := p.command.Process.Signal(signal); err != nil {
@@ -117,34 +127,51 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+n%254, pid>>8&0xff, 1+pid%254)
 }
 
-// Ports of freeAddresses. They are below those that the system gives to sockets by itself: one that sends
+// Ports of FreePorts. They are below those that the system gives to sockets by itself: one that sends
 // UDP from any address takes its port from all hosts.
 const minPort, maxPort = 15000, 30000
 
+// lastOutputBytes is how much LastOutput returns.
+const lastOutputBytes = 2000
+
 // maxPortTries bounds how many ports are tried for an address.
 const maxPortTries = 100
 
 // freeAddresses returns n different loopback addresses whose ports are free.
 func freeAddresses(n int) ([]string, error) {
+	host := LoopbackHost()
+	ports, err := FreePorts(host, n)
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]string, n)
+	for i, port := range ports {
+		addresses[i] = net.JoinHostPort(host, strconv.Itoa(port))
+	}
+	return addresses, nil
+}
+
+// FreePorts returns n different ports of an IP address that are free for TCP and UDP.
+func FreePorts(ip string, n int) ([]int, error) {
 	var sockets []io.Closer
 	defer func() {
 		for _, s := range sockets {
 			_ = s.Close()
 		}
 	}()
-	addresses, host := make([]string, n), LoopbackHost()
-	for i := range addresses {
-		for try := 0; addresses[i] == ""; try++ {
-			address := net.JoinHostPort(host, fmt.Sprint(minPort+rand.IntN(maxPort-minPort)))
-			reserved, err := reserve(address)
+	ports := make([]int, n)
+	for i := range ports {
+		for try := 0; ports[i] == 0; try++ {
+			port := minPort + rand.IntN(maxPort-minPort)
+			reserved, err := reserve(net.JoinHostPort(ip, strconv.Itoa(port)))
 			if err == nil {
-				addresses[i], sockets = address, append(sockets, reserved...)
+				ports[i], sockets = port, append(sockets, reserved...)
 			} else if try == maxPortTries {
 				return nil, fmt.Errorf("reserve a loopback port: %w", err)
 			}
 		}
 	}
-	return addresses, nil
+	return ports, nil
 }
 
 // reserve takes a port for TCP and UDP until the sockets are closed.
--- a/internal/standin/launcher/daemon.go
+++ b/internal/standin/launcher/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -55,13 +56,11 @@
 // New writes the settings of a machine and starts its daemon by the program at a path.
 func New(folder string, machine Machine, program string, bounds checker.Bounds, history *checker.History) (*Daemon, error) {
 	d := &Daemon{machine: machine, history: history, closing: make(chan struct{}), done: make(chan struct{}), grace: bounds.Grace}
-	for _, address := range []*string{&d.front, &d.ready} {
-		port, err := FreePort(machine.IP)
-		if err != nil {
-			return nil, err
-		}
-		*address = net.JoinHostPort(machine.IP, fmt.Sprint(port))
+	ports, err := fleet.FreePorts(machine.IP, 2)
+	if err != nil {
+		return nil, fmt.Errorf("reserve the ports of %s: %w", machine.Name, err)
 	}
+	d.front, d.ready = net.JoinHostPort(machine.IP, strconv.Itoa(ports[0])), net.JoinHostPort(machine.IP, strconv.Itoa(ports[1]))
 	text, err := settingsText(machine, d.front, d.ready, bounds)
 	if err != nil {
 		return nil, err
@@ -81,16 +80,6 @@
 	return d, nil
 }
 
-// FreePort returns a port of an IP address that is free now.
-func FreePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return 0, fmt.Errorf("reserve a port: %w", err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
-}
-
 // Name returns the name of the daemon, Front the address where it serves callers.
 func (d *Daemon) Name() string { return d.machine.Name }
 
@@ -279,7 +268,7 @@
 		}
 		<-time.After(readyInterval)
 	}
-	return fmt.Errorf("%s is not ready after %v", d.machine.Name, timeout)
+	return fmt.Errorf("%s is not ready after %v, ended by itself %d times, and wrote last: %s", d.machine.Name, timeout, d.Crashes(), d.process.LastOutput())
 }
 
 // Close kills the process for good.
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -96,9 +96,11 @@
 			return err
 		}
 	}
-	if d.port, err = launcher.FreePort(d.host); err != nil {
-		return err
+	ports, err := fleet.FreePorts(d.host, 1)
+	if err != nil {
+		return fmt.Errorf("reserve a port of the daemons: %w", err)
 	}
+	d.port = ports[0]
 	for i := range d.options.Generators {
 		if err := d.addGenerator(i); err != nil {
 			return err
