A read of the listener ends at its deadline also while bytes wait

Cause: Read looked at its deadline only if no byte waited, and a client that sends fast enough always has one waiting. Ruled out: a failure as soon as the deadline has passed, as a process that was frozen has requests waiting that arrived in time.

When the deadline passes, what is received by then may still be read; then reads time out until the next deadline is set.

--- a/listener/listener.go
+++ b/listener/listener.go
@@ -292,6 +292,10 @@
 	// readDeadline and writeDeadline are zero when there is none.
 	readDeadline, writeDeadline time.Time
 	readTimer, writeTimer       *time.Timer
+	// readExpired is set once the current readDeadline was found to have passed, and inTime is how many
+	// bytes of inbound had been received by then: those may still be read.
+	readExpired bool
+	inTime      int
 }
 
 // appendInbound adds received bytes to inbound, or returns false if they would exceed
@@ -399,7 +403,14 @@
 		}
 		c.changed.Wait()
 	}
+	if c.readExpired && c.inTime == 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n := copy(p, c.inbound)
+	if c.readExpired {
+		n = min(n, c.inTime)
+		c.inTime -= n
+	}
 	c.inbound = c.inbound[n:]
 	c.readWhileIdle = c.readWhileIdle || c.idle
 	if len(c.inbound) == 0 {
@@ -549,7 +560,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readDeadline = t
+	c.readDeadline, c.readExpired = t, false
 	c.setTimer(&c.readTimer, t)
 	return nil
 }
@@ -574,6 +585,9 @@
 		*timer = time.AfterFunc(time.Until(t), func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
+			if !c.readExpired && expired(c.readDeadline) {
+				c.readExpired, c.inTime = true, len(c.inbound)
+			}
 			c.changed.Broadcast()
 		})
 	}
