--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -14,6 +14,7 @@
 	return append(commonSettings(),
 		setting{name: "caller-address", usage: "IP address and TCP port for callers", required: true, check: checkAddress},
 		setting{name: "operator-token-hash", usage: "SHA-256 of the operators' token in hexadecimal; without it the operator API refuses all", check: checkHash},
+		setting{name: "outbound-megabytes", usage: "memory for what callers have not taken yet of their answers; beyond it a caller that takes nothing for 5s is disconnected; 0: only that of each caller is bounded", defaultValue: "0", check: checkCount},
 		setting{name: "settle", usage: "time to go on serving after SIGTERM while the balancer notices", defaultValue: "3s", check: checkDuration},
 	)
 }
@@ -41,6 +42,7 @@
 		CallerAddress:     c.String("caller-address"),
 		OperatorTokenHash: c.String("operator-token-hash"),
 		ShutdownDelay:     durationOf(c, "settle"),
+		OutboundBytes:     countOf(c, "outbound-megabytes") << 20,
 	}
 	e, err := entry.New(settings, entry.Dependencies{
 		Common:   p.common,
--- a/internal/command/setting.go
+++ b/internal/command/setting.go
@@ -7,12 +7,16 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
 )
 
+// maxCount is the largest number of a setting.
+const maxCount = 1 << 20
+
 // environmentPrefix begins the environment variables of all settings.
 const environmentPrefix = "CYCLAMENWARD_"
 
@@ -92,6 +96,13 @@
 	return nil
 }
 
+func checkCount(value string) error {
+	if n, err := strconv.Atoi(value); err != nil || n < 0 || n > maxCount {
+		return fmt.Errorf("%q is not a whole number from 0 to %d", value, maxCount)
+	}
+	return nil
+}
+
 func checkReadable(path string) error {
 	file, err := os.Open(path)
 	if err != nil {
@@ -135,6 +146,12 @@
 	return d
 }
 
+// countOf returns the value of a setting that checkCount has accepted.
+func countOf(c *cli.Command, name string) int {
+	n, _ := strconv.Atoi(c.String(name))
+	return n
+}
+
 // settingsCommand returns the command that prints the reference page of all settings.
 func settingsCommand() *cli.Command {
 	return &cli.Command{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,8 @@
 	// delayPerRunningRequest is the assumed increase of the time to first token for each
 	// running request.
 	delayPerRunningRequest = time.Millisecond
+	// callerStallTimeout is how long a caller for whom others wait may take nothing of its answer.
+	callerStallTimeout = 5 * time.Second
 	// plainRequestTime and plainSlots are the assumed duration of a plain call and the
 	// assumed number of calls that a plain server runs at once. The router estimates the
 	// wait at a plain server from them and from the number of requests there.
@@ -74,6 +76,9 @@
 	// ShutdownDelay is how long a draining entry keeps serving after Ready turns false, so
 	// that the load balancer detects that first.
 	ShutdownDelay time.Duration
+	// OutboundBytes bounds what all callers together have not taken yet of their answers, 0 for no such
+	// bound.
+	OutboundBytes int
 }
 
 // Dependencies are the components that an entry uses. TLS is the server configuration
@@ -148,6 +153,9 @@
 		linkServer.Close()
 		return nil, fmt.Errorf("caller address: %w", err)
 	}
+	if settings.OutboundBytes > 0 {
+		e.callerListener.LimitOutbound(listener.OutboundLimit{Bytes: settings.OutboundBytes, StallTimeout: callerStallTimeout, OnStalled: func() { e.recorder.Count("callers.stalled") }})
+	}
 	e.callerServer = &fasthttp.Server{
 		Name:               "cyclamenward",
 		Handler:            e.handleCaller,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,9 @@
 	Grace time.Duration
 	// Memory is what the bodies of all requests and the answers take together.
 	Memory *reserver.Budget
+	// Outbound bounds what clients have not taken yet of their answers; without Bytes only that of
+	// each client is bounded.
+	Outbound listener.OutboundLimit
 }
 
 // Gateway is an HTTP server for callers, with a second server for readiness checks.
@@ -97,6 +100,9 @@
 	if g.callerListener, err = listener.New(settings.Address, maxInboundBytes); err != nil {
 		return nil, fmt.Errorf("caller address: %w", err)
 	}
+	if settings.Outbound.Bytes > 0 {
+		g.callerListener.LimitOutbound(settings.Outbound)
+	}
 	if g.readinessListener, err = listener.New(settings.ReadyAddress, 64<<10); err != nil {
 		return nil, fmt.Errorf("ready address: %w", err)
 	}
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -109,6 +109,8 @@
 	// timedOut is set once this daemon has ended the attempt because its replica did not
 	// answer in time, and recalled once it has because the request is isolated.
 	timedOut, recalled atomic.Bool
+	// longestUnread is the longest time for which the stream was not read, as its caller took nothing.
+	longestUnread time.Duration
 	// firstEventDelay is the time from sentAt to the first event.
 	firstEventDelay time.Duration
 	// inBacklog is set while the attempt counts in its replica's backlogTokens, until
@@ -370,7 +372,7 @@
 		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes, "route", request.Route.Name, "sent", d.sentTo.count(), "ran", d.runAttempts, "most", request.Route.MaxAttempts)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
-	d.interrupted, d.continued, d.unreachable = false, false, nil
+	d.interrupted, d.continued, d.unreachable, d.longestUnread = false, false, nil, 0
 	d.streaming.Store(false)
 	d.timedOut.Store(false)
 	d.recalled.Store(false)
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -11,6 +11,10 @@
 // take it over. Pauses of preempted requests are mostly shorter.
 const silenceTimeout = 1200 * time.Millisecond
 
+// unreadTimeout is how long an answer may be left unread, because its caller takes nothing, before the
+// replica may cut it off without having failed.
+const unreadTimeout = 2 * time.Second
+
 // idOrder says how the IDs of a stream's events increase.
 type idOrder int
 
@@ -124,10 +128,23 @@
 	// passed on.
 	pending  bool
 	complete bool
+	// returnedAt is when the last event was returned, zero before the first.
+	returnedAt time.Time
 }
 
 // Next returns the next event. io.EOF means that the stream is complete.
 func (s *EventStream) Next() (Event, error) {
+	d := s.dispatch
+	if !s.returnedAt.IsZero() {
+		d.longestUnread = max(d.longestUnread, d.router.clock.Now().Sub(s.returnedAt))
+	}
+	event, err := s.next()
+	s.returnedAt = d.router.clock.Now()
+	return event, err
+}
+
+// next implements Next.
+func (s *EventStream) next() (Event, error) {
 	if s.pending {
 		s.pending = false
 		return s.first, nil
@@ -186,8 +203,12 @@
 	d.interrupted = true
 	replica := d.choice.replica
 	d.router.recorder.Count("streams.broken")
-	d.router.logger.Info("route: stream interrupted.", "request", d.request.ID, "content", d.request.ContentKey, "replica", replica.ID(), "last", d.lastEventID, "err", cause)
+	d.router.logger.Info("route: stream interrupted.", "request", d.request.ID, "content", d.request.ContentKey, "replica", replica.ID(), "last", d.lastEventID, "unread", d.longestUnread, "err", cause)
 	d.excluded = append(d.excluded, replica)
+	if d.longestUnread >= unreadTimeout {
+		d.router.recorder.Count("streams.unread")
+		return
+	}
 	d.recordCrash(cause)
 	if d.ctx.Err() == nil {
 		replica.recordFailure(d.router.clock.Now())
--- a/listener/deadline_test.go
+++ b/listener/deadline_test.go
@@ -14,7 +14,7 @@
 // whole request because some byte always waits to be read. What was received in time is read.
 func TestReadsEndAtTheDeadlineOfAFlood(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &conn{maxInboundBytes: 1 << 10}
+		c := &conn{maxInboundBytes: 1 << 10, outbound: &outbound{conns: make(map[*conn]bool)}}
 		c.changed = sync.NewCond(&c.mu)
 		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
 		assert.Check(t, c.appendInbound([]byte("in time")))
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -4,7 +4,7 @@
 // as a net.Conn. Buffers are bounded in both directions: a client that sends more than
 // maxAheadBytes ahead of what the server has read is taken off gnet's event loop and read
 // at the pace of the server, and a write waits while a slow client has more than
-// maxOutboundBytes outstanding.
+// maxOutboundBytes outstanding, or more than its part of what may be outstanding for all clients.
 package listener
 
 import (
@@ -67,6 +67,8 @@
 	// conns holds the open connections. readsEnded is set once their reads fail; openMu guards it.
 	conns      sync.Map
 	readsEnded bool
+	// outbound counts what is outstanding for all clients.
+	outbound outbound
 }
 
 // New listens on a TCP address. A client that sends ahead while its last answer is not taken yet is
@@ -83,6 +85,7 @@
 		booted:          make(chan struct{}),
 		closed:          make(chan struct{}),
 		stopped:         make(chan struct{}),
+		outbound:        outbound{conns: make(map[*conn]bool)},
 	}
 	go func() {
 		l.runErr = gnet.Run(l, "tcp://"+resolved.String(), gnet.WithMulticore(true), gnet.WithReuseAddr(true), gnet.WithLogger(discardLogger{}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
@@ -142,7 +145,7 @@
 
 // OnOpen implements gnet.EventHandler.
 func (l *Listener) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
-	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, refusal: &l.refusal, disconnected: make(chan struct{})}
+	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, refusal: &l.refusal, outbound: &l.outbound, disconnected: make(chan struct{})}
 	c.changed = sync.NewCond(&c.mu)
 	raw.SetContext(c)
 	l.openMu.Lock()
@@ -280,6 +283,13 @@
 	// bufferedBytes counts bytes in gnet's outbound buffer, which a slow client has not
 	// taken yet.
 	bufferedBytes int
+	// outbound is that of the listener, in which counted bytes are counted for this connection. takenAt is
+	// when the client last took some.
+	outbound *outbound
+	counted  int
+	takenAt  time.Time
+	// awaitsRoom is set while a write waits.
+	awaitsRoom bool
 	// pollScheduled is set while a check of the outbound buffer is scheduled.
 	pollScheduled bool
 	// ended is set once the connection has ended and is never cleared.
@@ -332,6 +342,7 @@
 	defer c.mu.Unlock()
 	if !c.ended {
 		c.ended = true
+		c.countOutstanding()
 		close(c.disconnected)
 	}
 	c.changed.Broadcast()
@@ -427,13 +438,7 @@
 // passed to the event loop.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.queuedBytes+c.bufferedBytes > maxOutboundBytes {
-		timer := time.AfterFunc(writeTimeout, c.markEnded)
-		defer timer.Stop()
-	}
-	for c.queuedBytes+c.bufferedBytes > maxOutboundBytes && !c.ended && !expired(c.writeDeadline) {
-		c.changed.Wait()
-	}
+	c.awaitRoom()
 	if c.ended {
 		c.mu.Unlock()
 		return 0, net.ErrClosed
@@ -448,6 +453,7 @@
 		return c.writeDirect(p, deadline)
 	}
 	c.queuedBytes += len(p)
+	c.countOutstanding()
 	c.mu.Unlock()
 	data := append([]byte(nil), p...)
 	callback := func(raw gnet.Conn, err error) error {
@@ -471,6 +477,7 @@
 	c.mu.Lock()
 	c.queuedBytes -= n
 	c.bufferedBytes = bufferedBytes
+	c.countOutstanding()
 	wasScheduled := c.pollScheduled
 	c.pollScheduled = bufferedBytes > 0
 	c.changed.Broadcast()
