A check of a configuration before it is sent

Change: internal/configuration/auditor checks routes, services and workspaces as the router has them and compares two documents by the names of their entries; cyclamenward-platform check and cyclamenward service check, as text or JSON, with exit codes. Keys are shown as fingerprints. Daemons are as before. TestEachFaultIsFound, TestCheckShowsWhatDiffers, TestConfigurationIsCheckedBeforeItIsSent. Left: quotas on the platform, until they are decoded; the version in force is a file.

--- a/internal/command/service.go
+++ b/internal/command/service.go
@@ -35,6 +35,7 @@
 		Usage: "work with service documents",
 		Commands: []*cli.Command{
 			validateCommand(),
+			checkCommand(),
 			applyCommand(),
 			getCommand(),
 			historyCommand(),
