standin soak: a workspace far above its quota, beside drawn faults

The soak learns quotas: workspaces of its configuration may have one, its settings name the platform's bounds, and its checker sums what each workspace sent and had run in any window of 8 s, over all edges. Broken variants: a full bucket at each machine, a lowered quota used as before.

--- a/internal/standin/checker/check.go
+++ b/internal/standin/checker/check.go
@@ -30,6 +30,7 @@
 	{"STALE", (*History).findStale},
 	{"WALL", (*History).findShared},
 	{"VERSION", (*History).findOldWeights},
+	{"QUOTA", (*History).findOverQuota},
 }
 
 // Check returns all broken promises, each with the name of its rule in front.
--- a/internal/standin/checker/check_test.go
+++ b/internal/standin/checker/check_test.go
@@ -99,6 +99,17 @@
 		},
 		"MIXED: no run": func(p play) { p.answer(sealed("once", "r1")) },
 		"DENIED: 401":   func(p play) { p.answer(Answer{ID: "once", Status: http.StatusUnauthorized, Complete: true}) },
+		"QUOTA: a full bucket at each machine": func(p play) {
+			p.configurations = []Version{{Number: 1, SentAt: at(-time.Minute), AckAt: at(-time.Minute), Quotas: map[string]Quota{"w": {Rate: 100, Burst: 1000}}}}
+			p.use(int((8*100+1000)*1.1+DefaultBounds().QuotaSlack)/100 + 1)
+		},
+		"QUOTA: lowered, and used as before": func(p play) {
+			p.configurations = []Version{
+				{Number: 1, SentAt: at(-3 * time.Minute), AckAt: at(-3 * time.Minute), Quotas: map[string]Quota{"w": {Rate: 1000}}},
+				{Number: 2, SentAt: at(-time.Minute), AckAt: at(-time.Minute), Quotas: map[string]Quota{"w": {Rate: 100}}},
+			}
+			p.use(1 + int(8*100*1.1+DefaultBounds().QuotaSlack)/100)
+		},
 		"LOST: passed on and cut": func(p play) {
 			p.run("once", "r1", 0)
 			p.answer(Answer{ID: "once"})
@@ -241,6 +252,15 @@
 	p.Send(Request{ID: id, Machine: "e", Method: "GET", Path: "/v/x", Workspace: "w", Kind: Repeatable, Timeout: 3 * time.Second, Since: since, Until: since + 1, SentAt: when})
 }
 
+// use has workspace w run a number of requests of 100 tokens at once.
+func (p play) use(requests int) {
+	for n := range requests {
+		id := fmt.Sprint("use", n)
+		p.Send(Request{ID: id, Machine: "e", Method: "GET", Path: "/look/x", Workspace: "w", Kind: Repeatable, Timeout: 3 * time.Second, MaxAttempts: 2, Tokens: 100, SentAt: epoch})
+		p.run(id, "r1", time.Millisecond)
+	}
+}
+
 // sendRepeatable sends a request that may run again.
 func (p play) sendRepeatable(id string) {
 	p.Send(Request{ID: id, Machine: "e", Method: "GET", Path: "/look/x", Workspace: "w", Kind: Repeatable, Timeout: 3 * time.Second, MaxAttempts: 2, SentAt: epoch})
@@ -292,6 +312,17 @@
 			p.send("new", 3, at(-8*time.Second))
 			p.answer(Answer{ID: "new", Status: http.StatusNotFound, Complete: true, EndedAt: at(-7 * time.Second)})
 		},
+		"what a quota allows": func(p play) {
+			p.configurations = []Version{{Number: 1, SentAt: at(-time.Minute), AckAt: at(-time.Minute), Quotas: map[string]Quota{"w": {Rate: 100, Burst: 1000}}}}
+			p.use(int((8*100+1000)*1.1+DefaultBounds().QuotaSlack) / 100)
+		},
+		"a quota that is lowered just now": func(p play) {
+			p.configurations = []Version{
+				{Number: 1, SentAt: at(-3 * time.Minute), AckAt: at(-3 * time.Minute), Quotas: map[string]Quota{"w": {Rate: 1000}}},
+				{Number: 2, SentAt: at(-time.Second), AckAt: at(-time.Second), Quotas: map[string]Quota{"w": {Rate: 100}}},
+			}
+			p.use(1 + int(8*100*1.1+DefaultBounds().QuotaSlack)/100)
+		},
 		"holders after the lease": func(p play) {
 			p.RecordOrder(Order{Replica: "m", Holder: "a", Fence: 1, At: epoch})
 			p.RecordOrder(Order{Replica: "m", Holder: "b", Fence: 2, At: at(DefaultBounds().Lease)})
--- a/internal/standin/checker/fields.go
+++ b/internal/standin/checker/fields.go
@@ -43,6 +43,10 @@
 	// BudgetRatio and BudgetExtra are the retry budget of all machines in each BudgetWindow.
 	BudgetRatio, BudgetExtra float64
 	BudgetWindow             time.Duration
+	// QuotaOver and QuotaSlack are by how much more than its quota, as a share and in tokens, a workspace
+	// may run in each QuotaWindow.
+	QuotaOver, QuotaSlack float64
+	QuotaWindow           time.Duration
 	// Lease is the time within which two holders may not take turns in sending orders.
 	Lease time.Duration
 	// Version is the time after which requests may not begin on older weights.
@@ -55,6 +59,7 @@
 		Grace: 8 * time.Second, Stable: 4 * time.Second, LossSlack: 200 * time.Millisecond, Drain: 2500 * time.Millisecond,
 		ConfigDeadline: 2500 * time.Millisecond, RollbackSlack: 250 * time.Millisecond,
 		BudgetRatio: 0.2, BudgetExtra: 54, BudgetWindow: 10 * time.Second,
+		QuotaOver: 0.1, QuotaSlack: 5000, QuotaWindow: 8 * time.Second,
 		Lease: 3 * time.Second, Version: 8 * time.Second,
 	}
 }
--- a/internal/standin/checker/history.go
+++ b/internal/standin/checker/history.go
@@ -35,6 +35,8 @@
 	// Timeout is the smaller one of the caller's deadline and the route's timeout.
 	Timeout     time.Duration
 	MaxAttempts int
+	// Tokens is what the request takes of its workspace's quota.
+	Tokens float64
 	// Since and Until are the first and the last version of the configuration with its route,
 	// 0 if all have it.
 	Since, Until int
@@ -135,6 +137,8 @@
 type Version struct {
 	Number        int
 	SentAt, AckAt time.Time
+	// Quotas holds the quotas of a configuration by workspace.
+	Quotas map[string]Quota
 }
 
 // Order is an order to a replica.
--- a/internal/standin/launcher/settings.go
+++ b/internal/standin/launcher/settings.go
@@ -29,6 +29,8 @@
 	StoreAddress string
 	// App is the address of the model replica of a side, Service its service.
 	App, Service string
+	// Invariants names the parts of the platform's rules that are in force beyond those of all deployments.
+	Invariants []string
 }
 
 // settingsText returns the settings file of a machine. JSON is YAML.
@@ -39,12 +41,14 @@
 		"listen":          map[string]string{"front": front, "ready": ready},
 		"ephemeral-ports": []int{m.Port, m.Port + portCount - 1},
 		"bootstrap":       true,
+		"invariants":      m.Invariants,
 		"limits":          map[string]any{"memory-mb": MemoryMB, "max-fds": 4100, "link-mbps": 1000, "cpu-share": 0.304, "cpu-cores": 1},
 		"heartbeat-ms":    1200,
 		"bounds": map[string]any{
 			"grace-s": bounds.Grace.Seconds(), "stable-ms": bounds.Stable.Milliseconds(), "loss-slack-ms": bounds.LossSlack.Milliseconds(), "drain-ms": bounds.Drain.Milliseconds(),
 			"config-deadline-ms": bounds.ConfigDeadline.Milliseconds(), "rollback-slack-ms": bounds.RollbackSlack.Milliseconds(),
 			"retry-budget-ratio": bounds.BudgetRatio, "budget-extra": bounds.BudgetExtra, "budget-window-s": bounds.BudgetWindow.Seconds(),
+			"quota-over": bounds.QuotaOver, "quota-slack": bounds.QuotaSlack, "quota-window-s": bounds.QuotaWindow.Seconds(),
 			"lease-ms": bounds.Lease.Milliseconds(), "version-ms": bounds.Version.Milliseconds(), "require-fence": false,
 		},
 		"platform": map[string]any{"address": m.StoreAddress, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1 << 20, "ttl-min-ms": 1000},
--- a/internal/standin/soaker/caller.go
+++ b/internal/standin/soaker/caller.go
@@ -124,7 +124,10 @@
 
 // drawWorkspace draws the workspace of a request and returns its key.
 func (c *caller) drawWorkspace(request *checker.Request) string {
-	request.Workspace = []string{"club-a", "club-b", dedicatedWorkspace}[c.random.IntN(3)]
+	request.Workspace, request.Tokens = []string{"club-a", "club-b", dedicatedWorkspace}[c.random.IntN(3)], plainTokens
+	if request.Prompt != "" {
+		request.Tokens = promptTokens + outputTokens
+	}
 	return keys[request.Workspace]
 }
 
@@ -165,7 +168,7 @@
 func (c *caller) write(connection net.Conn, request checker.Request, key string) error {
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n", request.Method, request.Path, host, checker.FieldRequestID, request.ID, checker.FieldDeadline, request.Timeout.Milliseconds(), key)
 	if request.Prompt != "" {
-		head += fmt.Sprintf("%s: %s\r\n%s: 600,80\r\n%s: %s\r\n", checker.FieldModel, modelName, checker.FieldTokenCounts, checker.FieldPromptPrefix, request.Prompt)
+		head += fmt.Sprintf("%s: %s\r\n%s: %d,%d\r\n%s: %s\r\n", checker.FieldModel, modelName, checker.FieldTokenCounts, promptTokens, outputTokens, checker.FieldPromptPrefix, request.Prompt)
 	}
 	if request.ContentType != "" {
 		head += "Content-Type: " + request.ContentType + "\r\n"
--- a/internal/standin/soaker/case.go
+++ b/internal/standin/soaker/case.go
@@ -186,6 +186,12 @@
 	}
 }
 
+// hotQuotas are the quotas of playQuotas. The first workspace asks for several times its own.
+var hotQuotas = map[string]checker.Quota{"club-a": {Rate: 1500, Burst: 1500}, "club-b": {Rate: 60000, Burst: 60000}}
+
+// playQuotas has a workspace ask for more than its quota while all kinds of drawn faults strike.
+func playQuotas(d *deployment, quiet bool) error { return playTroubled(d, quiet) }
+
 // playTroubled does what playBusy does while all kinds of drawn faults strike.
 func playTroubled(d *deployment, quiet bool) error {
 	end := d.crowd(busyCallers)
--- a/internal/standin/soaker/configuration.go
+++ b/internal/standin/soaker/configuration.go
@@ -17,6 +17,8 @@
 	plainTimeout, streamTimeout = 3 * time.Second, 15 * time.Second
 	plainAttempts               = 3
 	streamAttempts              = 2
+	// plainTokens is what a plain request takes of a quota, promptTokens and outputTokens what a stream has.
+	plainTokens, promptTokens, outputTokens = 20, 600, 80
 	// onceAttempts is for streams that may not be resumed, as in the users' deployments.
 	onceAttempts = 1
 	// versionsKept is for how many versions the configuration keeps the route that a version adds.
@@ -31,8 +33,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.configuration++
-	version := checker.Version{Number: d.configuration, SentAt: time.Now()}
-	if err := d.store.Put("op/config", configurationOf(d.configuration)); err != nil {
+	version := checker.Version{Number: d.configuration, SentAt: time.Now(), Quotas: d.options.Quotas}
+	if err := d.store.Put("op/config", configurationOf(d.configuration, d.options.Quotas)); err != nil {
 		return err
 	}
 	version.AckAt = time.Now()
@@ -41,7 +43,7 @@
 }
 
 // configurationOf returns a version of the configuration.
-func configurationOf(version int) map[string]any {
+func configurationOf(version int, quotas map[string]checker.Quota) map[string]any {
 	plain := func(name, kind string) map[string]any {
 		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": plainService, "route-kind": kind, "timeout-ms": plainTimeout.Milliseconds(), "target-latency-ms": 200, "priority": 2, "max-attempts": plainAttempts, "public": false}
 	}
@@ -54,7 +56,11 @@
 	}
 	workspaces := []any{}
 	for name, key := range keys {
-		workspaces = append(workspaces, map[string]any{"name": name, "api-keys": []string{key}, "dedicated": name == dedicatedWorkspace})
+		workspace := map[string]any{"name": name, "api-keys": []string{key}, "dedicated": name == dedicatedWorkspace}
+		if quota, limited := quotas[name]; limited {
+			workspace["rate-per-s"], workspace["burst"], workspace["unit"], workspace["plain-tokens"] = quota.Rate, quota.Burst, "token_stream", plainTokens
+		}
+		workspaces = append(workspaces, workspace)
 	}
 	return map[string]any{
 		"version": version, "routes": routes, "tenants": workspaces,
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -37,6 +37,10 @@
 	// Pause the pause that it asks for when it rejects others.
 	Places int
 	Pause  time.Duration
+	// Quotas holds the quotas of workspaces, Invariants the parts of the rules that are in force beyond those
+	// of all deployments.
+	Quotas     map[string]checker.Quota
+	Invariants []string
 	// Linked puts relays on the links of callers and of replicas too.
 	Linked bool
 	// Seed draws what a scenario leaves open.
@@ -132,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	machine.Port, machine.StoreAddress = d.port, storeAddress
+	machine.Port, machine.StoreAddress, machine.Invariants = d.port, storeAddress, d.options.Invariants
 	return launcher.New(d.options.Folder, machine, d.options.Program, d.options.Bounds, d.history)
 }
 
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -40,6 +40,7 @@
 	"watchcut":  {Options{Edges: 2, Workers: 40}, playWatchCuts},
 	"busy":      {Options{Edges: 5, Workers: 6, Generators: 4, Places: 6, Pause: 2 * time.Second}, playBusy},
 	"troubled":  {Options{Edges: 5, Workers: 6, Generators: 4, Places: 6, Pause: 2 * time.Second}, playTroubled},
+	"quotas":    {Options{Edges: 5, Workers: 6, Generators: 4, Quotas: hotQuotas, Invariants: []string{"quota", "pressure"}}, playQuotas},
 	"memory":    {Options{Edges: 1, Workers: 3}, playMemory},
 }
 
