Replicas whose memory is full are judged as before

Not kept: no request to a replica that would hold more tokens than its memory with it.

Cause: an engine lets what it has no memory for wait, and most of that is still in time; here it was refused. No replica was seen to crash for what it holds, so the rule has nothing to show for it. The bound of what callers leave unread stays.

--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -222,7 +222,7 @@
 		c.wait += r.plainWait(cand)
 	} else {
 		loss, ok := s.weightsLoss(cand)
-		if !ok || s.exceedsMemory(cand) {
+		if !ok {
 			return choice{}, false
 		}
 		c.wait += s.planPrefill(&c) + s.modelWait(&c, cand)
@@ -282,27 +282,6 @@
 	return 0, true
 }
 
-// exceedsMemory reports whether the replica would hold more than its memory with the request, where that
-// must not happen: what it holds by its last report, what it has not read yet, and the request.
-func (s *selection) exceedsMemory(cand *candidate) bool {
-	if !s.router.options.BoundedMemory || s.engine == nil || s.engine.MemoryTokens <= 0 {
-		return false
-	}
-	held := s.request.Prompt.Tokens + s.request.Prompt.MaxOutputTokens
-	for rank := range PriorityLevels {
-		own, reported := cand.replica.backlogTokens[rank].Load(), cand.replica.reportedBacklog[rank].Load()
-		if cand.state == nil {
-			held += int(own)
-			continue
-		}
-		held += cand.state.BacklogTokens[rank] + int(max(0, own-reported))
-	}
-	if cand.state != nil {
-		held += cand.state.MemoryUsed
-	}
-	return held > s.engine.MemoryTokens
-}
-
 // capacityLoss returns the loss if the replica has no memory or slot for the request.
 func (s *selection) capacityLoss(cand *candidate) float64 {
 	if s.engine == nil || cand.state == nil {
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -44,8 +44,6 @@
 	// asks them. They may be nil.
 	RecordStream func(pinner.Record)
 	FindStream   func(context.Context, pinner.Query) pinner.Origin
-	// BoundedMemory keeps requests from replicas that would hold more than their memory with them.
-	BoundedMemory bool
 	// UpdateList brings the list of replicas up to the moment of the call and reports whether that
 	// was possible; nil means that the list is always current.
 	UpdateList func(context.Context) bool
