--- a/internal/routing/pacer/pace.go
+++ b/internal/routing/pacer/pace.go
@@ -48,7 +48,7 @@
 	quietRounds = 3
 	// soundRounds is how many sound rounds, less late ones, open a replica also if the limit binds: the
 	// choice itself keeps its queue short from then on.
-	soundRounds = 4
+	soundRounds = 3
 	// fallMemory is how long after a fall the next one makes the replica begin lower.
 	fallMemory = 15 * time.Second
 	// maxFalls bounds how often the first limit is halved.
@@ -365,7 +365,7 @@
 	units := f.units
 	if free {
 		units = max(2, p.window())
-		p.sound++
+		p.sound += 2
 	}
 	p.judge(now, late, took-time.Duration(p.slowness*float64(f.request.Work)), units)
 }
