--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -127,6 +127,9 @@
 	largeGroup *group
 	// affinityHome is the plain server that the request's affinity selects, or nil.
 	affinityHome *Replica
+	// leftToOlder is set if replicas with older weights are preferred, because those with
+	// current ones have no room for all requests.
+	leftToOlder bool
 }
 
 // pins are the versions that must produce an answer because they began it.
@@ -163,6 +166,7 @@
 	} else {
 		s.sample(g)
 	}
+	s.leftToOlder = s.leavesCurrentWeights()
 	best, found := choice{}, false
 	for i := range s.candidates {
 		if !s.candidates[i].eligible {
@@ -266,9 +270,19 @@
 	return nil
 }
 
-// weightsLoss returns the loss caused by old weights of the replica. It returns false
-// if they are too old to start a request on.
+// weightsLoss returns the loss caused by the replica's weights. It returns false if they are too
+// old to start a request on.
 func (s *selection) weightsLoss(cand *candidate) (float64, bool) {
+	loss, usable := s.ageLoss(cand)
+	if usable && s.leftToOlder {
+		return oldWeightsLoss - loss, true
+	}
+	return loss, usable
+}
+
+// ageLoss returns the loss of an answer on the replica's weights, false if they are too old to
+// start a request on.
+func (s *selection) ageLoss(cand *candidate) (float64, bool) {
 	supersededAt, superseded := s.router.options.SupersededAt(s.request.Prompt.Model, cand.weightsVersion)
 	if cand.weightsVersion == 0 || !superseded {
 		return 0, true
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -40,6 +40,9 @@
 	// SupersededAt returns when a version newer than the given one was first named for
 	// the model, and false if there is no newer one.
 	SupersededAt func(model string, version int) (time.Time, bool)
+	// LoadAware reports whether requests are spread over older and current weights by how many
+	// replicas have each; nil means that current ones are always preferred.
+	LoadAware func() bool
 	// RecordStream has other daemons record which software version began a stream, FindStream
 	// asks them. They may be nil.
 	RecordStream func(pinner.Record)
--- /dev/null
+++ b/internal/routing/router/weightsshare.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// currentWeightsHeadroom is how much more than an average replica one with current weights is
+	// asked to take while there are few of them.
+	currentWeightsHeadroom = 1.5
+	// promptSpread is the width of the interval from which the requests with the same prompt parts
+	// draw: parts move to the new weights one after another, each is read there by few replicas,
+	// and one that much of the traffic shares does not move at once.
+	promptSpread = 0.25
+)
+
+// leavesCurrentWeights reports whether the request is left to the replicas with older weights:
+// those with current weights have no room for all requests while they are few. Without this every
+// daemon would send all its requests to the first replica that comes back with new weights, long
+// before its reports show them.
+func (s *selection) leavesCurrentWeights() bool {
+	if s.request.Prompt == nil || s.router.options.LoadAware == nil || !s.router.options.LoadAware() || s.pins.weights != 0 {
+		return false
+	}
+	eligible, current := 0, 0
+	for i := range s.candidates {
+		if !s.candidates[i].eligible {
+			continue
+		}
+		loss, usable := s.ageLoss(&s.candidates[i])
+		if !usable {
+			continue
+		}
+		eligible++
+		if loss == 0 {
+			current++
+		}
+	}
+	if current == 0 {
+		return false
+	}
+	return s.request.weightsDraw() >= currentWeightsHeadroom*float64(current)/float64(eligible)
+}
+
+// weightsDraw returns a number from 0 to 1 that is similar for requests with the same shared parts
+// and evenly spread over all prompts.
+func (r *Request) weightsDraw() float64 {
+	shared := r.Prompt.lastShared()
+	if shared == "" {
+		return rand.Float64()
+	}
+	_, draw := math.Modf(float64(xxh3.HashString(shared))/math.MaxUint64 + promptSpread*rand.Float64())
+	return draw
+}
--- a/internal/weights/orderer/order_test.go
+++ b/internal/weights/orderer/order_test.go
@@ -28,6 +28,9 @@
 	lostOrderShare float64
 	random         *rand.Rand
 
+	// running is the number of running requests that it reports.
+	running int
+
 	// mu guards the fields below.
 	mu      sync.Mutex
 	version int
@@ -57,7 +60,7 @@
 		return orderer.Report{}, errNoAnswer
 	}
 	e.finishLoad()
-	return orderer.Report{WeightsVersions: map[string]int{"m": e.version}, Loading: e.loadingVersion > 0, Sequence: e.sequence, StartUnixMilli: e.incarnation}, nil
+	return orderer.Report{WeightsVersions: map[string]int{"m": e.version}, Loading: e.loadingVersion > 0, Sequence: e.sequence, StartUnixMilli: e.incarnation, Running: e.running}, nil
 }
 
 func (e *engine) sendOrder(_ context.Context, order orderer.LoadOrder) error {
--- a/internal/weights/orderer/queue.go
+++ b/internal/weights/orderer/queue.go
@@ -85,6 +85,9 @@
 	return q, true
 }
 
+// Place returns the own replica's index in the queue and the length of the queue.
+func (q LoadQueue) Place() (index, size int) { return q.ownIndex, q.size }
+
 // lanePosition returns how many replicas of its lane are ahead of the own one in the
 // rollout of a version. Odd versions start in the middle of the queue and even ones at
 // its front, so that the last replicas of a rollout that was cut short are not last in
