--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -127,6 +127,8 @@
 	largeGroup *group
 	// affinityHome is the plain server that the request's affinity selects, or nil.
 	affinityHome *Replica
+	// loadAware is Options.LoadAware as of the choice.
+	loadAware bool
 	// leftToOlder is set if replicas with older weights are preferred, because those with
 	// current ones have no room for all requests.
 	leftToOlder bool
@@ -157,6 +159,7 @@
 		s.engine = catalogService.Engine
 	}
 	s.excluded = excluded
+	s.loadAware = r.options.LoadAware != nil && r.options.LoadAware()
 	g := r.pool.group(service.name)
 	if pinned.software != nil {
 		g = g.ofSoftware(*pinned.software)
--- a/internal/routing/router/group.go
+++ b/internal/routing/router/group.go
@@ -156,7 +156,7 @@
 		start := members.startIndex(key)
 		for step := range min(maxHomeSteps, len(members)) {
 			c := s.candidateFor(members[(start+step)%len(members)])
-			if c != nil && c.eligible && c.weightsVersion == p.weightsVersion {
+			if c != nil && c.eligible && c.weightsVersion == p.weightsVersion && !s.losesCache(c) {
 				p.homes = append(p.homes, home{region: region, replica: c.replica})
 				break
 			}
--- a/internal/routing/router/prefix.go
+++ b/internal/routing/router/prefix.go
@@ -118,7 +118,7 @@
 	}
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if c.weightsVersion == p.weightsVersion {
+		if c.weightsVersion == p.weightsVersion && !s.losesCache(c) {
 			p.proposeHome(home{region: c.descriptor.Region, replica: c.replica, hash: mix(c.replica.hash ^ key)})
 		}
 	}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -41,7 +41,8 @@
 	// the model, and false if there is no newer one.
 	SupersededAt func(model string, version int) (time.Time, bool)
 	// LoadAware reports whether requests are spread over older and current weights by how many
-	// replicas have each; nil means that current ones are always preferred.
+	// replicas have each, and no prompts are read first at replicas that are about to load; nil
+	// means that current weights are always preferred.
 	LoadAware func() bool
 	// RecordStream has other daemons record which software version began a stream, FindStream
 	// asks them. They may be nil.
--- a/internal/routing/router/weightsshare.go
+++ b/internal/routing/router/weightsshare.go
@@ -22,7 +22,7 @@
 // daemon would send all its requests to the first replica that comes back with new weights, long
 // before its reports show them.
 func (s *selection) leavesCurrentWeights() bool {
-	if s.request.Prompt == nil || s.router.options.LoadAware == nil || !s.router.options.LoadAware() || s.pins.weights != 0 {
+	if s.request.Prompt == nil || !s.loadAware || s.pins.weights != 0 {
 		return false
 	}
 	eligible, current := 0, 0
@@ -55,3 +55,10 @@
 	_, draw := math.Modf(float64(xxh3.HashString(shared))/math.MaxUint64 + promptSpread*rand.Float64())
 	return draw
 }
+
+// losesCache reports whether a candidate is about to load weights, which empties its cache. It is
+// the home of no prompt then: otherwise the prompts whose home loads would all go to the few homes
+// of the next version.
+func (s *selection) losesCache(cand *candidate) bool {
+	return s.loadAware && cand.state != nil && (cand.state.Phase == Preparing || cand.state.Phase == Loading)
+}
