--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -127,6 +127,8 @@
 	largeGroup *group
 	// affinityHome is the plain server that the request's affinity selects, or nil.
 	affinityHome *Replica
+	// versionLosses holds the versions whose loss is known.
+	versionLosses []versionLoss
 	// loadAware is Options.LoadAware as of the choice.
 	loadAware bool
 	// leftToOlder is set if replicas with older weights are preferred, because those with
@@ -134,6 +136,14 @@
 	leftToOlder bool
 }
 
+// versionLoss is the loss of an answer on a weights version. usable is set if requests may still
+// start on it.
+type versionLoss struct {
+	version int
+	loss    float64
+	usable  bool
+}
+
 // pins are the versions that must produce an answer because they began it.
 type pins struct {
 	// weights is a weights version, 0 for any, software a software version, nil for any.
@@ -151,7 +161,7 @@
 	defer func() {
 		clear(s.candidates)
 		clear(s.prefixes)
-		*s = selection{candidates: s.candidates[:0], prefixes: s.prefixes[:0]}
+		*s = selection{candidates: s.candidates[:0], prefixes: s.prefixes[:0], versionLosses: s.versionLosses[:0]}
 		selections.Put(s)
 	}()
 	s.router, s.request, s.service, s.pins, s.now = r, request, service, pinned, r.clock.Now()
@@ -286,17 +296,26 @@
 // ageLoss returns the loss of an answer on the replica's weights, false if they are too old to
 // start a request on.
 func (s *selection) ageLoss(cand *candidate) (float64, bool) {
-	supersededAt, superseded := s.router.options.SupersededAt(s.request.Prompt.Model, cand.weightsVersion)
-	if cand.weightsVersion == 0 || !superseded {
-		return 0, true
+	return s.versionLoss(cand.weightsVersion)
+}
+
+// versionLoss is ageLoss for a weights version, 0 if it is unknown.
+func (s *selection) versionLoss(version int) (float64, bool) {
+	for _, known := range s.versionLosses {
+		if known.version == version {
+			return known.loss, known.usable
+		}
 	}
-	switch age := s.now.Sub(supersededAt); {
-	case age >= s.router.options.OldWeightsTimeout:
-		return 0, false
-	case age >= oldWeightsGrace:
-		return oldWeightsLoss, true
+	known := versionLoss{version: version, usable: true}
+	if supersededAt, superseded := s.router.options.SupersededAt(s.request.Prompt.Model, version); version != 0 && superseded {
+		age := s.now.Sub(supersededAt)
+		known.usable = age < s.router.options.OldWeightsTimeout
+		if known.usable && age >= oldWeightsGrace {
+			known.loss = oldWeightsLoss
+		}
 	}
-	return 0, true
+	s.versionLosses = append(s.versionLosses, known)
+	return known.loss, known.usable
 }
 
 // capacityLoss returns the loss if the replica has no memory or slot for the request.
--- a/internal/routing/router/prefix.go
+++ b/internal/routing/router/prefix.go
@@ -116,9 +116,13 @@
 		s.findRingHomes(p, key)
 		return
 	}
+	if s.loadAware {
+		s.findSharedHomes(p)
+		return
+	}
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if c.weightsVersion == p.weightsVersion && !s.losesCache(c) {
+		if c.weightsVersion == p.weightsVersion {
 			p.proposeHome(home{region: c.descriptor.Region, replica: c.replica, hash: mix(c.replica.hash ^ key)})
 		}
 	}
--- a/internal/routing/router/weightsshare.go
+++ b/internal/routing/router/weightsshare.go
@@ -56,9 +56,27 @@
 	return draw
 }
 
+// findSharedHomes chooses the homes among the replicas of all versions that are as good as the
+// prefix's: a prompt that no replica has cached has one home, not one for each version. With a home
+// for each, the few replicas of one version would read as many prompts first as the many of another.
+func (s *selection) findSharedHomes(p *sharedPrefix) {
+	parts, index := s.request.Prompt.Parts, len(p.keys)-1
+	if s.request.Prompt.SharingUnknown {
+		index = 0
+	}
+	key := xxh3.HashString(parts[index].ID)
+	loss, _ := s.versionLoss(p.weightsVersion)
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		if other, usable := s.ageLoss(c); c.weightsVersion != 0 && usable && other == loss && !s.losesCache(c) {
+			p.proposeHome(home{region: c.descriptor.Region, replica: c.replica, hash: mix(c.replica.hash ^ key)})
+		}
+	}
+}
+
 // losesCache reports whether a candidate is about to load weights, which empties its cache. It is
-// the home of no prompt then: otherwise the prompts whose home loads would all go to the few homes
-// of the next version.
+// the home of no prompt then: otherwise the prompts whose home loads would be read at no other
+// replica of its version.
 func (s *selection) losesCache(cand *candidate) bool {
 	return s.loadAware && cand.state != nil && (cand.state.Phase == Preparing || cand.state.Phase == Loading)
 }
