--- a/internal/routing/router/weightsshare.go
+++ b/internal/routing/router/weightsshare.go
@@ -42,7 +42,11 @@
 	if current == 0 {
 		return false
 	}
-	return s.request.weightsDraw() >= currentWeightsHeadroom*float64(current)/float64(eligible)
+	if s.request.weightsDraw() < currentWeightsHeadroom*float64(current)/float64(eligible) {
+		return false
+	}
+	s.router.recorder.Count("choices.olderWeights")
+	return true
 }
 
 // weightsDraw returns a number from 0 to 1 that is similar for requests with the same shared parts
--- a/internal/weights/scheduler/schedule.go
+++ b/internal/weights/scheduler/schedule.go
@@ -62,6 +62,23 @@
 	return orderer.Wait
 }
 
+// Newest returns the newest version that was named, 0 if none was.
+func (r Rollout) Newest() int {
+	if len(r.Namings) == 0 {
+		return 0
+	}
+	return r.Namings[len(r.Namings)-1].Version
+}
+
+// UntilTurn returns the time until the replica's turn, 0 if it has come or the replica needs none.
+func (r Rollout) UntilTurn() time.Duration {
+	superseded := r.supersededIndex()
+	if superseded < 0 || r.Size <= 0 {
+		return 0
+	}
+	return max(0, r.turn(superseded)-r.Namings[superseded].Age)
+}
+
 // supersededIndex returns the index of the first naming that is newer than the replica's weights,
 // -1 if there is none.
 func (r Rollout) supersededIndex() int {
