--- a/internal/weights/orderer/order_test.go
+++ b/internal/weights/orderer/order_test.go
@@ -116,6 +116,8 @@
 	// wantedAt holds when versions 2, 3 and so on were wanted.
 	wantedAt   []time.Time
 	hasBacklog bool
+	// decide replaces the decision of a replica's queue if it is set.
+	decide func(index int, queue orderer.LoadQueue, current int) orderer.Decision
 }
 
 func newFleet(n int, lostOrderShare float64) *fleet {
@@ -136,6 +138,9 @@
 			Token:    revisionToken,
 			Informed: func() bool { return true },
 			Decide: func(wanted orderer.WantedVersion, current int) orderer.Decision {
+				if f.decide != nil {
+					return f.decide(i, queue, current)
+				}
 				return queue.Decide(wanted, f.state, f.versionAge(current))
 			},
 			HasBacklog:    func() bool { return f.hasBacklog },
