--- a/internal/routing/router/weightsshare.go
+++ b/internal/routing/router/weightsshare.go
@@ -15,6 +15,10 @@
 	// draw: parts move to the new weights one after another, each is read there by few replicas,
 	// and one that much of the traffic shares does not move at once.
 	promptSpread = 0.25
+	// pressedBacklog is the mean number of tokens that wait at a replica from which on a prompt
+	// stays where its shared parts are cached, also on older weights: they take some 0.1 s, and
+	// what is read again then delays what waits.
+	pressedBacklog = 15_000
 )
 
 // leavesCurrentWeights reports whether the request is left to the replicas with older weights:
@@ -25,7 +29,7 @@
 	if s.request.Prompt == nil || !s.loadAware || s.pins.weights != 0 {
 		return false
 	}
-	eligible, current := 0, 0
+	eligible, current, backlog := 0, 0, 0
 	for i := range s.candidates {
 		if !s.candidates[i].eligible {
 			continue
@@ -38,17 +42,52 @@
 		if loss == 0 {
 			current++
 		}
+		backlog += s.candidates[i].backlogTokens()
 	}
-	if current == 0 {
+	if current == 0 || current == eligible {
 		return false
 	}
-	if s.request.weightsDraw() < currentWeightsHeadroom*float64(current)/float64(eligible) {
+	pressed := backlog > eligible*pressedBacklog
+	if !(pressed && s.cachedOnOlderOnly()) && s.request.weightsDraw() < currentWeightsHeadroom*float64(current)/float64(eligible) {
 		return false
 	}
 	s.router.recorder.Count("choices.olderWeights")
 	return true
 }
 
+// backlogTokens returns how many prompt tokens wait at the replica, by its last report.
+func (c *candidate) backlogTokens() (sum int) {
+	if c.state == nil {
+		return 0
+	}
+	for _, tokens := range c.state.BacklogTokens {
+		sum += tokens
+	}
+	return sum
+}
+
+// cachedOnOlderOnly reports whether the longest shared prefix is cached on older weights that may
+// still be used, and not on current ones.
+func (s *selection) cachedOnOlderOnly() bool {
+	older := false
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		loss, usable := s.ageLoss(c)
+		if !c.eligible || !usable || c.weightsVersion == 0 {
+			continue
+		}
+		p := s.sharedPrefix(c.weightsVersion)
+		if n := len(p.keys); n == 0 || p.cachedTokens(c.replica) < p.endTokens[n-1] {
+			continue
+		}
+		if loss == 0 {
+			return false
+		}
+		older = true
+	}
+	return older
+}
+
 // weightsDraw returns a number from 0 to 1 that is similar for requests with the same shared parts
 // and evenly spread over all prompts.
 func (r *Request) weightsDraw() float64 {
