--- a/internal/weights/observer/observe.go
+++ b/internal/weights/observer/observe.go
@@ -102,6 +102,19 @@
 	Age     time.Duration `cbor:"3,keyasint"`
 }
 
+// AgesOf returns the ages of the versions of a model that are remembered, in ascending order of
+// versions.
+func (o *Observer) AgesOf(model string) []Age {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	var ages []Age
+	for _, seen := range o.models[model].observations {
+		ages = append(ages, Age{Model: model, Version: seen.version, Age: now.Sub(seen.observedAt)})
+	}
+	return ages
+}
+
 // Ages returns the ages of the latest versions, for daemons that have started since.
 func (o *Observer) Ages() []Age {
 	o.mu.Lock()
--- a/internal/weights/orderer/succession_test.go
+++ b/internal/weights/orderer/succession_test.go
@@ -32,7 +32,9 @@
 	lostOrders, late float64
 	// restarts is how many replicas restart with their old weights, one every 1.1 s.
 	restarts int
-	decide   func(scheduler.Rollout) orderer.Decision
+	// storm names sixteen versions, one a second, in place of the four.
+	storm  bool
+	decide func(scheduler.Rollout) orderer.Decision
 }
 
 // play returns the number of loads and which bound was not kept, "" if all were.
@@ -59,12 +61,21 @@
 		for j, at := range f.wantedAt {
 			if age := time.Since(at) - delays[i]; age >= 0 {
 				r.Namings = append(r.Namings, scheduler.Naming{Version: j + 2, Age: age})
+				if j+1 == current {
+					r.SinceSuperseded = age
+				}
 			}
 		}
 		return s.decide(r)
 	}
 	started := time.Now()
 	namings := []time.Duration{2 * time.Second, 5 * time.Second, 9 * time.Second, 13 * time.Second}
+	if s.storm {
+		namings = nil
+		for i := range 16 {
+			namings = append(namings, time.Duration(i+1)*time.Second)
+		}
+	}
 	for step := 0; time.Since(started) < 30*time.Second; step++ {
 		now := time.Since(started)
 		if len(namings) > 0 && now >= namings[0] {
@@ -114,7 +125,7 @@
 // faults: few replicas load at any time, all are in time, and versions are skipped.
 func TestFourVersionsInElevenSeconds(t *testing.T) {
 	for name, s := range map[string]succession{
-		"calm": {}, "bursts": {bursts: true}, "lost orders": {lostOrders: 0.5}, "restarts": {restarts: 12}, "partition": {late: 0.33},
+		"calm": {}, "bursts": {bursts: true}, "lost orders": {lostOrders: 0.5}, "restarts": {restarts: 12}, "partition": {late: 0.33}, "storm": {storm: true},
 		"all": {bursts: true, lostOrders: 0.5, restarts: 12, late: 0.33},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/weights/scheduler/schedule.go
+++ b/internal/weights/scheduler/schedule.go
@@ -34,8 +34,11 @@
 type Rollout struct {
 	// Index is the replica's place in the load queue, Size the length of the queue.
 	Index, Size int
-	// Namings holds the latest versions in ascending order; their ages descend.
+	// Namings holds the latest versions in ascending order; their ages descend. Earlier ones may be
+	// forgotten.
 	Namings []Naming
+	// SinceSuperseded is how long ago the first version was seen that is newer than Current.
+	SinceSuperseded time.Duration
 	// Current is the version of the replica's weights.
 	Current int
 	// OldWeightsTimeout is how long requests may still begin on superseded weights.
@@ -54,7 +57,7 @@
 	remaining := 1 - float64(turn)/float64(lap)
 	postponement := time.Duration(postponementShare * remaining * float64(r.OldWeightsTimeout))
 	switch {
-	case age >= turn+postponement:
+	case age >= turn+postponement || r.SinceSuperseded >= lap:
 		return orderer.Urgent
 	case age >= turn:
 		return orderer.Load
