Entries tell sidecars that replicas share their hosts

Cause: turns of the loads are switched on by the fourth figure of the load field, which answers to callers' requests carry; whether a sidecar's own calls get it is not known. Change: a field of the messages between daemons.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -82,6 +82,10 @@
 	Transfers func(address string) time.Duration
 	// CacheLog is the log of the own replica's cache, nil if there is none.
 	CacheLog *CacheLog
+	// SharedHosts reports whether replicas have told this daemon that they share their hosts with
+	// others. OnSharedHosts is called when another daemon reports it. Both may be nil.
+	SharedHosts   func() bool
+	OnSharedHosts func()
 	// WatchesStore reports whether this daemon watches the store successfully.
 	WatchesStore func() bool
 	// PullDelay returns how long this daemon's table may be behind that of another
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -219,6 +219,8 @@
 	// LinkBytesPerSecond is the rate of the sender's link, 0 if it is not known. It is set in a
 	// session's first message.
 	LinkBytesPerSecond float64 `cbor:"32,keyasint,omitempty"`
+	// SharedHosts is set in regular messages while the sender has Dependencies.SharedHosts.
+	SharedHosts bool `cbor:"40,keyasint,omitempty"`
 }
 
 // regular reports whether the message is one of those that are sent once per interval,
@@ -294,13 +296,14 @@
 type sentState struct {
 	// at is when the last message was sent, zero before the first.
 	at time.Time
-	// status, backlog, transfers, watchesStore, subscribed and versions are those last
+	// status, backlog, transfers, watchesStore, subscribed, sharedHosts and versions are those last
 	// sent. The status is nil and the versions are nil before the first message.
 	status       *Status
 	backlog      Backlog
 	transfers    time.Duration
 	watchesStore bool
 	subscribed   bool
+	sharedHosts  bool
 	versions     map[string]uint64
 	// evidence is the isolator's version at the last report.
 	evidence uint64
@@ -445,6 +448,10 @@
 	}
 	newest := deps.Table.NewestRevision()
 	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision(newest)
+	if deps.SharedHosts != nil {
+		m.SharedHosts = deps.SharedHosts()
+		changed = changed || m.SharedHosts != sent.sharedHosts
+	}
 	if status := deps.Status(); status != nil {
 		m.PeerWatchesStore = s.announcer.PeerWatchesStore()
 		m.LowerRankedWatchers = s.announcer.watchersRankedBelow(s)
@@ -486,7 +493,7 @@
 	}
 	sent.announcedRevision = newest
 	sent.transfers = m.Transfers
-	sent.backlog, sent.watchesStore, sent.subscribed = m.BacklogTokens, m.WatchesStore, m.Subscribed
+	sent.backlog, sent.watchesStore, sent.subscribed, sent.sharedHosts = m.BacklogTokens, m.WatchesStore, m.Subscribed, m.SharedHosts
 	return m, changed || deps.Clock.Now().Sub(sent.at) >= idleInterval
 }
 
@@ -655,6 +662,9 @@
 		s.announcer.membership.Add(1)
 	}
 	s.subscribed.Store(m.Subscribed)
+	if m.SharedHosts && deps.OnSharedHosts != nil {
+		deps.OnSharedHosts()
+	}
 	s.backlogTokens.Store(&m.BacklogTokens)
 	if s.transfers != nil {
 		s.announcer.addTransfers(m.Transfers - *s.transfers)
