--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -133,6 +133,21 @@
 	largeGroup *group
 	// affinityHome is the plain server that the request's affinity selects, or nil.
 	affinityHome *Replica
+	// versionLosses holds the versions whose loss is known.
+	versionLosses []versionLoss
+	// loadAware is Options.LoadAware as of the choice.
+	loadAware bool
+	// leftToOlder is set if replicas with older weights are preferred, because those with
+	// current ones have no room for all requests.
+	leftToOlder bool
+}
+
+// versionLoss is the loss of an answer on a weights version. usable is set if requests may still
+// start on it.
+type versionLoss struct {
+	version int
+	loss    float64
+	usable  bool
 }
 
 // pins are the versions that must produce an answer because they began it.
@@ -152,7 +167,7 @@
 	defer func() {
 		clear(s.candidates)
 		clear(s.prefixes)
-		*s = selection{candidates: s.candidates[:0], prefixes: s.prefixes[:0]}
+		*s = selection{candidates: s.candidates[:0], prefixes: s.prefixes[:0], versionLosses: s.versionLosses[:0]}
 		selections.Put(s)
 	}()
 	s.router, s.request, s.service, s.pins, s.now = r, request, service, pinned, r.clock.Now()
@@ -160,6 +175,7 @@
 		s.engine = catalogService.Engine
 	}
 	s.excluded = excluded
+	s.loadAware = r.options.LoadAware != nil && r.options.LoadAware()
 	g := r.pool.group(service.name)
 	if pinned.software != nil {
 		g = g.ofSoftware(*pinned.software)
@@ -169,6 +185,7 @@
 	} else {
 		s.sample(g)
 	}
+	s.leftToOlder = s.leavesCurrentWeights()
 	var best, beyond choice
 	var found, foundBeyond bool
 	for i := range s.candidates {
@@ -280,20 +297,39 @@
 	return nil
 }
 
-// weightsLoss returns the loss caused by old weights of the replica. It returns false
-// if they are too old to start a request on.
+// weightsLoss returns the loss caused by the replica's weights. It returns false if they are too
+// old to start a request on.
 func (s *selection) weightsLoss(cand *candidate) (float64, bool) {
-	supersededAt, superseded := s.router.options.SupersededAt(s.request.Prompt.Model, cand.weightsVersion)
-	if cand.weightsVersion == 0 || !superseded {
-		return 0, true
+	loss, usable := s.ageLoss(cand)
+	if usable && s.leftToOlder {
+		return oldWeightsLoss - loss, true
 	}
-	switch age := s.now.Sub(supersededAt); {
-	case age >= s.router.options.OldWeightsTimeout:
-		return 0, false
-	case age >= oldWeightsGrace:
-		return oldWeightsLoss, true
+	return loss, usable
+}
+
+// ageLoss returns the loss of an answer on the replica's weights, false if they are too old to
+// start a request on.
+func (s *selection) ageLoss(cand *candidate) (float64, bool) {
+	return s.versionLoss(cand.weightsVersion)
+}
+
+// versionLoss is ageLoss for a weights version, 0 if it is unknown.
+func (s *selection) versionLoss(version int) (float64, bool) {
+	for _, known := range s.versionLosses {
+		if known.version == version {
+			return known.loss, known.usable
+		}
+	}
+	known := versionLoss{version: version, usable: true}
+	if supersededAt, superseded := s.router.options.SupersededAt(s.request.Prompt.Model, version); version != 0 && superseded {
+		age := s.now.Sub(supersededAt)
+		known.usable = age < s.router.options.OldWeightsTimeout
+		if known.usable && age >= oldWeightsGrace {
+			known.loss = oldWeightsLoss
+		}
 	}
-	return 0, true
+	s.versionLosses = append(s.versionLosses, known)
+	return known.loss, known.usable
 }
 
 // capacityLoss returns the loss if the replica has no memory or slot for the request.
--- a/internal/routing/router/prefix.go
+++ b/internal/routing/router/prefix.go
@@ -116,6 +116,10 @@
 		s.findRingHomes(p, key)
 		return
 	}
+	if s.loadAware {
+		s.findSharedHomes(p)
+		return
+	}
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		if c.weightsVersion == p.weightsVersion {
--- a/internal/weights/orderer/order_test.go
+++ b/internal/weights/orderer/order_test.go
@@ -28,6 +28,9 @@
 	lostOrderShare float64
 	random         *rand.Rand
 
+	// running is the number of running requests that it reports.
+	running int
+
 	// mu guards the fields below.
 	mu      sync.Mutex
 	version int
@@ -57,7 +60,7 @@
 		return orderer.Report{}, errNoAnswer
 	}
 	e.finishLoad()
-	return orderer.Report{WeightsVersions: map[string]int{"m": e.version}, Loading: e.loadingVersion > 0, Sequence: e.sequence, StartUnixMilli: e.incarnation}, nil
+	return orderer.Report{WeightsVersions: map[string]int{"m": e.version}, Loading: e.loadingVersion > 0, Sequence: e.sequence, StartUnixMilli: e.incarnation, Running: e.running}, nil
 }
 
 func (e *engine) sendOrder(_ context.Context, order orderer.LoadOrder) error {
@@ -113,6 +116,8 @@
 	// wantedAt holds when versions 2, 3 and so on were wanted.
 	wantedAt   []time.Time
 	hasBacklog bool
+	// decide replaces the decision of a replica's queue if it is set.
+	decide func(index int, queue orderer.LoadQueue, current int) orderer.Decision
 }
 
 func newFleet(n int, lostOrderShare float64) *fleet {
@@ -133,6 +138,9 @@
 			Token:    revisionToken,
 			Informed: func() bool { return true },
 			Decide: func(wanted orderer.WantedVersion, current int) orderer.Decision {
+				if f.decide != nil {
+					return f.decide(i, queue, current)
+				}
 				return queue.Decide(wanted, f.state, f.versionAge(current))
 			},
 			HasBacklog:    func() bool { return f.hasBacklog },
