--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
+	"github.com/cyclamenward/cyclamenward/internal/routing/gauger"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
@@ -80,6 +81,11 @@
 	// Transfers returns the total duration of the transfers that this daemon has ever
 	// requested from and to the replica at an address.
 	Transfers func(address string) time.Duration
+	// Speed sums up what this daemon's answers have said about the speed of the replica at an
+	// address; OnSpeed is called with what another daemon's have said about the own replica. They
+	// may be nil.
+	Speed   func(address string) gauger.Evidence
+	OnSpeed func(gauger.Evidence)
 	// CacheLog is the log of the own replica's cache, nil if there is none.
 	CacheLog *CacheLog
 	// WatchesStore reports whether this daemon watches the store successfully.
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
+	"github.com/cyclamenward/cyclamenward/internal/routing/gauger"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"github.com/cyclamenward/cyclamenward/internal/routing/router"
@@ -96,6 +97,8 @@
 	// TransferQueue is how long the replica's link is busy with the transfers that all
 	// daemons have requested.
 	TransferQueue time.Duration `cbor:"10,keyasint,omitempty"`
+	// Speed is what is known of the replica's speed.
+	Speed gauger.Shared `cbor:"11,keyasint,omitzero"`
 }
 
 // withoutConstants returns the status without the fields that seldom change, if these
@@ -167,6 +170,9 @@
 	// Transfers is the total duration of the transfers that the sender has ever requested
 	// from and to the receiver's replica.
 	Transfers time.Duration `cbor:"16,keyasint,omitempty"`
+	// Speed sums up what the sender's answers have ever said about the speed of the receiver's
+	// replica.
+	Speed gauger.Evidence `cbor:"40,keyasint,omitzero"`
 	// Rank is the sender's Dependencies.Rank; 0 for sidecars. It is set in a session's
 	// first message.
 	Rank uint64 `cbor:"10,keyasint,omitempty"`
@@ -288,17 +294,20 @@
 	// status and transfers are the last from the other end, nil before the first.
 	status    *Status
 	transfers *time.Duration
+	// speed is the Speed of the last regular message from the other end.
+	speed *gauger.Evidence
 }
 
 // sentState is what a session has reported to the other end.
 type sentState struct {
 	// at is when the last message was sent, zero before the first.
 	at time.Time
-	// status, backlog, transfers, watchesStore, subscribed and versions are those last
+	// status, backlog, transfers, speed, watchesStore, subscribed and versions are those last
 	// sent. The status is nil and the versions are nil before the first message.
 	status       *Status
 	backlog      Backlog
 	transfers    time.Duration
+	speed        gauger.Evidence
 	watchesStore bool
 	subscribed   bool
 	versions     map[string]uint64
@@ -454,7 +463,10 @@
 	}
 	if address := s.replicaAddress.Load(); address != nil {
 		m.BacklogTokens, m.Transfers = newBacklog(deps.BacklogTokens(*address)), deps.Transfers(*address)
-		changed = changed || !slices.Equal(m.BacklogTokens, sent.backlog) || m.Transfers != sent.transfers
+		if deps.Speed != nil {
+			m.Speed = deps.Speed(*address)
+		}
+		changed = changed || !slices.Equal(m.BacklogTokens, sent.backlog) || m.Transfers != sent.transfers || m.Speed != sent.speed
 	}
 	if deps.CacheLog != nil {
 		m.CacheChanges, sent.cacheCursor = deps.CacheLog.since(sent.cacheCursor)
@@ -485,7 +497,7 @@
 		deps.Limits.SetMembers(s, nil)
 	}
 	sent.announcedRevision = newest
-	sent.transfers = m.Transfers
+	sent.transfers, sent.speed = m.Transfers, m.Speed
 	sent.backlog, sent.watchesStore, sent.subscribed = m.BacklogTokens, m.WatchesStore, m.Subscribed
 	return m, changed || deps.Clock.Now().Sub(sent.at) >= idleInterval
 }
@@ -660,6 +672,10 @@
 		s.announcer.addTransfers(m.Transfers - *s.transfers)
 	}
 	s.transfers = &m.Transfers
+	if s.speed != nil && deps.OnSpeed != nil {
+		deps.OnSpeed(m.Speed.Since(*s.speed))
+	}
+	s.speed = &m.Speed
 	s.announcer.backlogReported()
 	if m.Versions != nil {
 		s.peerVersions.Store(m.Versions)
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -88,6 +88,8 @@
 	// prefillTime is the part of wait in which the replica prefills prompts, and
 	// queueTime the part of prefillTime for the prompts of other requests.
 	prefillTime, queueTime time.Duration
+	// slowness is how long work takes on the replica, as a multiple of the service's pace.
+	slowness float64
 	// loss is the share of the request's value that the choice is expected to lose.
 	// reason is a code for the log line, such as "cached" or "spill".
 	loss   float64
@@ -102,6 +104,8 @@
 	state          *State
 	weightsVersion int
 	failureRate    float64
+	// slowness is how long work takes on the replica, as a multiple of the service's pace.
+	slowness float64
 	// eligible is set if the replica may get the request. In small groups one that may
 	// not still counts as a possible home of prompts.
 	eligible bool
@@ -125,6 +129,9 @@
 	// largeGroup is the service's group if it is sampled because it is too large to
 	// scan, else nil.
 	largeGroup *group
+	// returningFactor is the otherDaemonsFactor of replicas that have just returned, 0 until it is
+	// needed.
+	returningFactor int64
 	// affinityHome is the plain server that the request's affinity selects, or nil.
 	affinityHome *Replica
 }
@@ -184,7 +191,7 @@
 		return false
 	}
 	backingOff, failureRate := replica.inBackoff(s.now)
-	c := candidate{replica: replica, descriptor: descriptor, state: replica.FreshState(s.now), failureRate: failureRate}
+	c := candidate{replica: replica, descriptor: descriptor, state: replica.FreshState(s.now), failureRate: failureRate, slowness: s.slownessOf(replica)}
 	c.eligible = !backingOff && s.router.pool.waitRemaining(replica, descriptor, s.now) <= 0 && !slices.Contains(s.excluded, replica) && (c.state == nil || c.state.Phase <= Preparing)
 	if s.request.Prompt != nil {
 		c.weightsVersion = replica.WeightsVersion(s.request.Prompt.Model, s.now)
@@ -198,7 +205,7 @@
 // weights are too old.
 func (s *selection) evaluate(cand *candidate) (choice, bool) {
 	r, request := s.router, s.request
-	c := choice{replica: cand.replica, weightsVersion: cand.weightsVersion}
+	c := choice{replica: cand.replica, weightsVersion: cand.weightsVersion, slowness: cand.slowness}
 	wait, networkLoss := r.networkCost(cand.descriptor)
 	c.wait = wait
 	tieBreak := tieBreakLoss
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -149,6 +149,7 @@
 // replica's counters.
 func (d *dispatch) closeAttempt() {
 	d.endWaiting()
+	d.recordNoFirstEvent()
 	if d.reply != nil {
 		d.closeReply()
 	}
@@ -367,7 +368,7 @@
 		r.pool.addTransfer(c.source, c.replica, c.transferTime)
 	}
 	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "software", descriptor.SoftwareVersion, "service", d.service.name, "pace", d.service.Pace(), "reason", c.reason,
-		"wait", c.wait, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes, "route", request.Route.Name, "sent", d.sentTo.count(), "ran", d.runAttempts, "most", request.Route.MaxAttempts)
+		"wait", c.wait, "slowness", c.slowness, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes, "route", request.Route.Name, "sent", d.sentTo.count(), "ran", d.runAttempts, "most", request.Route.MaxAttempts)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
 	d.interrupted, d.continued, d.unreachable = false, false, nil
@@ -507,6 +508,7 @@
 	d.recordLeaving(reply)
 	d.recordPause(reply)
 	d.recordRateLimit(reply)
+	d.recordHostLoad(reply)
 	if d.request.Prompt != nil {
 		replica.recordWeightsVersion(d.request.Prompt.Model, reply.WeightsVersion)
 		return
--- a/internal/routing/router/hedge.go
+++ b/internal/routing/router/hedge.go
@@ -202,6 +202,9 @@
 // mayBeSooner reports whether an attempt sent now is expected to be answered before the current one
 // and before the deadline.
 func (d *dispatch) mayBeSooner(c choice) bool {
+	if d.request.Prompt != nil {
+		return d.movesInTime(c)
+	}
 	usual, remaining, known := d.service.answerTimes.expect(d.request.Route.Name, d.router.clock.Now().Sub(d.sentAt))
 	if !known {
 		return c.wait < d.timeLeft()
@@ -209,19 +212,23 @@
 	return usual < remaining && max(usual, c.wait) < d.timeLeft()
 }
 
-// replyTimeout returns the time after which another plain server is asked, and false if none may
-// be. Model replicas have no such timeout: a slow one is just busy, and another attempt would
-// double the work.
+// replyTimeout returns the time after which another replica is asked, and false if none may be. Model
+// replicas whose own speed is not known have no such timeout: a slow one is just busy, and another
+// attempt would double the work.
 func (d *dispatch) replyTimeout() (time.Duration, bool) {
-	if !d.canFailOver() || d.request.Prompt != nil {
+	if !d.canFailOver() {
 		return 0, false
 	}
+	if d.request.Prompt != nil {
+		return d.moveTimeout()
+	}
 	return max(minReplyTimeout, replyTimeoutTargets*d.request.Route.LatencyTarget), true
 }
 
 // recordAnswerTime records how long a plain server has taken for its answer.
 func (d *dispatch) recordAnswerTime() {
 	if d.request.Prompt == nil {
+		d.recordPlainSpeed()
 		d.service.answerTimes.record(d.request.Route.Name, d.headAt.Sub(d.sentAt))
 	}
 }
--- a/internal/routing/router/pace.go
+++ b/internal/routing/router/pace.go
@@ -28,6 +28,8 @@
 	// PrefillTokensPerSecond says replicas take for a prefill, at the median of recent
 	// answers. Of concurrent updates one may be lost.
 	pace atomic.Uint64
+	// reportsLoad is set once a replica of the service has reported the load of its host.
+	reportsLoad atomic.Bool
 	// answerTimes holds how long plain servers of the service take.
 	answerTimes answerTimes
 }
@@ -56,7 +58,7 @@
 }
 
 // prefillDuration returns the time in which a replica of the service prefills the
-// tokens.
+// tokens, at the service's pace.
 func (s *selection) prefillDuration(tokens int) time.Duration {
 	tokensPerSecond := s.router.options.PrefillTokensPerSecond
 	if s.engine != nil && s.engine.PrefillTokensPerSecond > 0 {
@@ -64,3 +66,8 @@
 	}
 	return time.Duration(float64(tokens) / tokensPerSecond * s.service.Pace() * float64(time.Second))
 }
+
+// prefillDurationAt returns the same for the replica of a choice.
+func (s *selection) prefillDurationAt(c *choice, tokens int) time.Duration {
+	return scale(s.prefillDuration(tokens), c.slowness)
+}
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
+	"github.com/cyclamenward/cyclamenward/internal/routing/gauger"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"github.com/zeebo/xxh3"
 )
@@ -106,6 +107,8 @@
 	// TransferQueue is how long the replica's link is busy with the transfers of cached
 	// parts that all daemons have requested.
 	TransferQueue time.Duration
+	// Speed is what the sidecar reports about the replica's speed.
+	Speed gauger.Shared
 	// ReceivedAt is when the report arrived.
 	ReceivedAt time.Time
 }
@@ -134,6 +137,9 @@
 	// requested.
 	transfers transferLog
 
+	// gauge estimates how slow the replica is.
+	gauge gauger.Gauge
+
 	// passedOver counts the slow attempts since the last answer that another replica has answered
 	// first.
 	passedOver atomic.Int32
@@ -512,6 +518,7 @@
 	}
 	state.ReceivedAt = p.clock.Now()
 	replica.state.Store(&state)
+	replica.gauge.RecordShared(state.Speed, state.ReceivedAt)
 	if state.Phase == Unreachable && state.StartUnixMilli != 0 {
 		// A sidecar that names no start has had no report yet.
 		replica.cancelFailoverAttempts()
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -174,6 +174,9 @@
 	WeightsVersion int
 	// Running and Queued are the replica's load, -1 if it does not report it.
 	Running, Queued int
+	// HostLoad is how long work takes on the replica's host at the moment, in percent of the usual
+	// time, 0 if not named.
+	HostLoad int
 	// NextEvent returns the next event of a stream, io.EOF at its end. It is nil for an
 	// answer that is not a stream.
 	NextEvent func() (Event, error)
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -23,6 +23,9 @@
 	// DelayPerRunningRequest is what each running request adds to the expected time to
 	// a first event.
 	DelayPerRunningRequest time.Duration
+	// ReplicaSpeeds has the speed of each replica count in what is expected of it, for services
+	// whose replicas report the load of their hosts. Else the pace of the whole service counts.
+	ReplicaSpeeds bool
 	// PlainRequestTime is how long a plain server, one without a model, works on a
 	// typical request.
 	PlainRequestTime time.Duration
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -61,7 +61,7 @@
 			d.recordCachedParts()
 			d.router.recorder.Observe("firstEvent", d.router.clock.Now().Sub(d.request.Arrived))
 			d.firstEventDelay = d.router.clock.Now().Sub(d.sentAt)
-			d.service.updatePace(d.choice.prefillTime, d.choice.wait, d.firstEventDelay)
+			d.recordFirstEvent()
 		}
 		if event.ID >= 0 && event.ID <= d.lastEventID || event.ID < 0 && d.continues() {
 			continue
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -25,7 +25,7 @@
 	// assumedCachedShare is the share of a prompt that is assumed to be cached at its
 	// home although this daemon has not sent it before: other daemons may have.
 	assumedCachedShare = 0.5
-	// otherDaemonsFactor is how many tokens all other daemons are assumed to have sent
+	// otherDaemonsFactor is, for a replica that has served for a while, how many tokens all other daemons are assumed to have sent
 	// to a replica since its sidecar last reported, as a multiple of what this daemon
 	// sent: a replica that attracts one daemon attracts all.
 	otherDaemonsFactor = 1
@@ -54,9 +54,10 @@
 		active = max(active, int64(cand.state.Running+cand.state.Queued))
 	}
 	slots := int64(max(1, cand.descriptor.Slots))
-	wait := cand.replica.slowness(r.clock) + r.options.PlainRequestTime + time.Duration(active)*r.options.PlainRequestTime/time.Duration(4*slots)
+	work := scale(r.options.PlainRequestTime, cand.slowness)
+	wait := cand.replica.slowness(r.clock) + work + time.Duration(active)*work/time.Duration(4*slots)
 	if active >= slots {
-		wait += time.Duration(active-slots+1) * r.options.PlainRequestTime / time.Duration(slots)
+		wait += time.Duration(active-slots+1) * work / time.Duration(slots)
 	}
 	return wait
 }
@@ -73,15 +74,15 @@
 		ownBacklog, reported := replica.backlogTokens[i].Load(), replica.reportedBacklog[i].Load()
 		backlog += ownBacklog
 		if state != nil {
-			backlog += max(0, int64(state.BacklogTokens[i])-reported) + otherDaemonsFactor*max(0, ownBacklog-reported)
+			backlog += max(0, int64(state.BacklogTokens[i])-reported) + s.otherDaemons(cand)*max(0, ownBacklog-reported)
 		}
 	}
 	if state != nil {
 		running = max(running, int64(state.Running))
 	}
-	c.prefillTime = s.prefillDuration(int(backlog) + c.uncachedTokens)
-	c.queueTime = s.prefillDuration(int(backlog))
-	return baseFirstEventTime + c.queueTime + time.Duration(running)*s.router.options.DelayPerRunningRequest
+	c.prefillTime = s.prefillDurationAt(c, int(backlog)+c.uncachedTokens)
+	c.queueTime = s.prefillDurationAt(c, int(backlog))
+	return c.queueTime + scale(baseFirstEventTime+time.Duration(running)*s.router.options.DelayPerRunningRequest, c.slowness)
 }
 
 // ranksBefore returns the number of ranks whose prompts are prefilled before that of the
@@ -101,7 +102,7 @@
 	prefix := s.sharedPrefix(c.weightsVersion)
 	c.cacheScope, c.uncachedTokens = prefix.cacheScope, prompt.Tokens
 	if len(prefix.keys) == 0 || c.weightsVersion == 0 {
-		return s.prefillDuration(c.uncachedTokens)
+		return s.prefillDurationAt(c, c.uncachedTokens)
 	}
 	c.prefix = prefix
 	cached := prefix.cachedTokens(c.replica)
@@ -139,11 +140,11 @@
 	if available < sharedTokens {
 		if storeTokens, storeTime, found := s.useCacheStore(c, prefix, cached); found {
 			c.reason, c.repeatTokens, c.uncachedTokens = "cacheStore", 0, prompt.Tokens-storeTokens
-			return s.prefillDuration(c.uncachedTokens) + storeTime
+			return s.prefillDurationAt(c, c.uncachedTokens) + storeTime
 		}
 	}
 	c.uncachedTokens = max(0, prompt.Tokens-available)
-	wait := s.prefillDuration(c.uncachedTokens)
+	wait := s.prefillDurationAt(c, c.uncachedTokens)
 	if source != nil {
 		c.source, c.fetchFrom = source, source.Address()
 		wait += transferWait
