--- a/internal/routing/gauger/gauge.go
+++ b/internal/routing/gauger/gauge.go
@@ -43,8 +43,7 @@
 	return g.slowness(now) * g.load.expected(now)
 }
 
-// slowness returns the replica's own slowness, without the momentary load of its host. The caller
-// holds mu.
+// slowness returns the replica's own slowness. The caller holds mu.
 func (g *Gauge) slowness(now time.Time) float64 {
 	if g.isShared(now) {
 		return g.shared
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -129,9 +129,8 @@
 	// largeGroup is the service's group if it is sampled because it is too large to
 	// scan, else nil.
 	largeGroup *group
-	// returningFactor is the otherDaemonsFactor of replicas that have just returned, 0 until it is
-	// needed.
-	returningFactor int64
+	// others is the number of other daemons, -1 until it is needed.
+	others int64
 	// affinityHome is the plain server that the request's affinity selects, or nil.
 	affinityHome *Replica
 }
@@ -160,7 +159,7 @@
 	if catalogService := request.Catalog.Service(service.name); catalogService != nil {
 		s.engine = catalogService.Engine
 	}
-	s.excluded = excluded
+	s.excluded, s.others = excluded, -1
 	g := r.pool.group(service.name)
 	if pinned.software != nil {
 		g = g.ofSoftware(*pinned.software)
--- a/internal/routing/router/pace.go
+++ b/internal/routing/router/pace.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/routing/gauger"
 	"github.com/cyclamenward/cyclamenward/limiter"
 )
 
@@ -30,6 +31,8 @@
 	pace atomic.Uint64
 	// reportsLoad is set once a replica of the service has reported the load of its host.
 	reportsLoad atomic.Bool
+	// center is what answers of all replicas take beside what is expected.
+	center gauger.Center
 	// answerTimes holds how long plain servers of the service take.
 	answerTimes answerTimes
 }
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -131,6 +131,8 @@
 	backlogTokens [PriorityLevels]atomic.Int64
 	// reportedBacklog is backlogTokens as last reported to the replica's sidecar.
 	reportedBacklog [PriorityLevels]atomic.Int64
+	// stateBacklog is backlogTokens as the last state arrived.
+	stateBacklog [PriorityLevels]atomic.Int64
 	// inFlight counts this daemon's requests in flight at the replica.
 	inFlight atomic.Int64
 	// transfers are those of cached parts from and to the replica that this daemon has
@@ -517,6 +519,9 @@
 		return
 	}
 	state.ReceivedAt = p.clock.Now()
+	for i := range replica.stateBacklog {
+		replica.stateBacklog[i].Store(replica.backlogTokens[i].Load())
+	}
 	replica.state.Store(&state)
 	replica.gauge.RecordShared(state.Speed, state.ReceivedAt)
 	if state.Phase == Unreachable && state.StartUnixMilli != 0 {
--- a/internal/routing/router/speed.go
+++ b/internal/routing/router/speed.go
@@ -51,19 +51,20 @@
 	return replica.gauge.Slowness(s.now)
 }
 
-// otherDaemons returns the otherDaemonsFactor of a candidate. A replica that returns is idle for all
-// daemons alike: what this one has sent to it since the report, each of the others has, too.
-func (s *selection) otherDaemons(cand *candidate) int64 {
+// othersAtReturn returns, for a candidate that has just returned, how many other daemons send to it. It
+// is idle for all daemons alike: what this one has sent to it since its report, each of the others
+// has, too. For other candidates it returns 0.
+func (s *selection) othersAtReturn(cand *candidate) int64 {
 	if cand.state.PhaseAge+s.now.Sub(cand.state.ReceivedAt) >= returnTime || !s.router.usesSpeeds(s.service) {
-		return otherDaemonsFactor
+		return 0
 	}
-	if s.returningFactor == 0 {
-		s.returningFactor = otherDaemonsFactor
+	if s.others < 0 {
+		s.others = 0
 		if share := s.router.options.RetryShare(); share > 0 {
-			s.returningFactor = int64(min(maxOtherDaemons, max(otherDaemonsFactor, 1/share-1)))
+			s.others = int64(min(maxOtherDaemons, 1/share-1))
 		}
 	}
-	return s.returningFactor
+	return s.others
 }
 
 // recordHostLoad records the load of the replica's host that an answer names.
@@ -83,10 +84,32 @@
 
 // recordSpeed records how long the replica has taken for a first event, or has not sent it yet.
 func (d *dispatch) recordSpeed(took time.Duration) {
-	if !d.router.usesSpeeds(d.service) || float64(d.choice.queueTime) > maxQueueShare*float64(d.choice.wait) {
+	if !d.router.usesSpeeds(d.service) || float64(max(d.choice.queueTime, d.currentQueue())) > maxQueueShare*float64(d.choice.wait) {
 		return
 	}
-	d.choice.replica.gauge.RecordAnswer(took, d.choice.wait, d.router.clock.Now())
+	d.choice.replica.gauge.RecordAnswer(took, d.service.center.Apply(took, d.choice.wait), d.router.clock.Now())
+}
+
+// currentQueue returns how long the replica takes for what it is known to have to prefill now, without
+// the request itself. A long queue that was not known as the request was sent is no slowness.
+func (d *dispatch) currentQueue() time.Duration {
+	backlog, replica := 0, d.choice.replica
+	state := replica.FreshState(d.router.clock.Now())
+	for i := range PriorityLevels {
+		tokens := int(replica.backlogTokens[i].Load())
+		if state != nil {
+			tokens = max(tokens, state.BacklogTokens[i])
+		}
+		backlog += tokens
+	}
+	if d.inBacklog {
+		backlog -= d.choice.uncachedTokens
+	}
+	s := selection{router: d.router, request: d.request, service: d.service}
+	if service := d.request.Catalog.Service(d.service.name); service != nil {
+		s.engine = service.Engine
+	}
+	return s.prefillDurationAt(&d.choice, max(0, backlog))
 }
 
 // recordNoFirstEvent records that the caller has left, or the time was up, before the replica has sent
--- a/internal/routing/router/speed_test.go
+++ b/internal/routing/router/speed_test.go
@@ -248,6 +248,10 @@
 					}
 				})
 				<-time.After(2 * time.Millisecond)
+				for _, b := range f.beds {
+					// Entries report at once; what sidecars make of it comes later.
+					b.pool.BacklogToReport(descriptor(0, 1).Address)
+				}
 			}
 			f.mu.Lock()
 			longest = time.Until(f.hosts[0].freeAt)
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -25,7 +25,7 @@
 	// assumedCachedShare is the share of a prompt that is assumed to be cached at its
 	// home although this daemon has not sent it before: other daemons may have.
 	assumedCachedShare = 0.5
-	// otherDaemonsFactor is, for a replica that has served for a while, how many tokens all other daemons are assumed to have sent
+	// otherDaemonsFactor is how many tokens all other daemons are assumed to have sent
 	// to a replica since its sidecar last reported, as a multiple of what this daemon
 	// sent: a replica that attracts one daemon attracts all.
 	otherDaemonsFactor = 1
@@ -74,7 +74,7 @@
 		ownBacklog, reported := replica.backlogTokens[i].Load(), replica.reportedBacklog[i].Load()
 		backlog += ownBacklog
 		if state != nil {
-			backlog += max(0, int64(state.BacklogTokens[i])-reported) + s.otherDaemons(cand)*max(0, ownBacklog-reported)
+			backlog += max(0, int64(state.BacklogTokens[i])-reported) + max(otherDaemonsFactor*max(0, ownBacklog-reported), s.othersAtReturn(cand)*max(0, ownBacklog-replica.stateBacklog[i].Load()))
 		}
 	}
 	if state != nil {
