--- a/internal/routing/gauger/collect.go
+++ b/internal/routing/gauger/collect.go
@@ -29,7 +29,11 @@
 func (c *Collector) Add(evidence Evidence) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.learned.add(evidence, c.clock.Now())
+	now := c.clock.Now()
+	c.learned.add(evidence, now)
+	if evidence.Loads > 0 && evidence.LoadPercent > 0 {
+		c.load.LoadPercent, c.loadAt = evidence.LoadPercent, now
+	}
 }
 
 // RecordLoad records the load that the replica reports about this moment, in percent.
--- a/internal/routing/gauger/gauge.go
+++ b/internal/routing/gauger/gauge.go
@@ -67,24 +67,28 @@
 	g.own.add(e, now)
 }
 
-// RecordLoad records a load that the replica has reported about a moment, in percent.
+// RecordLoad records the load that an answer of the replica names at a time, in percent.
 func (g *Gauge) RecordLoad(percent int, at time.Time) {
 	if percent <= 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.evidence.Loads++
+	g.evidence.LoadPercent = percent
 	g.load.add(float64(percent)/100, at)
 }
 
 // RecordShared records what the replica's sidecar reports.
 func (g *Gauge) RecordShared(shared Shared, now time.Time) {
-	g.RecordLoad(shared.LoadPercent, now.Add(-shared.LoadAge))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if shared.LoadPercent > 0 {
+		g.load.add(float64(shared.LoadPercent)/100, now.Add(-shared.LoadAge))
+	}
 	if shared.SlownessPercent <= 0 {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.shared, g.sharedAt = min(math.Exp(maxLogSlowness), max(math.Exp(-maxLogSlowness), float64(shared.SlownessPercent)/100)), now
 }
 
