--- a/internal/routing/router/speed.go
+++ b/internal/routing/router/speed.go
@@ -84,7 +84,7 @@
 
 // recordSpeed records how long the replica has taken for a first event, or has not sent it yet.
 func (d *dispatch) recordSpeed(took time.Duration) {
-	if !d.router.usesSpeeds(d.service) || float64(max(d.choice.queueTime, d.currentQueue())) > maxQueueShare*float64(d.choice.wait) {
+	if !d.router.usesSpeeds(d.service) || float64(d.choice.queueTime) > maxQueueShare*float64(d.choice.wait) || d.currentQueue() > d.choice.wait {
 		return
 	}
 	d.choice.replica.gauge.RecordAnswer(took, d.service.center.Apply(took, d.choice.wait), d.router.clock.Now())
--- a/internal/routing/router/speed_test.go
+++ b/internal/routing/router/speed_test.go
@@ -186,7 +186,7 @@
 func TestReplicasOfUnlikeSpeedUnderAWave(t *testing.T) {
 	var results [2]unevenResult
 	for i, speeds := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			f := newUnevenFleet(3, unlikeSpeeds(12), speeds)
 			results[i] = f.play(34*time.Second, wave(165), f.noise())
 		})
@@ -227,7 +227,7 @@
 // before the first report.
 func TestManyDaemonsDoNotFloodAReplicaThatReturns(t *testing.T) {
 	backlog := func(speeds bool) (longest time.Duration) {
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			const daemons, replicas = 27, 6
 			f := newUnevenFleet(daemons, []float64{1, 1, 1, 1, 1, 1}, speeds)
 			f.exchange(0)
