--- a/internal/routing/gauger/gauge.go
+++ b/internal/routing/gauger/gauge.go
@@ -35,12 +35,20 @@
 	load     loadTrack
 }
 
-// Slowness returns how long work is expected to take on the replica now, as a multiple of what
-// its service takes.
-func (g *Gauge) Slowness(now time.Time) float64 {
+// Slowness is how long work is expected to take on a replica, as a multiple of what its service
+// takes: Now for work that begins and ends at once, Lasting for work over a longer time, such as a
+// queue, in which the load of the host changes.
+type Slowness struct{ Now, Lasting float64 }
+
+// Usual is the slowness of a replica that is as fast as its service.
+var Usual = Slowness{Now: 1, Lasting: 1}
+
+// Slowness returns how long work is expected to take on the replica.
+func (g *Gauge) Slowness(now time.Time) Slowness {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.slowness(now) * g.load.expected(now)
+	own := g.slowness(now)
+	return Slowness{Now: own * g.load.expected(now), Lasting: own * g.load.lasting(now)}
 }
 
 // slowness returns the replica's own slowness. The caller holds mu.
--- a/internal/routing/gauger/load.go
+++ b/internal/routing/gauger/load.go
@@ -60,6 +60,14 @@
 	return 1 + (l.mean+(l.last-l.mean)*l.persistence(age)-1)*math.Exp(-float64(age)/float64(loadMemory))
 }
 
+// lasting returns the mean load to expect over a longer time.
+func (l *loadTrack) lasting(at time.Time) float64 {
+	if l.last == 0 {
+		return 1
+	}
+	return 1 + (l.mean-1)*math.Exp(-float64(max(0, at.Sub(l.at)))/float64(loadMemory))
+}
+
 // persistence returns how much of a deviation from the mean is left after a time.
 func (l *loadTrack) persistence(age time.Duration) float64 {
 	if l.variance <= 0 || l.spacing <= 0 {
--- a/internal/routing/router/choose.go
+++ b/internal/routing/router/choose.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/routing/gauger"
 )
 
 // Losses by which choices are compared, as shares of a request's value.
@@ -89,7 +91,7 @@
 	// queueTime the part of prefillTime for the prompts of other requests.
 	prefillTime, queueTime time.Duration
 	// slowness is how long work takes on the replica, as a multiple of the service's pace.
-	slowness float64
+	slowness gauger.Slowness
 	// loss is the share of the request's value that the choice is expected to lose.
 	// reason is a code for the log line, such as "cached" or "spill".
 	loss   float64
@@ -105,7 +107,7 @@
 	weightsVersion int
 	failureRate    float64
 	// slowness is how long work takes on the replica, as a multiple of the service's pace.
-	slowness float64
+	slowness gauger.Slowness
 	// eligible is set if the replica may get the request. In small groups one that may
 	// not still counts as a possible home of prompts.
 	eligible bool
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -368,7 +368,7 @@
 		r.pool.addTransfer(c.source, c.replica, c.transferTime)
 	}
 	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "software", descriptor.SoftwareVersion, "service", d.service.name, "pace", d.service.Pace(), "reason", c.reason,
-		"wait", c.wait, "slowness", c.slowness, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes, "route", request.Route.Name, "sent", d.sentTo.count(), "ran", d.runAttempts, "most", request.Route.MaxAttempts)
+		"wait", c.wait, "slowness", c.slowness.Now, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes, "route", request.Route.Name, "sent", d.sentTo.count(), "ran", d.runAttempts, "most", request.Route.MaxAttempts)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
 	d.interrupted, d.continued, d.unreachable = false, false, nil
--- a/internal/routing/router/pace.go
+++ b/internal/routing/router/pace.go
@@ -70,7 +70,7 @@
 	return time.Duration(float64(tokens) / tokensPerSecond * s.service.Pace() * float64(time.Second))
 }
 
-// prefillDurationAt returns the same for the replica of a choice.
+// prefillDurationAt returns the same for the replica of a choice, at this moment.
 func (s *selection) prefillDurationAt(c *choice, tokens int) time.Duration {
-	return scale(s.prefillDuration(tokens), c.slowness)
+	return scale(s.prefillDuration(tokens), c.slowness.Now)
 }
--- a/internal/routing/router/speed.go
+++ b/internal/routing/router/speed.go
@@ -38,13 +38,13 @@
 
 // slownessOf returns how long work takes on a replica, as a multiple of the service's pace: 1 where
 // the speed of each replica does not count.
-func (s *selection) slownessOf(replica *Replica) float64 {
+func (s *selection) slownessOf(replica *Replica) gauger.Slowness {
 	if !s.router.options.ReplicaSpeeds {
-		return 1
+		return gauger.Usual
 	}
 	if !s.service.reportsLoad.Load() {
 		if state := replica.state.Load(); state == nil || state.Speed.LoadPercent <= 0 {
-			return 1
+			return gauger.Usual
 		}
 		s.service.reportsLoad.Store(true)
 	}
@@ -84,7 +84,7 @@
 
 // recordSpeed records how long the replica has taken for a first event, or has not sent it yet.
 func (d *dispatch) recordSpeed(took time.Duration) {
-	if !d.router.usesSpeeds(d.service) || float64(d.choice.queueTime) > maxQueueShare*float64(d.choice.wait) || d.currentQueue() > d.choice.wait {
+	if !d.router.usesSpeeds(d.service) || float64(max(d.choice.queueTime, d.currentQueue())) > maxQueueShare*float64(d.choice.wait) {
 		return
 	}
 	d.choice.replica.gauge.RecordAnswer(took, d.service.center.Apply(took, d.choice.wait), d.router.clock.Now())
@@ -109,7 +109,7 @@
 	if service := d.request.Catalog.Service(d.service.name); service != nil {
 		s.engine = service.Engine
 	}
-	return s.prefillDurationAt(&d.choice, max(0, backlog))
+	return scale(s.prefillDuration(max(0, backlog)), d.choice.slowness.Lasting)
 }
 
 // recordNoFirstEvent records that the caller has left, or the time was up, before the replica has sent
@@ -133,7 +133,7 @@
 		return
 	}
 	if usual, _, known := d.service.answerTimes.expect(d.request.Route.Name, 0); known {
-		d.choice.replica.gauge.RecordAnswer(d.headAt.Sub(d.sentAt), scale(usual, d.choice.slowness), d.router.clock.Now())
+		d.choice.replica.gauge.RecordAnswer(d.headAt.Sub(d.sentAt), scale(usual, d.choice.slowness.Now), d.router.clock.Now())
 	}
 }
 
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/routing/gauger"
 )
 
 // unlimitedBandwidth is that of a source whose link is not slower than the replica's.
@@ -54,7 +56,7 @@
 		active = max(active, int64(cand.state.Running+cand.state.Queued))
 	}
 	slots := int64(max(1, cand.descriptor.Slots))
-	work := scale(r.options.PlainRequestTime, cand.slowness)
+	work := scale(r.options.PlainRequestTime, cand.slowness.Now)
 	wait := cand.replica.slowness(r.clock) + work + time.Duration(active)*work/time.Duration(4*slots)
 	if active >= slots {
 		wait += time.Duration(active-slots+1) * work / time.Duration(slots)
@@ -80,9 +82,11 @@
 	if state != nil {
 		running = max(running, int64(state.Running))
 	}
-	c.prefillTime = s.prefillDurationAt(c, int(backlog)+c.uncachedTokens)
-	c.queueTime = s.prefillDurationAt(c, int(backlog))
-	return c.queueTime + scale(baseFirstEventTime+time.Duration(running)*s.router.options.DelayPerRunningRequest, c.slowness)
+	c.queueTime, c.prefillTime = scale(s.prefillDuration(int(backlog)), c.slowness.Lasting), s.prefillDuration(int(backlog)+c.uncachedTokens)
+	if c.slowness != gauger.Usual {
+		c.prefillTime = c.queueTime + s.prefillDurationAt(c, c.uncachedTokens)
+	}
+	return c.queueTime + scale(baseFirstEventTime+time.Duration(running)*s.router.options.DelayPerRunningRequest, c.slowness.Now)
 }
 
 // ranksBefore returns the number of ranks whose prompts are prefilled before that of the
