--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -37,6 +37,10 @@
 	// Pause the pause that it asks for when it rejects others.
 	Places int
 	Pause  time.Duration
+	// Quotas holds the quotas of workspaces, Invariants the parts of the rules that are in force beyond those
+	// of all deployments.
+	Quotas     map[string]checker.Quota
+	Invariants []string
 	// Linked puts relays on the links of callers and of replicas too.
 	Linked bool
 	// Seed draws what a scenario leaves open.
@@ -96,9 +100,11 @@
 			return err
 		}
 	}
-	if d.port, err = launcher.FreePort(d.host); err != nil {
-		return err
+	ports, err := fleet.FreePorts(d.host, 1)
+	if err != nil {
+		return fmt.Errorf("reserve a port of the daemons: %w", err)
 	}
+	d.port = ports[0]
 	for i := range d.options.Generators {
 		if err := d.addGenerator(i); err != nil {
 			return err
@@ -130,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	machine.Port, machine.StoreAddress = d.port, storeAddress
+	machine.Port, machine.StoreAddress, machine.Invariants = d.port, storeAddress, d.options.Invariants
 	return launcher.New(d.options.Folder, machine, d.options.Program, d.options.Bounds, d.history)
 }
 
