--- a/internal/routing/gauger/collect.go
+++ b/internal/routing/gauger/collect.go
@@ -29,11 +29,7 @@
 func (c *Collector) Add(evidence Evidence) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
-	c.learned.add(evidence, now)
-	if evidence.Loads > 0 && evidence.LoadPercent > 0 {
-		c.load.LoadPercent, c.loadAt = evidence.LoadPercent, now
-	}
+	c.learned.add(evidence, c.clock.Now())
 }
 
 // RecordLoad records the load that the replica reports about this moment, in percent.
--- a/internal/routing/gauger/gauge.go
+++ b/internal/routing/gauger/gauge.go
@@ -82,8 +82,6 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.evidence.Loads++
-	g.evidence.LoadPercent = percent
 	g.load.add(float64(percent)/100, at)
 }
 
--- a/internal/routing/gauger/gauge_test.go
+++ b/internal/routing/gauger/gauge_test.go
@@ -65,7 +65,7 @@
 	expected := time.Duration(entry.Slowness(now).Now * float64(usual))
 	scatter := math.Exp(0.3 * f.host.random.NormFloat64())
 	entry.RecordAnswer(time.Duration(f.slowness*load*scatter*float64(usual)), expected, now)
-	entry.RecordLoad(int(100*load), now)
+	f.collector.RecordLoad(int(100 * load))
 	evidence := entry.Evidence()
 	f.collector.Add(evidence.Since(f.sent[i]))
 	f.sent[i] = evidence
--- a/internal/routing/gauger/learn.go
+++ b/internal/routing/gauger/learn.go
@@ -36,10 +36,6 @@
 	// LogMilli is the sum of the logarithms of their ratios, in thousandths, each within a
 	// factor of two.
 	LogMilli int64 `cbor:"2,keyasint,omitempty"`
-	// Loads is the number of answers that have named the load of the replica's host, LoadPercent
-	// the last of these loads.
-	Loads       int64 `cbor:"3,keyasint,omitempty"`
-	LoadPercent int   `cbor:"4,keyasint,omitempty"`
 }
 
 // evidenceOf returns the evidence of one answer.
@@ -51,10 +47,10 @@
 // Since returns what was added since an earlier sum. Of a sender that has started again, that is
 // all.
 func (e Evidence) Since(earlier Evidence) Evidence {
-	if e.Answers < earlier.Answers || e.Loads < earlier.Loads {
+	if e.Answers < earlier.Answers {
 		return e
 	}
-	return Evidence{Answers: e.Answers - earlier.Answers, LogMilli: e.LogMilli - earlier.LogMilli, Loads: e.Loads - earlier.Loads, LoadPercent: e.LoadPercent}
+	return Evidence{Answers: e.Answers - earlier.Answers, LogMilli: e.LogMilli - earlier.LogMilli}
 }
 
 // estimate is a robust mean of the logarithm of a replica's slowness.
--- a/internal/routing/router/speed_test.go
+++ b/internal/routing/router/speed_test.go
@@ -94,6 +94,7 @@
 			h.collector.Add(evidence.Since(h.reported[n]))
 			h.reported[n] = evidence
 		}
+		h.collector.RecordLoad(f.loadOf(h))
 		state.Speed = h.collector.Shared(1)
 		for _, b := range f.beds {
 			b.pool.UpdateState(address, state)
