--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
+	"github.com/cyclamenward/cyclamenward/internal/routing/gauger"
 	"github.com/cyclamenward/cyclamenward/internal/routing/pacer"
 	"github.com/cyclamenward/cyclamenward/timekeeper"
 	"github.com/zeebo/xxh3"
@@ -107,6 +108,8 @@
 	// TransferQueue is how long the replica's link is busy with the transfers of cached
 	// parts that all daemons have requested.
 	TransferQueue time.Duration
+	// Speed is what the sidecar reports about the replica's speed.
+	Speed gauger.Shared
 	// ReceivedAt is when the report arrived.
 	ReceivedAt time.Time
 }
@@ -129,12 +132,17 @@
 	backlogTokens [PriorityLevels]atomic.Int64
 	// reportedBacklog is backlogTokens as last reported to the replica's sidecar.
 	reportedBacklog [PriorityLevels]atomic.Int64
+	// stateBacklog is backlogTokens as the last state arrived.
+	stateBacklog [PriorityLevels]atomic.Int64
 	// inFlight counts this daemon's requests in flight at the replica.
 	inFlight atomic.Int64
 	// transfers are those of cached parts from and to the replica that this daemon has
 	// requested.
 	transfers transferLog
 
+	// gauge estimates how slow the replica is.
+	gauge gauger.Gauge
+
 	// passedOver counts the slow attempts since the last answer that another replica has answered
 	// first.
 	passedOver atomic.Int32
@@ -525,7 +533,11 @@
 		return
 	}
 	state.ReceivedAt = p.clock.Now()
+	for i := range replica.stateBacklog {
+		replica.stateBacklog[i].Store(replica.backlogTokens[i].Load())
+	}
 	p.notePhase(replica, replica.state.Swap(&state), &state)
+	replica.gauge.RecordShared(state.Speed, state.ReceivedAt)
 	if state.Phase == Unreachable && state.StartUnixMilli != 0 {
 		// A sidecar that names no start has had no report yet.
 		replica.cancelFailoverAttempts()
--- a/internal/routing/router/wait.go
+++ b/internal/routing/router/wait.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/routing/gauger"
 )
 
 // unlimitedBandwidth is that of a source whose link is not slower than the replica's.
@@ -54,9 +56,10 @@
 		active = max(active, int64(cand.state.Running+cand.state.Queued))
 	}
 	slots := int64(max(1, cand.descriptor.Slots))
-	wait := cand.replica.slowness(r.clock) + r.options.PlainRequestTime + time.Duration(active)*r.options.PlainRequestTime/time.Duration(4*slots)
+	work := scale(r.options.PlainRequestTime, cand.slowness.Now)
+	wait := cand.replica.slowness(r.clock) + work + time.Duration(active)*work/time.Duration(4*slots)
 	if active >= slots {
-		wait += time.Duration(active-slots+1) * r.options.PlainRequestTime / time.Duration(slots)
+		wait += time.Duration(active-slots+1) * work / time.Duration(slots)
 	}
 	return wait
 }
@@ -73,15 +76,17 @@
 		ownBacklog, reported := replica.backlogTokens[i].Load(), replica.reportedBacklog[i].Load()
 		backlog += ownBacklog
 		if state != nil {
-			backlog += max(0, int64(state.BacklogTokens[i])-reported) + otherDaemonsFactor*max(0, ownBacklog-reported)
+			backlog += max(0, int64(state.BacklogTokens[i])-reported) + max(otherDaemonsFactor*max(0, ownBacklog-reported), s.othersAtReturn(cand)*max(0, ownBacklog-replica.stateBacklog[i].Load()))
 		}
 	}
 	if state != nil {
 		running = max(running, int64(state.Running))
 	}
-	c.prefillTime = s.prefillDuration(int(backlog) + c.uncachedTokens)
-	c.queueTime = s.prefillDuration(int(backlog))
-	return baseFirstEventTime + c.queueTime + time.Duration(running)*s.router.options.DelayPerRunningRequest
+	c.queueTime, c.prefillTime = scale(s.prefillDuration(int(backlog)), c.slowness.Lasting), s.prefillDuration(int(backlog)+c.uncachedTokens)
+	if c.slowness != gauger.Usual {
+		c.prefillTime = c.queueTime + s.prefillDurationAt(c, c.uncachedTokens)
+	}
+	return c.queueTime + scale(baseFirstEventTime+time.Duration(running)*s.router.options.DelayPerRunningRequest, c.slowness.Now)
 }
 
 // ranksBefore returns the number of ranks whose prompts are prefilled before that of the
@@ -101,7 +106,7 @@
 	prefix := s.sharedPrefix(c.weightsVersion)
 	c.cacheScope, c.uncachedTokens = prefix.cacheScope, prompt.Tokens
 	if len(prefix.keys) == 0 || c.weightsVersion == 0 {
-		return s.prefillDuration(c.uncachedTokens)
+		return s.prefillDurationAt(c, c.uncachedTokens)
 	}
 	c.prefix = prefix
 	cached := prefix.cachedTokens(c.replica)
@@ -139,11 +144,11 @@
 	if available < sharedTokens {
 		if storeTokens, storeTime, found := s.useCacheStore(c, prefix, cached); found {
 			c.reason, c.repeatTokens, c.uncachedTokens = "cacheStore", 0, prompt.Tokens-storeTokens
-			return s.prefillDuration(c.uncachedTokens) + storeTime
+			return s.prefillDurationAt(c, c.uncachedTokens) + storeTime
 		}
 	}
 	c.uncachedTokens = max(0, prompt.Tokens-available)
-	wait := s.prefillDuration(c.uncachedTokens)
+	wait := s.prefillDurationAt(c, c.uncachedTokens)
 	if source != nil {
 		c.source, c.fetchFrom = source, source.Address()
 		wait += transferWait
