Urgent requests and workspaces within their share go first when there is not room for all

Admission held each request against its own route's target, so that the loose target filled the queue up to 1.3 s (callers that came back: 2.4 s) and the tight one was refused first. Two more causes showed in the logs of a calm start: callers' times left differ by 15% by themselves, so that two of three requests were taken for callers' retries, and all workspaces have a priority, which replaces that of the route, so that no kind was more urgent than another.

Change. internal/routing/arbiter decides for each service before a request is sent: send, hold, refuse. Less urgent requests leave a queue of at most half of the urgent target, workspaces above their weighted share half of that; a less urgent rank keeps a tenth of the tokens unless it is served better than a more urgent one; what is held is bounded; refused callers return one after the other. The rank is that of the route, a workspace's priority is the weight of its share. A request counts as returned below 0.8 of the longest time seen.

--- a/internal/routing/router/admit.go
+++ b/internal/routing/router/admit.go
@@ -33,24 +33,28 @@
 	callerRetryPatienceShare = 0.5
 )
 
-// checkAdmission returns a failure if the request would not be answered in time, and
+// checkAdmission reports whether the request is sent to the chosen replica. If not, it returns a
+// failure, or nil if another choice is to be made. Requests to plain servers, those without a
+// latency target and those that a replica may have run are always admitted.
+func (d *dispatch) checkAdmission(c choice) (bool, *Failure) {
+	request := d.request
+	if request.Prompt == nil || request.Route.LatencyTarget <= 0 || d.runAttempts > 0 || request.LastEventID >= 0 {
+		return true, nil
+	}
+	if d.sharesRoom() {
+		return d.claimRoom(c)
+	}
+	failure := d.checkWait(c)
+	return failure == nil, failure
+}
+
+// checkWait returns a failure if the request would not be answered in time, and
 // nil if it is admitted. A request is refused if its caller is not expected to wait long
 // enough for it, and a new one also if the queue before it would make it late: it would
-// delay all requests behind it, too. Requests to plain servers, those without a latency
-// target and those that a replica may have run are always admitted.
-func (d *dispatch) checkAdmission(c choice) *Failure {
+// delay all requests behind it, too.
+func (d *dispatch) checkWait(c choice) *Failure {
 	route, request := d.request.Route, d.request
-	if request.Prompt == nil || route.LatencyTarget <= 0 || d.runAttempts > 0 || request.LastEventID >= 0 {
-		return nil
-	}
-	wait := d.router.clock.Now().Sub(request.Arrived) + c.wait
-	maxWait := d.callerPatience()
-	switch {
-	case request.CallerRetry:
-		maxWait = time.Duration(callerRetryPatienceShare * float64(maxWait))
-	case float64(c.queueTime) > minQueueTargets*float64(route.LatencyTarget):
-		maxWait = min(maxWait, time.Duration(admissionTargets*float64(route.LatencyTarget)))
-	}
+	wait, maxWait := d.router.clock.Now().Sub(request.Arrived)+c.wait, d.maxWait(c)
 	if wait <= maxWait {
 		return nil
 	}
@@ -59,6 +63,19 @@
 	return &Failure{Reason: ReasonOverload, NotRun: true, RetryAfter: retryAfter}
 }
 
+// maxWait returns the longest time from the arrival to the first event with which the request
+// is sent to the chosen replica.
+func (d *dispatch) maxWait(c choice) time.Duration {
+	target, patience := d.request.Route.LatencyTarget, d.callerPatience()
+	switch {
+	case d.request.CallerRetry:
+		return time.Duration(callerRetryPatienceShare * float64(patience))
+	case float64(c.queueTime) > minQueueTargets*float64(target):
+		return min(patience, time.Duration(admissionTargets*float64(target)))
+	}
+	return patience
+}
+
 // callerPatience returns the longest wait for a first event that is expected not to
 // make the caller leave.
 func (d *dispatch) callerPatience() time.Duration {
--- a/internal/routing/router/callerretry.go
+++ b/internal/routing/router/callerretry.go
@@ -10,6 +10,9 @@
 	// below which a request counts as a caller's retry. It is below 1 since all requests
 	// lose some milliseconds to the network delay.
 	callerRetryTimeShare = 0.97
+	// unequalRetryTimeShare is that share where callers wait for different times by
+	// themselves; a caller that has come back has waited for up to a third of its time.
+	unequalRetryTimeShare = 0.8
 	// maxRememberedRoutes bounds the number of routes in CallerRetryDetector.
 	maxRememberedRoutes = 4096
 )
@@ -18,6 +21,8 @@
 // have left before their deadline: less than the most that was seen on the route. It is
 // safe for concurrent use.
 type CallerRetryDetector struct {
+	// timeShare is callerRetryTimeShare, or less where callers' own times differ more.
+	timeShare float64
 	// mu guards longest.
 	mu sync.Mutex
 	// longest is the most time left that was seen on each route.
@@ -26,7 +31,14 @@
 
 // NewCallerRetryDetector returns a detector that has seen no requests.
 func NewCallerRetryDetector() *CallerRetryDetector {
-	return &CallerRetryDetector{longest: make(map[string]time.Duration)}
+	return &CallerRetryDetector{timeShare: callerRetryTimeShare, longest: make(map[string]time.Duration)}
+}
+
+// AllowUnequalTimes returns the detector, which then takes requests for retries only if their time
+// left is shorter than callers differ in it by themselves. It must be called before IsRetry.
+func (d *CallerRetryDetector) AllowUnequalTimes() *CallerRetryDetector {
+	d.timeShare = unequalRetryTimeShare
+	return d
 }
 
 // IsRetry reports whether a request with the given time left seems to be a caller's
@@ -42,5 +54,5 @@
 		d.longest[route] = timeLeft
 		return false
 	}
-	return float64(timeLeft) < callerRetryTimeShare*float64(longest)
+	return float64(timeLeft) < d.timeShare*float64(longest)
 }
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/routing/arbiter"
 )
 
 const (
@@ -58,6 +60,9 @@
 	retryReserved bool
 	// denialLogged is set once it was logged that the request was not repeated.
 	denialLogged bool
+	// claim is the request's claim for room, nil before the first. wasHeld is set once it was held.
+	claim   *arbiter.Claim
+	wasHeld bool
 	// isolationKeys are the isolator's keys of the prompt's shared parts.
 	isolationKeys []uint64
 	// lastEventID is the ID of the last event passed on to the caller, -1 before the
@@ -143,6 +148,9 @@
 	d.closeAttempt()
 	d.cancel()
 	if !d.forked {
+		if d.claim != nil {
+			d.claim.Release()
+		}
 		d.router.runTimes.end(d.run, d.runAttempts > 0)
 	}
 }
@@ -243,8 +251,10 @@
 		if !found {
 			return d.noReplicaFailure()
 		}
-		if failure := d.checkAdmission(c); failure != nil {
+		if admitted, failure := d.checkAdmission(c); failure != nil {
 			return failure
+		} else if !admitted {
+			continue
 		}
 		if !d.router.pool.limits.Take(c.replica.descriptor.Load().limited()) {
 			// Another request has taken the last permit since the choice.
--- a/internal/routing/router/load_test.go
+++ b/internal/routing/router/load_test.go
@@ -193,6 +193,15 @@
 	assert.Assert(t, !detector.IsRetry("other", 2500*time.Millisecond))
 }
 
+// TestCallersWithUnequalTimesAreNoRetries guards against callers whose own times differ by a sixth
+// being taken for such that have come back, which ranked two of three requests behind.
+func TestCallersWithUnequalTimesAreNoRetries(t *testing.T) {
+	detector := NewCallerRetryDetector().AllowUnequalTimes()
+	assert.Assert(t, !detector.IsRetry("r", 3*time.Second))
+	assert.Assert(t, !detector.IsRetry("r", 2550*time.Millisecond))
+	assert.Assert(t, detector.IsRetry("r", 2*time.Second))
+}
+
 // BenchmarkChoose measures one choice among a number of replicas.
 func BenchmarkChoose(b *testing.B) {
 	for _, replicas := range []int{48, 12_000} {
--- a/internal/routing/router/pace.go
+++ b/internal/routing/router/pace.go
@@ -5,7 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/routing/arbiter"
 	"github.com/cyclamenward/cyclamenward/limiter"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
 )
 
 const (
@@ -30,10 +32,12 @@
 	pace atomic.Uint64
 	// answerTimes holds how long plain servers of the service take.
 	answerTimes answerTimes
+	// arbiter decides which requests are sent when there is not room for all.
+	arbiter *arbiter.Arbiter
 }
 
-func newServiceState(name string, budget *limiter.WindowedBudget) *serviceState {
-	s := &serviceState{name: name, budget: budget}
+func newServiceState(name string, budget *limiter.WindowedBudget, clock timekeeper.Clock) *serviceState {
+	s := &serviceState{name: name, budget: budget, arbiter: arbiter.New(clock)}
 	s.pace.Store(math.Float64bits(1))
 	return s
 }
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -47,6 +47,9 @@
 	// UpdateList brings the list of replicas up to the moment of the call and reports whether that
 	// was possible; nil means that the list is always current.
 	UpdateList func(context.Context) bool
+	// SharesRoom reports whether the requests to a service are arbitrated between ranks and
+	// workspaces when there is not room for all; nil means that none are.
+	SharesRoom func(service string) bool
 }
 
 // Router chooses replicas for the requests of one daemon and sends the requests to
@@ -117,7 +120,7 @@
 	defer r.mu.Unlock()
 	s := r.services[name]
 	if s == nil {
-		s = newServiceState(name, limiter.NewWindowedBudget(r.options.RetryBudget, r.options.RetryShare, r.options.StartedAt, r.clock))
+		s = newServiceState(name, limiter.NewWindowedBudget(r.options.RetryBudget, r.options.RetryShare, r.options.StartedAt, r.clock), r.clock)
 		r.services[name] = s
 	}
 	return s
