A prompt as large as a share does not put its workspace above it

A workspace counted as above its share with the request that it asked for; large prompts are as large as a small workspace's share, so that they were refused in calm seconds, too. The same rule was what kept large prompts back while urgent ones were refused.

Only what was sent counts. While over 5% of more urgent tokens are refused, less urgent requests leave half the queue.

--- a/internal/routing/arbiter/arbiter.go
+++ b/internal/routing/arbiter/arbiter.go
@@ -20,6 +20,10 @@
 	// behind a less urgent one may take; the rest is for their own prefill and for what other
 	// daemons send before they know of it.
 	protectedShare = 0.5
+	// refusedFactor scales the allowed queue of less urgent requests while more urgent ones are
+	// refused, wholeShare is the part of these that counts as all.
+	refusedFactor = 0.5
+	wholeShare    = 0.95
 	// aboveShareFactor scales the allowed queue of requests of workspaces above their share.
 	aboveShareFactor = 0.5
 	// idleShare is the part of the same target up to which a replica counts as idle: the size
@@ -236,6 +240,9 @@
 	switch {
 	case protects:
 		verdict.Limit, verdict.Reason = time.Duration(protectedShare*float64(urgent)), Urgency
+		if a.urgentRefused(now, work.Rank) {
+			verdict.Limit = time.Duration(refusedFactor * float64(verdict.Limit))
+		}
 	case above:
 		urgent, verdict.Limit = work.Target, work.Target
 	default:
@@ -278,6 +285,17 @@
 	return shortest, found
 }
 
+// urgentRefused reports whether some rank that is more urgent is not served whole. The caller holds
+// mu.
+func (a *Arbiter) urgentRefused(now time.Time, rank int) bool {
+	for i := range rank {
+		if a.ranks[i].servedShare(now) < wholeShare {
+			return true
+		}
+	}
+	return false
+}
+
 // belowFloor reports whether requests of the work's rank have been sent less than their least
 // share. Half of the least share is kept for workspaces that are not above their own. The caller
 // holds mu.
--- a/internal/routing/arbiter/share.go
+++ b/internal/routing/arbiter/share.go
@@ -65,8 +65,9 @@
 	return use
 }
 
-// aboveShare reports whether a workspace would have more than its share with the work, and
-// returns the part of all sent tokens that it has and that is due to it. The caller holds mu.
+// aboveShare reports whether a workspace has had more than its share, and returns the part of all
+// sent tokens that it has had and that is due to it. The work itself does not count: one prompt may
+// be larger than a share. The caller holds mu.
 func (a *Arbiter) aboveShare(now time.Time, work Work) (above bool, used, share float64) {
 	if now.Sub(a.leveledAt) >= levelInterval {
 		a.computeLevel(now)
@@ -76,7 +77,7 @@
 		return false, 0, 1
 	}
 	sent, due := a.workspace(work.Workspace).sent.at(now), a.level*work.Weight
-	return sent+float64(work.Tokens) > due, sent / total, due / total
+	return sent > due, sent / total, due / total
 }
 
 // computeLevel divides what was sent recently among the workspaces: each gets what it asked
