--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -50,6 +50,9 @@
 	// SharesRoom reports whether the requests to a service are arbitrated between ranks and
 	// workspaces when there is not room for all; nil means that none are.
 	SharesRoom func(service string) bool
+	// PacedStarts reports whether the replicas of a service are paced after a start or recovery; nil
+	// means that none are.
+	PacedStarts func(service string) bool
 }
 
 // Router chooses replicas for the requests of one daemon and sends the requests to
@@ -104,6 +107,7 @@
 		waiting:   make(map[*dispatch]bool),
 	}
 	r.isolator.OnIsolated(r.recallIsolated)
+	r.paceStarts()
 	return r
 }
 
