--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -13,6 +13,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/quota/enforcer"
+	"github.com/cyclamenward/cyclamenward/internal/quota/granter"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
@@ -106,6 +108,10 @@
 	// Limits holds the limits that replicas name. They are exchanged like the Isolator's
 	// evidence, and sidecars list the entries that share them.
 	Limits *divider.Divider
+	// Quotas holds an entry to its share of quotas, and QuotaGranter divides a portion of each among
+	// the entries that report to a sidecar. Each is nil in other daemons.
+	Quotas       *enforcer.Enforcer
+	QuotaGranter *granter.Granter
 	// Streams holds the software versions that began streams, and Origin returns what else is
 	// known of these. Sidecars answer entries from both.
 	Streams *pinner.Registry
@@ -497,6 +503,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	wanted := make(map[string]bool, len(peers))
+	if a.deps.Quotas != nil {
+		addresses := make([]string, len(peers))
+		for i, peer := range peers {
+			addresses[i] = peer.Address
+		}
+		a.deps.Quotas.SetPeers(addresses)
+	}
 	for _, peer := range peers {
 		address := peer.Address
 		wanted[address] = true
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/quota/granter"
 	"github.com/cyclamenward/cyclamenward/internal/routing/divider"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
@@ -199,6 +200,10 @@
 	// Members holds the entries that are connected to the sender, a sidecar. It is set in
 	// messages to entries that subscribe, when it has changed.
 	Members *[]divider.Member `cbor:"27,keyasint,omitempty"`
+	// QuotaReport is what the sender, an entry, was asked for workspaces with quotas, and QuotaGrants
+	// answer the last one.
+	QuotaReport *granter.Report `cbor:"34,keyasint,omitempty"`
+	QuotaGrants *granter.Grants `cbor:"35,keyasint,omitempty"`
 	// AcceptsParts is set in a request for changes if they may be sent in parts.
 	AcceptsParts bool `cbor:"17,keyasint,omitempty"`
 	// Part is a part of large changes that were requested.
@@ -238,6 +243,8 @@
 	// priority orders the sessions of an entry by preference for subscriptions.
 	priority uint64
 
+	// quotaReported is set while a report of the other end's demand is not answered.
+	quotaReported atomic.Bool
 	// wake has an element when a message should be sent at once.
 	wake chan struct{}
 	// sent is what the session's regular messages have reported to the other end. Only the
@@ -302,6 +309,8 @@
 	watchesStore bool
 	subscribed   bool
 	versions     map[string]uint64
+	// quotasAt is when demand was last reported.
+	quotasAt time.Time
 	// evidence is the isolator's version at the last report.
 	evidence uint64
 	// leaving is the version of the registry of replicas that leave at the last report, limits
@@ -474,6 +483,9 @@
 		m.Limits = deps.Limits.Report(sent.limits)
 		sent.limits, changed = version, true
 	}
+	if s.addQuotas(m) {
+		changed = true
+	}
 	if !s.subscribed.Load() {
 		sent.membership = 0
 	} else if membership := s.announcer.membership.Load(); m.Status != nil && membership != sent.membership {
@@ -674,6 +686,7 @@
 	for _, limit := range deps.Limits.Merge(m.Limits) {
 		deps.Logger.Info("fleet: limit of a replica changes.", "replica", limit.Replica.ID, "started", limit.Replica.StartUnixMilli, "limited", limit.RequestsPerSecond != nil, "from", s.conn.RemoteAddr())
 	}
+	s.handleQuotas(m)
 	if m.Members != nil {
 		s.members.Store(m.Members)
 		deps.Limits.SetMembers(s, *m.Members)
--- /dev/null
+++ b/internal/quota/enforcer/enforcer.go
@@ -0,0 +1,436 @@
+// Package enforcer holds an entry's requests to the quotas of their workspaces.
+//
+// An entry decides by itself: it has a token bucket for each workspace, filled with its share of the
+// quota. The share is what sidecars grant it, by what the entry reports it is asked; without grants it is the
+// even part of the fleet. Package granter has the other end.
+package enforcer
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cyclamenward/cyclamenward/internal/quota/granter"
+	"github.com/cyclamenward/cyclamenward/timekeeper"
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// granters is how many sidecars grant portions of the quotas. With fewer more is lost with each
+	// of them, and each more has as many messages.
+	granters = 8
+	// demandTime is the time over which demand is averaged.
+	demandTime = 1500 * time.Millisecond
+	// maxReported bounds the workspaces in a report.
+	maxReported = 32
+	// minReportedDemand is the demand from which on a workspace that no sidecar lists is reported, as
+	// a multiple of the even part.
+	minReportedDemand = 0.5
+	// shareAge is how long a computed share is used.
+	shareAge = 50 * time.Millisecond
+	// ReportInterval is the interval of reports while there is demand, IdleReportInterval without.
+	ReportInterval     = 250 * time.Millisecond
+	IdleReportInterval = 500 * time.Millisecond
+	// saveTime is how long after the refusal of a request that is larger than the bucket the bucket
+	// may hold enough for it.
+	saveTime = 3 * time.Second
+	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is asked back.
+	minRetryAfter = 250 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
+
+// Options are the settings of an enforcer.
+type Options struct {
+	// FleetShare returns the even part of this entry among all that run, 0 if it is not known.
+	FleetShare func() float64
+	// Oversize is by how many units all entries together may send requests ahead that are larger than
+	// their buckets, 0 for none: these wait until the bucket holds enough.
+	Oversize float64
+}
+
+// bucket is what this entry may send for one workspace.
+type bucket struct {
+	quota Quota
+	key   uint32
+	// tokens is how much could be sent at tokensAt; less than 0 if that was sent ahead.
+	tokens   float64
+	tokensAt time.Time
+	// share is this entry's share at shareAt.
+	share   float64
+	shareAt time.Time
+	// saved is the cost of a request that was refused at savedAt.
+	saved   float64
+	savedAt time.Time
+	// demand is what was asked at demandAt, as units that fade within demandTime.
+	demand   float64
+	demandAt time.Time
+	// promisedUntil is until when the refused callers that were asked back take the share.
+	promisedUntil time.Time
+}
+
+// grants are what one sidecar has granted.
+type grants struct {
+	// reportedAt is when the report was sent that they answer.
+	reportedAt time.Time
+	serial     uint64
+	even       float64
+	shares     map[uint32]float64
+}
+
+// Enforcer holds the buckets of one entry. It is safe for concurrent use.
+type Enforcer struct {
+	options   Options
+	clock     timekeeper.Clock
+	startedAt time.Time
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// buckets holds the limited workspaces by name, byKey the same by their numbers.
+	buckets map[string]*bucket
+	byKey   map[uint32][]*bucket
+	// even is the even part of this entry at evenAt.
+	even   float64
+	evenAt time.Time
+	// reported are the demands at reportedAt.
+	reported   []granter.Demand
+	reportedAt time.Time
+	// addresses are those of the sidecars that grant; granted holds what they have, by address.
+	addresses []string
+	granted   map[string]*grants
+}
+
+// New returns an enforcer without quotas.
+func New(options Options, clock timekeeper.Clock) *Enforcer {
+	return &Enforcer{options: options, clock: clock, startedAt: clock.Now(), buckets: make(map[string]*bucket), byKey: make(map[uint32][]*bucket), granted: make(map[string]*grants)}
+}
+
+// SetQuotas sets the quotas by the names of their workspaces. A bucket that is new is empty, and one
+// whose quota shrinks shrinks at once.
+func (e *Enforcer) SetQuotas(quotas map[string]Quota) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	for name, b := range e.buckets {
+		if !quotas[name].Limited() {
+			delete(e.buckets, name)
+			continue
+		}
+		e.refill(b, now)
+	}
+	for name, quota := range quotas {
+		if !quota.Limited() {
+			continue
+		}
+		b := e.buckets[name]
+		if b == nil {
+			b = &bucket{key: Key(name), tokensAt: now, demandAt: now}
+			e.buckets[name] = b
+		}
+		b.quota = quota
+		e.refill(b, now)
+		b.tokens = min(b.tokens, e.capacity(b, now))
+	}
+	clear(e.byKey)
+	for _, b := range e.buckets {
+		e.byKey[b.key] = append(e.byKey[b.key], b)
+	}
+}
+
+// Key returns the number by which daemons name a workspace to each other. Workspaces with the same
+// number get shares for the demand of both.
+func Key(name string) uint32 { return uint32(xxh3.HashString(name)) }
+
+// SetPeers sets the addresses of the sidecars, of which those with the lowest hashes grant.
+func (e *Enforcer) SetPeers(addresses []string) {
+	chosen := slices.Clone(addresses)
+	slices.SortFunc(chosen, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxh3.HashString(a), xxh3.HashString(b)), cmp.Compare(a, b))
+	})
+	chosen = slices.Compact(chosen)
+	chosen = chosen[:min(len(chosen), granters)]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.addresses = chosen
+	for address := range e.granted {
+		if !slices.Contains(chosen, address) {
+			delete(e.granted, address)
+		}
+	}
+}
+
+// Ask records that a request of a workspace asks for its cost, and reports whether it may be sent. If not,
+// the caller should come back after the given time.
+func (e *Enforcer) Ask(name string, cost float64) (retryAfter time.Duration, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.buckets[name]
+	if b == nil {
+		return 0, true
+	}
+	now := e.clock.Now()
+	b.fade(now)
+	b.demand += cost
+	e.refill(b, now)
+	if e.allows(b, cost) {
+		return 0, true
+	}
+	return e.refuse(b, cost, now), false
+}
+
+// Take charges a request that is about to be sent. It returns false if there is no room for it;
+// nothing may be sent then.
+func (e *Enforcer) Take(name string, cost float64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.buckets[name]
+	if b == nil {
+		return true
+	}
+	e.refill(b, e.clock.Now())
+	if !e.allows(b, cost) {
+		return false
+	}
+	b.tokens -= cost
+	return true
+}
+
+// GiveBack returns what was charged for a request that has certainly not run.
+func (e *Enforcer) GiveBack(name string, cost float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if b := e.buckets[name]; b != nil {
+		e.refill(b, e.clock.Now())
+		b.tokens = min(b.tokens+cost, e.capacity(b, b.tokensAt))
+	}
+}
+
+// RetryAfter returns when a caller should come back for whose request Take had no room.
+func (e *Enforcer) RetryAfter(name string, cost float64) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.buckets[name]
+	if b == nil {
+		return minRetryAfter
+	}
+	now := e.clock.Now()
+	e.refill(b, now)
+	return e.refuse(b, cost, now)
+}
+
+// Share returns this entry's share of a workspace's quota, for logs.
+func (e *Enforcer) Share(name string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if b := e.buckets[name]; b != nil {
+		return b.share
+	}
+	return 1
+}
+
+// allows reports whether a request fits into the bucket. A request that is larger than the bucket
+// may be sent ahead when that is full. The caller holds mu.
+func (e *Enforcer) allows(b *bucket, cost float64) bool {
+	if b.share <= 0 {
+		return false
+	}
+	if b.tokens >= cost {
+		return true
+	}
+	// Of many entries few have sent a whole request ahead at the same time; on average it is half.
+	ahead := 2 * e.options.Oversize * e.even
+	return b.tokens >= b.share*b.quota.Burst && cost-b.tokens <= ahead
+}
+
+// refuse returns when the caller of a refused request should come back: after those that were
+// refused before. The caller holds mu.
+func (e *Enforcer) refuse(b *bucket, cost float64, now time.Time) time.Duration {
+	if cost > b.share*b.quota.Burst {
+		b.saved, b.savedAt = min(cost, b.quota.Burst), now
+	}
+	rate := b.quota.Rate * b.share
+	if rate <= 0 {
+		return spread(2 * minRetryAfter)
+	}
+	duration := func(units float64) time.Duration {
+		return time.Duration(min(units/rate, maxRetryAfter.Seconds()) * float64(time.Second))
+	}
+	at := now.Add(duration(cost - b.tokens))
+	if b.promisedUntil.After(at) {
+		at = b.promisedUntil
+	}
+	at = now.Add(min(at.Sub(now), maxRetryAfter))
+	b.promisedUntil = at.Add(duration(cost))
+	return spread(max(minRetryAfter, at.Sub(now)))
+}
+
+// spread returns a time of up to a quarter more than d, at random.
+func spread(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Int64N(int64(d)/4+1))
+}
+
+// refill adds the tokens since the last call. The caller holds mu.
+func (e *Enforcer) refill(b *bucket, now time.Time) {
+	elapsed := now.Sub(b.tokensAt).Seconds()
+	if now.Sub(b.shareAt) >= shareAge {
+		// After a pause the earlier share may be another entry's.
+		before := b.share
+		b.share, b.shareAt = e.shareOf(b.key, now), now
+		b.tokens += elapsed * b.quota.Rate * min(before, b.share)
+	} else {
+		b.tokens += elapsed * b.quota.Rate * b.share
+	}
+	b.tokensAt = now
+	b.tokens = min(b.tokens, e.capacity(b, now))
+}
+
+// capacity returns how much the bucket may hold. The caller holds mu.
+func (e *Enforcer) capacity(b *bucket, now time.Time) float64 {
+	capacity := b.share * b.quota.Burst
+	if b.saved > 0 && now.Sub(b.savedAt) < saveTime {
+		return max(capacity, min(b.saved, b.quota.Burst))
+	}
+	return capacity
+}
+
+// shareOf returns this entry's share of the quota of the workspace with a key: the mean of its parts of all
+// portions. The caller holds mu.
+func (e *Enforcer) shareOf(key uint32, now time.Time) float64 {
+	if now.Sub(e.evenAt) >= shareAge {
+		e.even, e.evenAt = e.evenPart(now), now
+	}
+	if len(e.addresses) == 0 {
+		return e.even
+	}
+	sum := 0.0
+	for _, address := range e.addresses {
+		g := e.granted[address]
+		if !g.valid(now) {
+			sum += e.even
+		} else if share, listed := g.shares[key]; listed {
+			sum += share
+		} else {
+			sum += g.even
+		}
+	}
+	return sum / float64(len(e.addresses))
+}
+
+// evenPart returns the even part of this entry, as the fleet is known to it or to a sidecar that
+// grants. The caller holds mu.
+func (e *Enforcer) evenPart(now time.Time) float64 {
+	even := e.options.FleetShare()
+	if even > 0 {
+		return even
+	}
+	for _, g := range e.granted {
+		if g.valid(now) && (even == 0 || g.even < even) {
+			even = g.even
+		}
+	}
+	return even
+}
+
+// valid reports whether the grants may be used.
+func (g *grants) valid(now time.Time) bool {
+	return g != nil && now.Sub(g.reportedAt) < granter.LeaseTime
+}
+
+// fade brings the demand up to the given time.
+func (b *bucket) fade(now time.Time) {
+	if elapsed := now.Sub(b.demandAt); elapsed > 0 {
+		b.demand *= math.Exp(-elapsed.Seconds() / demandTime.Seconds())
+		b.demandAt = now
+	}
+}
+
+// Report returns what is to be reported to the sidecar at an address, nil if it does not grant, there
+// are no quotas or the last report, at lastAt, was short ago.
+func (e *Enforcer) Report(address string, lastAt time.Time) *granter.Report {
+	now := e.clock.Now()
+	if now.Sub(lastAt) < ReportInterval {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.buckets) == 0 || !slices.Contains(e.addresses, address) {
+		return nil
+	}
+	if now.Sub(e.reportedAt) >= ReportInterval/2 {
+		e.reported, e.reportedAt = e.demands(now), now
+	}
+	demands := e.reported
+	if len(demands) == 0 && now.Sub(lastAt) < IdleReportInterval {
+		return nil
+	}
+	report := &granter.Report{At: now.Sub(e.startedAt).Milliseconds(), Demands: demands}
+	if g := e.granted[address]; g != nil {
+		report.Applied = g.serial
+	}
+	return report
+}
+
+// demands returns the workspaces with demand that may exceed the even part somewhere. The caller holds
+// mu.
+func (e *Enforcer) demands(now time.Time) (demands []granter.Demand) {
+	threshold := minReportedDemand * e.evenPart(now)
+	for _, b := range e.buckets {
+		b.fade(now)
+		share := b.demand / demandTime.Seconds() / b.quota.Rate
+		scaled := int(share * granter.Scale)
+		if scaled > 0 && (share >= threshold || e.listed(b.key)) {
+			demands = append(demands, granter.Demand{Workspace: b.key, Share: scaled})
+		}
+	}
+	slices.SortFunc(demands, func(a, b granter.Demand) int { return cmp.Compare(b.Share, a.Share) })
+	return demands[:min(len(demands), maxReported)]
+}
+
+// listed reports whether a sidecar has listed a workspace. The caller holds mu.
+func (e *Enforcer) listed(key uint32) bool {
+	for _, g := range e.granted {
+		if _, found := g.shares[key]; found {
+			return true
+		}
+	}
+	return false
+}
+
+// Receive applies the grants of the sidecar at an address.
+func (e *Enforcer) Receive(address string, received granter.Grants) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Contains(e.addresses, address) {
+		return
+	}
+	g := &grants{reportedAt: e.startedAt.Add(time.Duration(received.At) * time.Millisecond), serial: received.Serial, even: float64(received.Even) / granter.Scale, shares: make(map[uint32]float64, len(received.List))}
+	for _, grant := range received.List {
+		g.shares[grant.Workspace] = float64(grant.Share) / granter.Scale
+	}
+	before := e.granted[address]
+	e.granted[address] = g
+	if before == nil {
+		before = g
+	}
+	// A smaller share holds from here on, since the next report confirms it.
+	now := e.clock.Now()
+	for key := range g.shares {
+		e.applyShare(key, now)
+	}
+	for key := range before.shares {
+		if _, listed := g.shares[key]; !listed {
+			e.applyShare(key, now)
+		}
+	}
+}
+
+// applyShare uses what was granted for a workspace from now on. The caller holds mu.
+func (e *Enforcer) applyShare(key uint32, now time.Time) {
+	for _, b := range e.byKey[key] {
+		e.refill(b, now)
+		b.share, b.shareAt = e.shareOf(key, now), now
+		b.tokens = min(b.tokens, e.capacity(b, now))
+	}
+}
--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/quota/enforcer"
 	"github.com/zeebo/xxh3"
 )
 
@@ -114,6 +115,8 @@
 	Priority *int
 	// Dedicated workspaces share no cached prompts with others.
 	Dedicated bool
+	// Quota bounds what all daemons together send for the workspace.
+	Quota enforcer.Quota
 }
 
 // Limits bound what callers may send.
@@ -195,6 +198,17 @@
 // NeedsKey reports whether requests on the route must have a bearer key.
 func (c *Catalog) NeedsKey(route *Route) bool { return c.byKey != nil && !route.Public }
 
+// Quotas returns the quotas of the workspaces that have one, by name.
+func (c *Catalog) Quotas() map[string]enforcer.Quota {
+	quotas := make(map[string]enforcer.Quota)
+	for _, workspace := range c.byKey {
+		if workspace.Quota.Limited() {
+			quotas[workspace.Name] = workspace.Quota
+		}
+	}
+	return quotas
+}
+
 // Service returns a service by name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -58,6 +58,8 @@
 	retryReserved bool
 	// denialLogged is set once it was logged that the request was not repeated.
 	denialLogged bool
+	// asked is set once the quota of the workspace was asked for the request.
+	asked bool
 	// isolationKeys are the isolator's keys of the prompt's shared parts.
 	isolationKeys []uint64
 	// lastEventID is the ID of the last event passed on to the caller, -1 before the
@@ -75,6 +77,8 @@
 
 // attemptState is the state of the current attempt of a dispatch.
 type attemptState struct {
+	// charged is set while the attempt is charged to the quota of the workspace.
+	charged bool
 	// choice is the replica to which the attempt was sent at sentAt, sentSoftware the version of
 	// its software.
 	choice        choice
@@ -234,6 +238,9 @@
 		if failure := d.checkIsolated(); failure != nil {
 			return failure
 		}
+		if failure := d.checkQuota(); failure != nil {
+			return failure
+		}
 		if !d.sentTo.allowsAnother(nil) {
 			return d.sentFailure()
 		}
@@ -252,6 +259,10 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, ErrOverQuota) {
+			d.closeAttempt()
+			return d.quotaFailure()
+		}
 		if errors.Is(err, ErrOutdated) {
 			d.router.recorder.Count("attempts.outdated")
 			d.excluded = append(d.excluded, c.replica)
@@ -315,8 +326,12 @@
 	if replica := d.choice.replica; !d.router.pool.takesRequests(replica, replica.descriptor.Load()) {
 		return 0, ErrOutdated
 	}
+	if !d.charge() {
+		return 0, ErrOverQuota
+	}
 	if !d.sentTo.add(d.choice.replica) {
 		// Another attempt of the request was sent meanwhile.
+		d.giveBack()
 		return 0, ErrOutdated
 	}
 	return remaining, nil
@@ -340,6 +355,7 @@
 func (d *dispatch) send(c choice) error {
 	r, request := d.router, d.request
 	descriptor := c.replica.descriptor.Load()
+	d.charged = false
 	d.choice, d.sentAt, d.sentSoftware = c, r.clock.Now(), descriptor.SoftwareVersion
 	attempt := &Attempt{
 		Request:        request,
@@ -411,6 +427,7 @@
 		replica.recordFailure(d.router.clock.Now())
 	}
 	if notSent {
+		d.giveBack()
 		d.rejectedAttempts++
 		d.lastFailure = &Failure{Reason: ReasonNoReplica, NotRun: d.runAttempts == 0, RetryAfter: minRetryAfter}
 		return
@@ -520,6 +537,7 @@
 // returns false, as another attempt is due.
 func (d *dispatch) handleRejection() bool {
 	replica := d.choice.replica
+	d.giveBack()
 	if d.reply.Pause <= 0 {
 		// A replica rejects once for each pause, so that these need no limit but the budget.
 		d.rejectedAttempts++
--- a/internal/routing/router/hedge.go
+++ b/internal/routing/router/hedge.go
@@ -142,7 +142,7 @@
 	switch {
 	case a.usable():
 		return
-	case errors.Is(a.err, ErrOutdated):
+	case errors.Is(a.err, ErrOutdated), errors.Is(a.err, ErrOverQuota):
 		d.router.recorder.Count("attempts.outdated")
 	case a.err != nil:
 		d.recordAttemptError(a.err)
@@ -167,7 +167,10 @@
 		a.reply.Close()
 		a.discard(d)
 	}
-	if !errors.Is(a.err, ErrNotSent) && !errors.Is(a.err, ErrOutdated) && !errors.Is(a.err, ErrExpired) && !errors.Is(a.err, ErrStopping) {
+	switch {
+	case errors.Is(a.err, ErrNotSent):
+		d.giveBack()
+	case !errors.Is(a.err, ErrOutdated) && !errors.Is(a.err, ErrOverQuota) && !errors.Is(a.err, ErrExpired) && !errors.Is(a.err, ErrStopping):
 		d.runAttempts++
 	}
 }
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -31,6 +31,8 @@
 	ErrStopping = errorNamespace.NewType("stopping").New("daemon stops before the request would be answered")
 	// ErrOutdated means that the replica takes no requests any more.
 	ErrOutdated = errorNamespace.NewType("outdated").New("replica takes no requests any more")
+	// ErrOverQuota means that the quota of the request's workspace is used up.
+	ErrOverQuota = errorNamespace.NewType("overQuota").New("quota of the workspace is used up")
 )
 
 // PromptPart is one part of a prompt, the unit in which prompts are cached and shared.
@@ -121,8 +123,8 @@
 	// Address is the replica's IP address and port.
 	Address string
 	// Admit is called by the transport when it is about to send the first byte. It returns the
-	// time left until the request's deadline. After an error, ErrExpired, ErrStopping or
-	// ErrOutdated, the transport sends nothing and returns the error together with ErrNotSent.
+	// time left until the request's deadline. After an error, ErrExpired, ErrStopping,
+	// ErrOutdated or ErrOverQuota, the transport sends nothing and returns the error together with ErrNotSent.
 	Admit func() (remaining time.Duration, err error)
 	// WeightsVersion is the required weights version, 0 for any; a replica with another
 	// version must reject the attempt.
@@ -226,6 +228,8 @@
 	ReasonNoReplica Reason = "noReplica"
 	// ReasonOverload means that the request would not be answered in time.
 	ReasonOverload Reason = "overload"
+	// ReasonQuota means that the quota of the request's workspace is used up.
+	ReasonQuota Reason = "quota"
 	// ReasonRejected means that replicas rejected the request without running it.
 	ReasonRejected Reason = "rejected"
 	// ReasonDeadline means that too little time was left before the deadline.
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cyclamenward/cyclamenward/internal/metrics/recorder"
+	"github.com/cyclamenward/cyclamenward/internal/quota/enforcer"
 	"github.com/cyclamenward/cyclamenward/internal/routing/isolator"
 	"github.com/cyclamenward/cyclamenward/internal/routing/pinner"
 	"github.com/cyclamenward/cyclamenward/limiter"
@@ -44,6 +45,8 @@
 	// asks them. They may be nil.
 	RecordStream func(pinner.Record)
 	FindStream   func(context.Context, pinner.Query) pinner.Origin
+	// Quotas holds requests to the quotas of their workspaces; nil means that these have none.
+	Quotas *enforcer.Enforcer
 	// UpdateList brings the list of replicas up to the moment of the call and reports whether that
 	// was possible; nil means that the list is always current.
 	UpdateList func(context.Context) bool
