--- a/internal/quota/enforcer/enforcer.go
+++ b/internal/quota/enforcer/enforcer.go
@@ -26,6 +26,15 @@
 	demandTime = 3 * time.Second
 	// refillTime is the time in which a bucket that has run low should be full again.
 	refillTime = 3 * time.Second
+	// recentTime is the time over which the load of a quota is averaged.
+	recentTime = time.Second
+	// A quota with a load below ampleLoad has room for all; one whose Ahead is more than
+	// aheadTime brings has more.
+	ampleLoad = 0.95
+	aheadTime = 8 * time.Second
+	// learnTime is how long after its start an entry takes no quota for ample: what it was asked
+	// before is not known.
+	learnTime = 3 * time.Second
 	// maxReported bounds the workspaces in a report.
 	maxReported = 32
 	// minReportedDemand is the demand from which on a workspace that no sidecar lists is reported, as
@@ -71,9 +80,12 @@
 	// saved is the cost of a request that was refused at savedAt.
 	saved   float64
 	savedAt time.Time
-	// demand is what was asked at demandAt, as units that fade within demandTime.
-	demand   float64
-	demandAt time.Time
+	// demand and recent are what was asked until demandAt, as units that fade within demandTime and
+	// recentTime.
+	demand, recent float64
+	demandAt       time.Time
+	// toppedAt is when the bucket was last filled because the quota was ample.
+	toppedAt time.Time
 	// promisedUntil is until when the refused callers that were asked back take the share.
 	promisedUntil time.Time
 }
@@ -85,6 +97,7 @@
 	serial     uint64
 	even       float64
 	shares     map[uint32]float64
+	loads      map[uint32]float64
 }
 
 // Enforcer holds the buckets of one entry. It is safe for concurrent use.
@@ -180,6 +193,7 @@
 	now := e.clock.Now()
 	b.fade(now)
 	b.demand += cost
+	b.recent += cost
 	e.refill(b, now)
 	if e.allows(b, cost) {
 		return 0, true
@@ -358,6 +372,7 @@
 func (b *bucket) fade(now time.Time) {
 	if elapsed := now.Sub(b.demandAt); elapsed > 0 {
 		b.demand *= math.Exp(-elapsed.Seconds() / demandTime.Seconds())
+		b.recent *= math.Exp(-elapsed.Seconds() / recentTime.Seconds())
 		b.demandAt = now
 	}
 }
@@ -399,7 +414,7 @@
 		share := (b.demand/demandTime.Seconds() + max(0, e.burst(b)-b.tokens)/refillTime.Seconds()) / b.quota.Rate
 		scaled := int(share * granter.Scale)
 		if scaled > 0 && (share >= threshold || e.listed(b.key)) {
-			demands = append(demands, granter.Demand{Workspace: b.key, Share: scaled})
+			demands = append(demands, granter.Demand{Workspace: b.key, Share: scaled, Load: int(b.recent / recentTime.Seconds() / b.quota.Rate * granter.Scale)})
 		}
 	}
 	slices.SortFunc(demands, func(a, b granter.Demand) int { return cmp.Compare(b.Share, a.Share) })
@@ -424,7 +439,9 @@
 		return
 	}
 	g := &grants{reportedAt: e.startedAt.Add(time.Duration(received.At) * time.Millisecond), serial: received.Serial, even: float64(received.Even) / granter.Scale, shares: make(map[uint32]float64, len(received.List))}
+	g.loads = make(map[uint32]float64, len(received.List))
 	for _, grant := range received.List {
+		g.loads[grant.Workspace] = float64(grant.Load) / granter.Scale
 		g.shares[grant.Workspace] = float64(grant.Share) / granter.Scale
 	}
 	before := e.granted[address]
@@ -450,5 +467,29 @@
 		e.refill(b, now)
 		b.share, b.shareAt = e.shareOf(key, now), now
 		b.tokens = min(b.tokens, e.capacity(b, now))
+		if b.started && e.ample(b, now) {
+			b.tokens, b.toppedAt = e.capacity(b, now), now
+		}
+	}
+}
+
+// ample reports whether all that the entries are asked is well within the quota, so that it does not
+// matter which of them sends it. Most sidecars have to have said so since the bucket was last topped up. The caller holds mu.
+func (e *Enforcer) ample(b *bucket, now time.Time) bool {
+	if now.Sub(e.startedAt) < learnTime {
+		return false
+	}
+	most := ampleLoad + e.options.Ahead/aheadTime.Seconds()/b.quota.Rate
+	heard := 0
+	for _, address := range e.addresses {
+		g := e.granted[address]
+		if !g.valid(now) || g.reportedAt.Before(b.toppedAt.Add(-ReportInterval)) {
+			continue
+		}
+		if g.loads[b.key] >= most {
+			return false
+		}
+		heard++
 	}
+	return 2*heard > len(e.addresses)
 }
--- a/internal/quota/granter/granter.go
+++ b/internal/quota/granter/granter.go
@@ -47,7 +47,8 @@
 type Demand struct {
 	_         struct{} `cbor:",toarray"`
 	Workspace uint32
-	Share     int
+	// Share is what it needs, and Load what it was asked in the last second or so.
+	Share, Load int
 }
 
 // Report is what an entry was asked lately.
@@ -65,6 +66,8 @@
 	_         struct{} `cbor:",toarray"`
 	Workspace uint32
 	Share     int
+	// Load is what all entries were asked in the last second or so, as a share of the quota.
+	Load int
 }
 
 // Grants answer a report.
@@ -91,7 +94,7 @@
 
 // account is an entry's part of a workspace's quota.
 type account struct {
-	demand float64
+	demand, load float64
 	// granted was granted last, with the given serial if it has changed then.
 	granted float64
 	serial  uint64
@@ -103,8 +106,8 @@
 type workspace struct {
 	// accounts holds the entries with another part than the even one, by their IDs.
 	accounts map[uint64]*account
-	// demand and outstanding are the sums over accounts.
-	demand, outstanding float64
+	// demand, load and outstanding are the sums over accounts.
+	demand, load, outstanding float64
 	// demandedAt is when there was last demand.
 	demandedAt time.Time
 }
@@ -121,6 +124,8 @@
 	entries    map[uint64]*entry
 	workspaces map[uint32]*workspace
 	sweptAt    time.Time
+	// heard is how many entries had reported lately at sweptAt.
+	heard int
 }
 
 // New returns a granter that has granted nothing.
@@ -140,15 +145,15 @@
 		g.entries[id] = e
 	}
 	e.reportedAt, e.reportAt = now, report.At
-	demands := make(map[uint32]float64, len(report.Demands))
+	demands := make(map[uint32]Demand, len(report.Demands))
 	for _, d := range report.Demands {
-		demands[d.Workspace] += float64(max(0, d.Share)) / Scale
+		demands[d.Workspace] = d
 		if g.workspaces[d.Workspace] == nil {
 			g.workspaces[d.Workspace] = &workspace{accounts: make(map[uint64]*account)}
 		}
 	}
 	for key, w := range g.workspaces {
-		demand := demands[key]
+		demand, load := float64(max(0, demands[key].Share))/Scale, float64(max(0, demands[key].Load))/Scale
 		if demand > 0 {
 			w.demandedAt = now
 		}
@@ -159,6 +164,8 @@
 			}
 			a = g.open(w, id)
 		}
+		w.load += load - a.load
+		a.load = load
 		outstanding := a.outstanding
 		if report.Applied >= a.serial && report.Applied <= e.serial {
 			outstanding = a.granted
@@ -197,6 +204,8 @@
 	g.sweep(now)
 	even := g.even()
 	e.serial++
+	// Entries that do not report are taken to be asked as much as those that do.
+	unheard := float64(len(g.entries)) / float64(max(1, g.heard))
 	grants := &Grants{At: e.reportAt, Serial: e.serial, Even: int(even * Scale)}
 	for key, w := range g.workspaces {
 		a := w.accounts[id]
@@ -209,7 +218,7 @@
 			a.granted, a.serial = next, e.serial
 			w.set(a, a.demand, max(a.outstanding, next))
 		}
-		grants.List = append(grants.List, Grant{Workspace: key, Share: int(a.granted*Scale + 0.001)})
+		grants.List = append(grants.List, Grant{Workspace: key, Share: int(a.granted*Scale + 0.001), Load: int(math.Ceil(w.load * unheard * Scale))})
 	}
 	return grants
 }
@@ -229,9 +238,13 @@
 		return
 	}
 	g.sweptAt = now
+	g.heard = 0
 	for id, e := range g.entries {
-		if now.Sub(e.reportedAt) >= fleetMemory {
+		switch silence := now.Sub(e.reportedAt); {
+		case silence >= fleetMemory:
 			delete(g.entries, id)
+		case silence < silentTime:
+			g.heard++
 		}
 	}
 	even := g.even()
@@ -240,7 +253,7 @@
 			delete(g.workspaces, key)
 			continue
 		}
-		w.demand, w.outstanding = 0, 0
+		w.demand, w.load, w.outstanding = 0, 0, 0
 		for id, a := range w.accounts {
 			silence := fleetMemory
 			if e := g.entries[id]; e != nil {
@@ -251,9 +264,10 @@
 				delete(w.accounts, id)
 				continue
 			case silence >= silentTime:
-				a.demand, a.outstanding = 0, max(a.outstanding, even)
+				a.demand, a.load, a.outstanding = 0, 0, max(a.outstanding, even)
 			}
 			w.demand += a.demand
+			w.load += a.load
 			w.outstanding += a.outstanding
 		}
 	}
