--- a/internal/quota/enforcer/enforcer.go
+++ b/internal/quota/enforcer/enforcer.go
@@ -31,7 +31,9 @@
 	// A quota with a load below ampleLoad has room for all; one whose Ahead is more than
 	// aheadTime brings has more.
 	ampleLoad = 0.95
-	aheadTime = 8 * time.Second
+	aheadTime = 4 * time.Second
+	// ampleTime is how long a quota that was ample is taken to be so.
+	ampleTime = 600 * time.Millisecond
 	// learnTime is how long after its start an entry takes no quota for ample: what it was asked
 	// before is not known.
 	learnTime = 3 * time.Second
@@ -261,7 +263,8 @@
 		return true
 	}
 	// Of many entries few have sent a whole request ahead at the same time; on average it is half.
-	return b.tokens >= e.burst(b) && cost-b.tokens <= 2*e.ahead()
+	full := b.tokens >= e.burst(b) || !b.toppedAt.IsZero() && b.tokensAt.Sub(b.toppedAt) < ampleTime
+	return full && cost-b.tokens <= 2*e.ahead()
 }
 
 // refuse returns when the caller of a refused request should come back: after those that were
--- a/internal/quota/granter/granter.go
+++ b/internal/quota/granter/granter.go
@@ -31,7 +31,7 @@
 	idleTime = 5 * time.Second
 	// steadiness is by which part of itself a grant changes at least. A part that an entry gives up is
 	// free only once it has confirmed that.
-	steadiness = 0.1
+	steadiness = 0.07
 	// sweepInterval is the interval at which entries and workspaces are aged.
 	sweepInterval = 200 * time.Millisecond
 	// minEvenPortion is the portion of a quota that is divided evenly however it is demanded, so that
