--- a/internal/quota/enforcer/enforcer.go
+++ b/internal/quota/enforcer/enforcer.go
@@ -38,7 +38,7 @@
 	// before is not known.
 	learnTime = 3 * time.Second
 	// maxReported bounds the workspaces in a report.
-	maxReported = 32
+	maxReported = 16
 	// minReportedDemand is the demand from which on a workspace that no sidecar lists is reported, as
 	// a multiple of the even part.
 	minReportedDemand = 0.5
