--- a/internal/quota/enforcer/enforcer.go
+++ b/internal/quota/enforcer/enforcer.go
@@ -44,9 +44,9 @@
 	minReportedDemand = 0.5
 	// shareAge is how long a computed share is used.
 	shareAge = 50 * time.Millisecond
-	// ReportInterval is the interval of reports while there is demand, IdleReportInterval without.
+	// ReportInterval is the interval of reports while there is demand, idleReportInterval without.
 	ReportInterval     = 250 * time.Millisecond
-	IdleReportInterval = 500 * time.Millisecond
+	idleReportInterval = 500 * time.Millisecond
 	// pauseTime is the time without requests after which a larger share before it is not relied on.
 	pauseTime = 500 * time.Millisecond
 	// saveTime is how long after the refusal of a request that is larger than the bucket the bucket
@@ -396,7 +396,7 @@
 		e.reported, e.reportedAt = e.demands(now), now
 	}
 	demands := e.reported
-	if len(demands) == 0 && now.Sub(lastAt) < IdleReportInterval {
+	if len(demands) == 0 && now.Sub(lastAt) < idleReportInterval {
 		return nil
 	}
 	report := &granter.Report{At: now.Sub(e.startedAt).Milliseconds(), Demands: demands}
