--- a/internal/quota/granter/granter.go
+++ b/internal/quota/granter/granter.go
@@ -32,6 +32,9 @@
 	// steadiness is by which part of itself a grant changes at least. A part that an entry gives up is
 	// free only once it has confirmed that.
 	steadiness = 0.07
+	// wantedTotal is what the parts by demand add up to if all are granted. It is above 1, so that what one
+	// entry gives up is taken by others soon; what is granted stays within 1.
+	wantedTotal = 1.04
 	// sweepInterval is the interval at which entries and workspaces are aged.
 	sweepInterval = 200 * time.Millisecond
 	// minEvenPortion is the portion of a quota that is divided evenly however it is demanded, so that
@@ -229,7 +232,7 @@
 		return even
 	}
 	evenly := max(minEvenPortion, evenRemainder*(1-w.demand))
-	return evenly*even + (1-evenly)*a.demand/w.demand
+	return evenly*even + (1-evenly)*wantedTotal*a.demand/w.demand
 }
 
 // sweep ages entries and workspaces, once in a while. The caller holds mu.
