Quotas: grants grow at once and shrink by a fourteenth at least

Change: a part grows whenever there is room, and shrinks by 7% or not at all; wanted parts add up to 1.04, so that free room finds a taker. What is granted still adds up to at most 1.

--- a/internal/quota/granter/granter.go
+++ b/internal/quota/granter/granter.go
@@ -29,8 +29,8 @@
 	fleetMemory = 10 * time.Minute
 	// idleTime is how long a workspace without demand stays listed.
 	idleTime = 5 * time.Second
-	// steadiness is by which part of itself a grant changes at least. A part that an entry gives up is
-	// free only once it has confirmed that.
+	// steadiness is by which part of itself a grant shrinks at least. What an entry gives up is free only
+	// once it has confirmed that.
 	steadiness = 0.07
 	// wantedTotal is what the parts by demand add up to if all are granted. It is above 1, so that what one
 	// entry gives up is taken by others soon; what is granted stays within 1.
@@ -217,7 +217,7 @@
 		}
 		others := w.outstanding - a.outstanding + even*float64(len(g.entries)-len(w.accounts))
 		next := math.Floor(max(0, min(w.target(a, even), 1-others))*Scale) / Scale
-		if next != a.granted && (a.granted > 1-others || math.Abs(next-a.granted) > steadiness*a.granted) {
+		if next > a.granted || a.granted > 1-others || a.granted-next > steadiness*a.granted {
 			a.granted, a.serial = next, e.serial
 			w.set(a, a.demand, max(a.outstanding, next))
 		}
