Quotas: an entry that has the whole quota is not topped up

Change: a bucket is topped up by what others have of the quota, and the load is that of the last two seconds.

--- a/internal/quota/enforcer/enforcer.go
+++ b/internal/quota/enforcer/enforcer.go
@@ -27,7 +27,7 @@
 	// refillTime is the time in which a bucket that has run low should be full again.
 	refillTime = 3 * time.Second
 	// recentTime is the time over which the load of a quota is averaged.
-	recentTime = time.Second
+	recentTime = 2 * time.Second
 	// A quota with a load below ampleLoad has room for all; one whose Ahead is more than
 	// aheadTime brings has more.
 	ampleLoad = 0.95
@@ -471,7 +471,9 @@
 		b.share, b.shareAt = e.shareOf(key, now), now
 		b.tokens = min(b.tokens, e.capacity(b, now))
 		if b.started && e.ample(b, now) {
-			b.tokens, b.toppedAt = e.capacity(b, now), now
+			// What the others have and do not use is at most the rest of the burst.
+			capacity := e.capacity(b, now)
+			b.tokens, b.toppedAt = min(capacity, b.tokens+(1-min(1, b.share))*(capacity+2*e.ahead())), now
 		}
 	}
 }
--- a/internal/quota/enforcer/fleet_test.go
+++ b/internal/quota/enforcer/fleet_test.go
@@ -367,6 +367,23 @@
 	assert.Assert(t, cutOff(true) > 1)
 }
 
+// TestBurstsOnOneEntryStayInWindow guards against a lone entry that takes its quota for ample between bursts and
+// is topped up again and again: bursts of three to seven times the quota come within one window.
+func TestBurstsOnOneEntryStayInWindow(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(1, 1, Quota{Rate: 230_000, Burst: 230_000, Unit: Tokens}, seed)
+		f.startAll()
+		f.run(5*time.Second, 0.3)
+		for _, burst := range []struct {
+			length time.Duration
+			asks   float64
+		}{{580, 7}, {2400, 0.3}, {200, 7}, {1560, 1}, {600, 0.3}, {520, 3}, {400, 0.3}, {500, 7}} {
+			f.run(burst.length*time.Millisecond, burst.asks)
+		}
+		assert.Assert(t, f.worstWindow() <= 1, "seed %d: %.2f", seed, f.worstWindow())
+	}
+}
+
 // TestUnevenDemandIsServed asks for part of the quota and for a multiple of it, mostly at few entries: of
 // what one bucket for all would serve, 98% are served.
 func TestUnevenDemandIsServed(t *testing.T) {
--- a/internal/quota/granter/granter.go
+++ b/internal/quota/granter/granter.go
@@ -50,7 +50,7 @@
 type Demand struct {
 	_         struct{} `cbor:",toarray"`
 	Workspace uint32
-	// Share is what it needs, and Load what it was asked in the last second or so.
+	// Share is what it needs, and Load what it was asked in the last seconds.
 	Share, Load int
 }
 
@@ -69,7 +69,7 @@
 	_         struct{} `cbor:",toarray"`
 	Workspace uint32
 	Share     int
-	// Load is what all entries were asked in the last second or so, as a share of the quota.
+	// Load is what all entries were asked in the last seconds, as a share of the quota.
 	Load int
 }
 
