--- a/internal/configuration/auditor/audit.go
+++ b/internal/configuration/auditor/audit.go
@@ -39,8 +39,8 @@
 	Name string
 	// Keys is the number of bearer keys.
 	Keys int
-	// Rate is its quota in units a second, Burst what it may use at once beyond that, and PlainCost what a
-	// request of unknown size takes; 0 means no quota.
+	// Rate is its quota in units a second, 0 for none, Burst what it may use at once beyond that, and PlainCost
+	// what a request of unknown size takes.
 	Rate, Burst, PlainCost float64
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// maxInboundBytes bounds the bytes received on a connection and not yet read. It must
 	// exceed the largest request.
 	maxInboundBytes = maxBodyBytes + 64<<10
+	// stallTimeout is how long a caller for whom others wait may take nothing of its answer: replicas
+	// cut answers off that are left unread for some seconds.
+	stallTimeout = 5 * time.Second
 	// shutdownMargin is the part of the grace period that is left for the end of the
 	// process after Drain.
 	shutdownMargin = 400 * time.Millisecond
@@ -71,9 +74,8 @@
 	Grace time.Duration
 	// Memory is what the bodies of all requests and the answers take together.
 	Memory *reserver.Budget
-	// Outbound bounds what clients have not taken yet of their answers; without Bytes only that of
-	// each client is bounded.
-	Outbound listener.OutboundLimit
+	// OutboundBytes bounds what all callers together have not taken yet of their answers, 0 for no such bound.
+	OutboundBytes int
 }
 
 // Gateway is an HTTP server for callers, with a second server for readiness checks.
@@ -100,8 +102,10 @@
 	if g.callerListener, err = listener.New(settings.Address, maxInboundBytes); err != nil {
 		return nil, fmt.Errorf("caller address: %w", err)
 	}
-	if settings.Outbound.Bytes > 0 {
-		g.callerListener.LimitOutbound(settings.Outbound)
+	if settings.OutboundBytes > 0 {
+		g.callerListener.LimitOutbound(listener.OutboundLimit{Bytes: settings.OutboundBytes, StallTimeout: stallTimeout, OnStalled: func() {
+			logger.Info("gateway: connection closed, its caller takes nothing of its answer.", "after", stallTimeout)
+		}})
 	}
 	if g.readinessListener, err = listener.New(settings.ReadyAddress, 64<<10); err != nil {
 		return nil, fmt.Errorf("ready address: %w", err)
--- a/internal/routing/router/speed.go
+++ b/internal/routing/router/speed.go
@@ -72,7 +72,9 @@
 	if !d.router.options.ReplicaSpeeds || reply.HostLoad <= 0 {
 		return
 	}
-	d.service.reportsLoad.Store(true)
+	if !d.service.reportsLoad.Swap(true) && d.router.options.OnHostLoad != nil {
+		d.router.options.OnHostLoad()
+	}
 	d.choice.replica.gauge.RecordLoad(reply.HostLoad, d.router.clock.Now())
 }
 
--- a/internal/standin/soaker/soak_test.go
+++ b/internal/standin/soaker/soak_test.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// TestHotWorkspaceStaysWithinItsQuota guards against a workspace that gets more than its quota over all edges
+// while these are killed and restarted (QUOTA).
+func TestHotWorkspaceStaysWithinItsQuota(t *testing.T) {
+	broken, err := PlayScenario("quotas", Play{Folder: t.ArtifactDir(), Program: binary(t, "cyclamenward-platform"), Out: t.Output(), Seed: 1})
+	held(t, broken, err)
+}
+
 // TestBusyReplicasGetNoMoreAttempts guards against requests that reach more replicas than their route
 // allows because replicas that are full or load weights reject them (BUDGET).
 func TestBusyReplicasGetNoMoreAttempts(t *testing.T) {
