Fakes of the rollout tests are free of races; each answer with a host's load is told of

Cause: the test wrote fields of its fakes that running orderers read; the checks themselves held. The fields have a lock now, no check is changed.

--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -27,8 +27,7 @@
 	// ReplicaSpeeds has the speed of each replica count in what is expected of it, for services
 	// whose replicas report the load of their hosts. Else the pace of the whole service counts.
 	ReplicaSpeeds bool
-	// OnHostLoad is called at the first answer of a service that names the load of its replica's host; it may
-	// be nil.
+	// OnHostLoad is called for each answer that names the load of its replica's host; it may be nil.
 	OnHostLoad func()
 	// PlainRequestTime is how long a plain server, one without a model, works on a
 	// typical request.
--- a/internal/routing/router/speed.go
+++ b/internal/routing/router/speed.go
@@ -69,13 +69,16 @@
 
 // recordHostLoad records the load of the replica's host that an answer names.
 func (d *dispatch) recordHostLoad(reply *Reply) {
-	if !d.router.options.ReplicaSpeeds || reply.HostLoad <= 0 {
+	if reply.HostLoad <= 0 {
 		return
 	}
-	if !d.service.reportsLoad.Swap(true) && d.router.options.OnHostLoad != nil {
-		d.router.options.OnHostLoad()
+	if onHostLoad := d.router.options.OnHostLoad; onHostLoad != nil {
+		onHostLoad()
+	}
+	if d.router.options.ReplicaSpeeds {
+		d.service.reportsLoad.Store(true)
+		d.choice.replica.gauge.RecordLoad(reply.HostLoad, d.router.clock.Now())
 	}
-	d.choice.replica.gauge.RecordLoad(reply.HostLoad, d.router.clock.Now())
 }
 
 // recordFirstEvent records how long the replica has taken for the first event.
--- a/internal/weights/orderer/order_test.go
+++ b/internal/weights/orderer/order_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,11 +29,10 @@
 	lostOrderShare float64
 	random         *rand.Rand
 
+	// mu guards the fields below.
+	mu sync.Mutex
 	// running is the number of running requests that it reports.
 	running int
-
-	// mu guards the fields below.
-	mu      sync.Mutex
 	version int
 	// loadingVersion is the version being loaded, 0 for none; loadEnds is when it
 	// is loaded.
@@ -45,6 +45,13 @@
 	loadedVersions []int
 }
 
+// setLoad sets how long a load takes and how many running requests the engine reports.
+func (e *engine) setLoad(loadTime time.Duration, running int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loadTime, e.running = loadTime, running
+}
+
 // finishLoad ends the load if its time is over. The caller holds mu.
 func (e *engine) finishLoad() {
 	if e.loadingVersion > 0 && !time.Now().Before(e.loadEnds) {
@@ -107,7 +114,7 @@
 // fleet is a set of replicas with their sidecars, which know each other's state
 // without delay.
 type fleet struct {
-	// mu guards wanted and wantedAt.
+	// mu guards wanted, wantedAt and decide.
 	mu       sync.Mutex
 	list     []router.Descriptor
 	engines  []*engine
@@ -115,7 +122,7 @@
 	wanted   orderer.WantedVersion
 	// wantedAt holds when versions 2, 3 and so on were wanted.
 	wantedAt   []time.Time
-	hasBacklog bool
+	hasBacklog atomic.Bool
 	// decide replaces the decision of a replica's queue if it is set.
 	decide func(index int, queue orderer.LoadQueue, current int) orderer.Decision
 }
@@ -138,12 +145,15 @@
 			Token:    revisionToken,
 			Informed: func() bool { return true },
 			Decide: func(wanted orderer.WantedVersion, current int) orderer.Decision {
-				if f.decide != nil {
-					return f.decide(i, queue, current)
+				f.mu.Lock()
+				decide := f.decide
+				f.mu.Unlock()
+				if decide != nil {
+					return decide(i, queue, current)
 				}
 				return queue.Decide(wanted, f.state, f.versionAge(current))
 			},
-			HasBacklog:    func() bool { return f.hasBacklog },
+			HasBacklog:    f.hasBacklog.Load,
 			StatusChanged: func() {},
 			Clock:         timekeeper.System{},
 			Logger:        log.New(io.Discard),
@@ -152,6 +162,13 @@
 	return f
 }
 
+// setDecide replaces the decision of the replicas' queues.
+func (f *fleet) setDecide(decide func(index int, queue orderer.LoadQueue, current int) orderer.Decision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.decide = decide
+}
+
 func (f *fleet) close() {
 	for _, o := range f.orderers {
 		o.Close()
@@ -281,7 +298,7 @@
 func TestReplicasWithBacklogKeepWeightsUntilUrgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(12, 0)
-		f.hasBacklog = true
+		f.hasBacklog.Store(true)
 		for step := range 250 {
 			if step%50 == 0 {
 				f.wantNextVersion()
@@ -320,7 +337,7 @@
 			Token:         revisionToken,
 			Informed:      func() bool { return true },
 			Decide:        func(orderer.WantedVersion, int) orderer.Decision { return orderer.Load },
-			HasBacklog:    func() bool { return f.hasBacklog },
+			HasBacklog:    f.hasBacklog.Load,
 			StatusChanged: func() {},
 			Clock:         timekeeper.System{},
 			Logger:        log.New(io.Discard),
--- a/internal/weights/orderer/succession_test.go
+++ b/internal/weights/orderer/succession_test.go
@@ -44,7 +44,7 @@
 	delays := make([]time.Duration, len(f.engines))
 	for i, e := range f.engines {
 		// So many running requests delay a load by the longest time.
-		e.loadTime, e.running = 1100*time.Millisecond, 10
+		e.setLoad(1100*time.Millisecond, 10)
 		if random.Float64() < s.late {
 			delays[i] = partitionTime
 		}
@@ -53,7 +53,7 @@
 	if s.late > 0 {
 		bound += partitionTime
 	}
-	f.decide = func(i int, queue orderer.LoadQueue, current int) orderer.Decision {
+	f.setDecide(func(i int, queue orderer.LoadQueue, current int) orderer.Decision {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		r := scheduler.Rollout{Current: current, OldWeightsTimeout: successionTimeout}
@@ -67,7 +67,7 @@
 			}
 		}
 		return s.decide(r)
-	}
+	})
 	started := time.Now()
 	namings := []time.Duration{2 * time.Second, 5 * time.Second, 9 * time.Second, 13 * time.Second}
 	if s.storm {
@@ -82,7 +82,7 @@
 			f.wantNextVersion()
 			namings = namings[1:]
 		}
-		f.hasBacklog = s.bursts && (now > 4600*time.Millisecond && now < 10400*time.Millisecond || now > 13*time.Second && now < 16800*time.Millisecond)
+		f.hasBacklog.Store(s.bursts && (now > 4600*time.Millisecond && now < 10400*time.Millisecond || now > 13*time.Second && now < 16800*time.Millisecond))
 		if step%55 == 54 && step/55 < s.restarts {
 			f.engines[random.IntN(len(f.engines))].restart()
 		}
