--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -231,7 +231,7 @@
 	// session's first message.
 	LinkBytesPerSecond float64 `cbor:"32,keyasint,omitempty"`
 	// SharedHosts is set in regular messages while the sender has Dependencies.SharedHosts.
-	SharedHosts bool `cbor:"40,keyasint,omitempty"`
+	SharedHosts bool `cbor:"41,keyasint,omitempty"`
 }
 
 // regular reports whether the message is one of those that are sent once per interval,
