--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -90,7 +90,7 @@
 	OnSpeed func(gauger.Evidence)
 	// CacheLog is the log of the own replica's cache, nil if there is none.
 	CacheLog *CacheLog
-	// SharedHosts reports whether replicas have told this daemon that they share their hosts with
+	// SharedHosts reports whether replicas have reported to this daemon that they share their hosts with
 	// others. OnSharedHosts is called when another daemon reports it. Both may be nil.
 	SharedHosts   func() bool
 	OnSharedHosts func()
--- a/internal/quota/granter/granter.go
+++ b/internal/quota/granter/granter.go
@@ -1,8 +1,8 @@
-// Package granter divides the quotas of workspaces among the entries that a sidecar hears from.
+// Package granter divides the quotas of workspaces among the entries that report to a sidecar.
 //
 // A quota bounds what all entries together send for a workspace. Each of a few sidecars is the only
 // one that grants its equal portion of every quota, and the parts of a portion that it has granted and
-// that may still be in use never add up to more than the whole. An entry that it does not hear from
+// that may still be in use never add up to more than the whole. An entry that does not report to it
 // counts with an even part, which that entry falls back to by itself.
 package granter
 
@@ -29,11 +29,11 @@
 	fleetMemory = 10 * time.Minute
 	// idleTime is how long a workspace without demand stays listed.
 	idleTime = 5 * time.Second
-	// steadiness is by which part of itself a grant shrinks at least. What an entry gives up is free only
+	// steadiness is by which part of itself a grant shrinks at least. What an entry releases is free only
 	// once it has confirmed that.
 	steadiness = 0.07
 	// wantedTotal is what the parts by demand add up to if all are granted. It is above 1, so that what one
-	// entry gives up is taken by others soon; what is granted stays within 1.
+	// entry releases is taken by others soon; what is granted stays within 1.
 	wantedTotal = 1.04
 	// sweepInterval is the interval at which entries and workspaces are aged.
 	sweepInterval = 200 * time.Millisecond
--- a/internal/routing/router/quota_test.go
+++ b/internal/routing/router/quota_test.go
@@ -25,9 +25,9 @@
 	quotas.SetQuotas(map[string]enforcer.Quota{workspace.Name: workspace.Quota})
 	quotas.GiveBack(workspace.Name, 0)
 	b.router.options.Quotas = quotas
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	quotas.GiveBack(workspace.Name, 0)
-	time.Sleep(2 * time.Second)
+	<-time.After(2 * time.Second)
 	return b, workspace
 }
 
@@ -52,7 +52,7 @@
 		assert.Equal(t, failure.Reason, ReasonQuota)
 		assert.Assert(t, failure.NotRun && time.Since(start) == 0)
 		assert.Equal(t, len(b.attempts), 2)
-		time.Sleep(failure.RetryAfter)
+		<-time.After(failure.RetryAfter)
 		assert.Assert(t, ask().Failure == nil, "no room at the time that was named")
 	})
 }
