Refusals name the prompt's length; requests are counted by size class

Cause: an operator reported that of the largest tenth of one kind of request too few were served. No log line of a refusal had the length of the prompt, a refusal by quota had no route, and no counter told sizes apart, so that refusals by size, by quota, by an expected wait and by callers that leave could not be told from each other.

Change: "tokens" in the lines of refusals and in "route: sent.", "route" and "rank" in those of the quota; counters size.RANK.CLASS.OUTCOME, of which there are a bounded number. No decision changes.

--- a/internal/routing/router/admit.go
+++ b/internal/routing/router/admit.go
@@ -58,8 +58,9 @@
 	if wait <= maxWait {
 		return nil
 	}
+	d.countBySize("refused.wait")
 	retryAfter := time.Duration((1 + rand.Float64()/2) * float64(max(minRetryAfter, c.wait-route.LatencyTarget/2)))
-	d.router.logger.Info("route: request refused, expected wait is too long.", "request", request.ID, "expected", wait, "queue", c.queueTime, "limit", maxWait, "returned", request.CallerRetry, "back", retryAfter)
+	d.router.logger.Info("route: request refused, expected wait is too long.", "request", request.ID, "route", route.Name, "tokens", request.Prompt.Tokens, "expected", wait, "queue", c.queueTime, "limit", maxWait, "returned", request.CallerRetry, "back", retryAfter)
 	return &Failure{Reason: ReasonOverload, NotRun: true, RetryAfter: retryAfter}
 }
 
--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -64,6 +64,8 @@
 	// claim is the request's claim for room, nil before the first. wasHeld is set once it was held.
 	claim   *arbiter.Claim
 	wasHeld bool
+	// countedSent is set once the request was counted as sent.
+	countedSent bool
 	// asked is set once the quota of the workspace was asked for the request.
 	asked bool
 	// isolationKeys are the isolator's keys of the prompt's shared parts.
@@ -138,6 +140,7 @@
 	ctx, cancel := context.WithDeadline(router.shutdown.ended, request.Deadline)
 	d.ctx, d.cancel = ctx, cancel
 	d.service.budget.Earn()
+	d.countBySize("asked")
 	if request.CallerGone != nil {
 		go func() {
 			select {
@@ -392,6 +395,10 @@
 		SaveTo:         c.saveTo,
 	}
 	r.recorder.Count("attempts")
+	if !d.countedSent {
+		d.countedSent = true
+		d.countBySize("sent")
+	}
 	d.countedInFlight, d.inBacklog = true, true
 	c.replica.inFlight.Add(1)
 	r.pool.addBacklog(c.replica, request.priority(), c.uncachedTokens)
@@ -404,7 +411,7 @@
 		r.pool.addTransfer(c.source, c.replica, c.transferTime)
 	}
 	r.logger.Info("route: sent.", "request", request.ID, "replica", descriptor.ID, "software", descriptor.SoftwareVersion, "service", d.service.name, "pace", d.service.Pace(), "reason", c.reason,
-		"wait", c.wait, "slowness", c.slowness.Now, "loss", c.loss, "weights", c.weightsVersion, "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes, "route", request.Route.Name, "sent", d.sentTo.count(), "ran", d.runAttempts, "most", request.Route.MaxAttempts)
+		"wait", c.wait, "slowness", c.slowness.Now, "loss", c.loss, "weights", c.weightsVersion, "tokens", request.promptTokens(), "missing", c.uncachedTokens, "again", c.repeatTokens, "scope", c.cacheScope, "part", request.Prompt.lastShared(), "fetchFrom", c.fetchFrom, "saveTo", c.saveTo, "configuration", request.Catalog.Version, "after", d.lastEventID, "resumes", request.Resumes, "route", request.Route.Name, "sent", d.sentTo.count(), "ran", d.runAttempts, "most", request.Route.MaxAttempts)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancelAttempt = cancel
 	d.interrupted, d.continued, d.unreachable, d.longestUnread = false, false, nil, 0
--- a/internal/routing/router/quota.go
+++ b/internal/routing/router/quota.go
@@ -30,7 +30,8 @@
 	if ok {
 		return nil
 	}
-	d.router.logger.Info("route: request refused, beyond the quota of its workspace.", "request", d.request.ID, "workspace", name, "cost", cost, "share", quotas.Share(name), "back", retryAfter)
+	d.countBySize("refused.quota")
+	d.router.logger.Info("route: request refused, beyond the quota of its workspace.", "request", d.request.ID, "route", d.request.Route.Name, "rank", d.request.kindRank(), "workspace", name, "cost", cost, "share", quotas.Share(name), "back", retryAfter)
 	return &Failure{Reason: ReasonQuota, NotRun: d.runAttempts == 0, RetryAfter: retryAfter}
 }
 
@@ -45,7 +46,8 @@
 	}
 	quotas, name, cost := d.router.options.Quotas, d.request.Workspace.Name, d.quotaCost()
 	retryAfter := quotas.RetryAfter(name, cost)
-	d.router.logger.Info("route: not sent, beyond the quota of its workspace.", "request", d.request.ID, "workspace", name, "cost", cost, "share", quotas.Share(name), "back", retryAfter)
+	d.countBySize("refused.quota")
+	d.router.logger.Info("route: not sent, beyond the quota of its workspace.", "request", d.request.ID, "route", d.request.Route.Name, "rank", d.request.kindRank(), "workspace", name, "cost", cost, "share", quotas.Share(name), "back", retryAfter)
 	return &Failure{Reason: ReasonQuota, NotRun: true, RetryAfter: retryAfter}
 }
 
--- a/internal/routing/router/share.go
+++ b/internal/routing/router/share.go
@@ -29,11 +29,12 @@
 		return true, nil
 	}
 	fields := []any{
-		"request", request.ID, "route", route.Name, "service", d.service.name, "rank", request.kindRank(), "rule", verdict.Reason, "limit", verdict.Limit, "wait", place.Wait, "queue", place.Queue, "prefill", place.Prefill,
+		"request", request.ID, "route", route.Name, "service", d.service.name, "rank", request.kindRank(), "tokens", request.Prompt.Tokens, "rule", verdict.Reason, "limit", verdict.Limit, "wait", place.Wait, "queue", place.Queue, "prefill", place.Prefill,
 		"full", place.Full, "used", verdict.Used, "share", verdict.Share, "replica", c.replica.ID(), "age", d.knowledgeAge(c.replica), "returned", request.CallerRetry,
 	}
 	if verdict.Action == arbiter.Refuse {
 		d.countVerdict("refused")
+		d.countBySize("refused." + string(verdict.Reason))
 		d.router.logger.Info("route: request refused, there is not room for all.", append(fields, "back", verdict.After)...)
 		return false, &Failure{Reason: ReasonOverload, NotRun: true, RetryAfter: verdict.After}
 	}
--- a/internal/routing/router/stream.go
+++ b/internal/routing/router/stream.go
@@ -67,6 +67,9 @@
 			d.firstEventDelay = d.router.clock.Now().Sub(d.sentAt)
 			d.flight.Answered(false)
 			d.recordFirstEvent()
+			if d.lastEventID < 0 {
+				d.countFirstEvent()
+			}
 		}
 		if event.ID >= 0 && event.ID <= d.lastEventID || event.ID < 0 && d.continues() {
 			continue
