--- a/peer/exchanger/exchange_test.go
+++ b/peer/exchanger/exchange_test.go
@@ -28,7 +28,7 @@
 	}))
 	defer server.Close()
 	address := server.Listener.Addr().String()
-	c := exchanger.New(address, time.Second, 0)
+	c := exchanger.New(address, time.Second, 0, exchanger.Limits{MaxAnswerBytes: 1 << 20})
 	request := exchanger.Request{Method: http.MethodPost, Path: "/order", Fields: []exchanger.Field{{Name: "X-Echo", Value: "e"}}, JSON: []byte("{}")}
 	answer, err := c.Do(time.Now().Add(5*time.Second), request)
 	assert.NilError(t, err)
@@ -45,6 +45,6 @@
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	_, err = exchanger.New(address, time.Second, 0).Do(time.Now().Add(time.Second), exchanger.Request{Method: http.MethodGet, Path: "/"})
+	_, err = exchanger.New(address, time.Second, 0, exchanger.Limits{MaxAnswerBytes: 1 << 20}).Do(time.Now().Add(time.Second), exchanger.Request{Method: http.MethodGet, Path: "/"})
 	assert.ErrorIs(t, err, exchanger.ErrNotSent)
 }
--- a/peer/exchanger/progress_test.go
+++ b/peer/exchanger/progress_test.go
@@ -34,7 +34,7 @@
 
 func getSlowly(t *testing.T, size, piece int, pause time.Duration) (answer *Answer, took time.Duration, err error) {
 	t.Helper()
-	c := newClient("store:80", 0, func() (net.Conn, error) {
+	c := newClient("store:80", 0, Limits{MaxAnswerBytes: 4 << 20}, func() (net.Conn, error) {
 		client, server := net.Pipe()
 		go serveSlowly(server, size, piece, pause)
 		return client, nil
--- a/peer/store/client.go
+++ b/peer/store/client.go
@@ -19,6 +19,8 @@
 const (
 	// callTimeout bounds one call; the service answers in milliseconds.
 	callTimeout = 500 * time.Millisecond
+	// maxAnswerBytes bounds an answer; a list has all entries.
+	maxAnswerBytes = 64 << 20
 	// watchMargin is how long after its wait a watch may still answer.
 	watchMargin = time.Second
 	// requestIDHeader carries an ID that the service echoes.
@@ -62,7 +64,7 @@
 
 // New returns a Store that calls the service at the given address.
 func New(address string) keeper.Store {
-	c := &client{http: exchanger.New(address, callTimeout, 0)}
+	c := &client{http: exchanger.New(address, callTimeout, 0, exchanger.Limits{MaxAnswerBytes: maxAnswerBytes})}
 	return keeper.Store{Get: c.get, List: c.list, Swap: c.swap, Watch: c.watch, Grant: c.grant, Renew: c.renew}
 }
 
