A line of an engine's event stream is bounded

What would be seen: a sidecar that runs out of memory as its engine sends a line without end.

Cause: Generate read lines with ReadBytes, which keeps them whole. Change: lines are read within a buffer of 4 KiB; an event has the text of one token. Evidence: TestEndlessLineIsNotKept read all 64 MB before.

--- a/peer/engine/client.go
+++ b/peer/engine/client.go
@@ -27,6 +27,8 @@
 	progressTimeout = 5 * time.Second
 	// maxAnswerBytes bounds an answer that is read into memory at once.
 	maxAnswerBytes = 16 << 20
+	// maxLineBytes bounds a line of an event stream; an event has the text of one token.
+	maxLineBytes = 4 << 10
 	// HeaderRequestID carries the request ID, which the engine echoes.
 	HeaderRequestID = "X-Request-Id"
 )
@@ -185,7 +187,7 @@
 	defer x.close()
 	stop := context.AfterFunc(ctx, func() { _ = x.connection.Close() })
 	defer stop()
-	reader := bufio.NewReader(x.body())
+	reader := bufio.NewReaderSize(x.body(), maxLineBytes)
 	for {
 		event, err := readEvent(reader)
 		if ctx.Err() != nil {
@@ -325,7 +327,7 @@
 // readEvent reads one server-sent event with a JSON body.
 func readEvent(reader *bufio.Reader) (*Event, error) {
 	for {
-		line, err := reader.ReadBytes('\n')
+		line, err := reader.ReadSlice('\n')
 		if err != nil {
 			return nil, fmt.Errorf("read line: %w", err)
 		}
--- a/peer/engine/client_test.go
+++ b/peer/engine/client_test.go
@@ -130,3 +130,27 @@
 	})
 	assert.ErrorIs(t, err, context.Canceled)
 }
+
+// TestEndlessLineIsNotKept guards against a sidecar that runs out of memory since its engine sends a
+// line of an event stream without end.
+func TestEndlessLineIsNotKept(t *testing.T) {
+	const most = 64 << 20
+	sent := make(chan int, 1)
+	c := serve(t, func(id string, w io.Writer) {
+		writeHead(id, w)
+		writeEvent(w, "admitted", id, 0)
+		block, total := []byte(strings.Repeat("x", 32<<10)), 0
+		for total < most {
+			n, err := w.Write(block)
+			total += n
+			if err != nil {
+				break
+			}
+		}
+		sent <- total
+	})
+	_, err := generate(c, time.Second)
+	assert.ErrorIs(t, err, ErrExchangeFailed)
+	n := <-sent
+	assert.Assert(t, n < most, "%d bytes were read", n)
+}
