A sidecar takes no more tokens than were asked for

What would be seen: a sidecar that runs out of memory as its engine sends tokens without end: it keeps them for the entry.

Cause: the index of a token was checked to be the next one, but not against the number that was asked for. Change: a token beyond it fails the attempt. Evidence: TestEndlessTokensAreNotKept failed before (error is nil).

--- a/internal/sidecar/infer.go
+++ b/internal/sidecar/infer.go
@@ -177,7 +177,7 @@
 		work.job.setAdmitted(s.admittedFrame(request, event))
 	case "token":
 		endPrefill(true)
-		if !work.job.addToken(event.Index, event.Text) {
+		if event.Index >= request.Infer.MaxTokens || !work.job.addToken(event.Index, event.Text) {
 			return engine.ErrExchangeFailed
 		}
 	case "end":
