Answers of a plain service share a sidecar's memory

What would be seen: a sidecar that runs out of memory as its service answers many calls at the same time with bytes without end.

Cause: each answer was bounded to 4 MiB, their number was not. Change: answers are read as exchanger's are; beyond 64 KiB each they take memory from a budget of 32 MiB. A call without room has an unknown outcome.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -23,9 +23,11 @@
 	"github.com/cyclamenward/cyclamenward/claimer"
 	"github.com/cyclamenward/cyclamenward/decoder"
 	"github.com/cyclamenward/cyclamenward/internal/daemon"
+	"github.com/cyclamenward/cyclamenward/internal/gateway/reserver"
 	"github.com/cyclamenward/cyclamenward/keeper"
 	"github.com/cyclamenward/cyclamenward/limiter"
 	"github.com/cyclamenward/cyclamenward/peer/engine"
+	"github.com/cyclamenward/cyclamenward/peer/exchanger"
 	"github.com/cyclamenward/cyclamenward/peer/link"
 	"github.com/cyclamenward/cyclamenward/peer/plainservice"
 	"github.com/cyclamenward/cyclamenward/spreader"
@@ -45,6 +47,8 @@
 	answerRetention = 15 * time.Second
 	// detachedTimeout is how long a model request continues without an attached stream.
 	detachedTimeout = 10 * time.Second
+	// maxAnswerMemory is what the answers of a plain service take together while they are read.
+	maxAnswerMemory = 32 << 20
 	// maxIndexedBlocks bounds the blocks in the index of the engine's cache.
 	maxIndexedBlocks = 1 << 20
 	// sweepInterval is how often jobs are checked for removal and cancellation, and the
@@ -110,6 +114,7 @@
 // New starts a sidecar that listens on the link address of the daemon's identity.
 func New(settings Settings, d Dependencies) (*Sidecar, error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	answers := reserver.NewBudget(maxAnswerMemory, 0, d.Clock)
 	s := &Sidecar{
 		settings:     settings,
 		common:       d.Common,
@@ -122,7 +127,7 @@
 		engine:       engine.New(settings.BackendAddress),
 		cacheIndex:   tracker.New(maxIndexedBlocks),
 		prefills:     newPrefillTracker(d.Clock),
-		plainService: plainservice.New(settings.BackendAddress),
+		plainService: plainservice.New(settings.BackendAddress, exchanger.Memory{Reserve: answers.ReserveAnswer, Release: answers.ReleaseAnswer}),
 		cancel:       cancel,
 		engineWake:   make(chan struct{}, 1),
 	}
--- a/peer/plainservice/client.go
+++ b/peer/plainservice/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/peer/exchanger"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 )
@@ -63,14 +64,14 @@
 type Client struct {
 	address string
 	http    *fasthttp.Client
+	limits  exchanger.Limits
 }
 
-// New returns a client of the server at the given address.
-func New(address string) *Client {
-	return &Client{address: address, http: &fasthttp.Client{
+// New returns a client of the server at the given address, whose answers share the memory with others.
+func New(address string, memory exchanger.Memory) *Client {
+	return &Client{address: address, limits: exchanger.Limits{MaxAnswerBytes: maxAnswerBytes, Memory: memory}, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           maxConnections,
-		MaxResponseBodySize:       maxAnswerBytes,
 		// Paths are sent as they are, with the query that follows.
 		DisablePathNormalizing: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
@@ -96,13 +97,19 @@
 	request.Header.Set(HeaderRequestID, call.RequestID)
 	request.SetConnectionClose()
 	request.SetBodyRaw(call.Body)
-	if err := c.http.DoTimeout(request, response, call.Timeout); err != nil {
+	response.StreamBody = true
+	deadline := time.Now().Add(call.Timeout)
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
 		return nil, fmt.Errorf("%s %s: %w", call.Method, call.Path, classifyError(err))
 	}
+	body, err := exchanger.ReadBody(response, c.limits, deadline)
+	if err := errors.Join(err, response.CloseBodyStream()); err != nil {
+		return nil, fmt.Errorf("%s %s: read body: %w: %w", call.Method, call.Path, ErrUnknownOutcome, err)
+	}
 	if echoed := string(response.Header.Peek(HeaderRequestID)); echoed != "" && echoed != call.RequestID {
 		return nil, fmt.Errorf("answer of another request: %w", ErrUnknownOutcome)
 	}
-	answer := &Answer{Status: response.StatusCode(), Body: append([]byte(nil), response.Body()...)}
+	answer := &Answer{Status: response.StatusCode(), Body: body}
 	if contentType := response.Header.ContentType(); len(contentType) > 0 {
 		answer.Headers = append(answer.Headers, Header{"Content-Type", string(contentType)})
 	}
--- a/peer/plainservice/forward_test.go
+++ b/peer/plainservice/forward_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/peer/exchanger"
 	"gotest.tools/v3/assert"
 )
 
@@ -34,7 +35,7 @@
 			_ = connection.Close()
 		}
 	}()
-	c := New(l.Addr().String())
+	c := New(l.Addr().String(), exchanger.Memory{})
 	for _, call := range []Call{
 		{Method: "POST", Path: "/a//b/../c/%2F%2e;p=1/d+e?q=%20&q=+&&r", Body: []byte("two crates")},
 		{Method: "GET", Path: "/"},
