--- a/peer/hosts/client.go
+++ b/peer/hosts/client.go
@@ -14,6 +14,8 @@
 
 const (
 	callTimeout = 500 * time.Millisecond
+	// maxAnswerBytes bounds the list: 12,360 hosts are some 2 MB.
+	maxAnswerBytes = 8 << 20
 	// Path is where the list is served.
 	Path = "/v1/hosts"
 )
@@ -48,6 +50,7 @@
 func New(address string) *Client {
 	return &Client{address: address, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxAnswerBytes,
 		Dial:                      func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, callTimeout) },
 	}}
 }
--- a/peer/operator/client.go
+++ b/peer/operator/client.go
@@ -17,6 +17,8 @@
 	dialTimeout = time.Second
 	// callTimeout bounds a call; an entry answers a request to apply a document within it.
 	callTimeout = 10 * time.Second
+	// maxAnswerBytes bounds an answer, such as the largest document or the status of all daemons.
+	maxAnswerBytes = 16 << 20
 )
 
 var faults = errorx.NewNamespace("operator")
@@ -34,6 +36,7 @@
 func New(address, token string) *Client {
 	return &Client{address: address, token: token, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxAnswerBytes,
 		Dial:                      func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) },
 	}}
 }
