Quotas do not refuse a request by its own size

Cause: a bound in which the size of one request counts against it alone. An entry's bucket holds its part of the burst, at 23 entries some 2,700 tokens of a quota of 63,000, and a request was sent only if the bucket held all of its cost, or lacked little. A longer prompt fitted nowhere, whatever the workspace as a whole had left; and where the quota was used up, short requests took what would have become enough for a long one.

Change: the bucket must hold what a request of the kind usually costs, or be full; what the request costs more is owed, and those that follow wait for it. While the quota is ample a bucket that owes nothing lets any request pass, and what others leave pays what it owes. Each kind gets a tenth of what is sent at least, and one that costs next to nothing is not refused for a long one. The raised capacity for a request that was refused ("saved") is gone. Where one usual request at each entry is more than burst and slack (360 entries at a quota of 230,000) the cost counts as before.

Ruled out: expected waits (16 of 7,420 refusals), callers that leave (the parts that end whole are those that are sent).

TestFullBucketAtStartIsCaught: its broken variant set "saved", which is gone; it raises the bucket's burst to the whole quota's instead, and is caught.

--- a/internal/fleet/announcer/quotas_test.go
+++ b/internal/fleet/announcer/quotas_test.go
@@ -31,7 +31,7 @@
 	for range 80 {
 		clock.now = clock.now.Add(enforcer.ReportInterval)
 		for range 50 {
-			entry.Ask("customer", 1)
+			entry.Ask("customer", 0, 1)
 		}
 		for id := range uint64(3) {
 			sidecar.Receive(id+2, granter.Report{Applied: applied[id]})
--- a/internal/quota/enforcer/enforcer.go
+++ b/internal/quota/enforcer/enforcer.go
@@ -24,6 +24,8 @@
 	granters = 8
 	// demandTime is the time over which demand is averaged.
 	demandTime = 3 * time.Second
+	// costTime is the time over which the usual cost of a kind of requests is averaged.
+	costTime = 30 * time.Second
 	// refillTime is the time in which a bucket that has run low should be full again.
 	refillTime = 3 * time.Second
 	// recentTime is the time over which the load of a quota is averaged.
@@ -49,9 +51,9 @@
 	idleReportInterval = 500 * time.Millisecond
 	// pauseTime is the time without requests after which a larger share before it is not relied on.
 	pauseTime = 500 * time.Millisecond
-	// saveTime is how long after the refusal of a request that is larger than the bucket the bucket
-	// may hold enough for it.
-	saveTime = 3 * time.Second
+	// floorShare is the part of what is sent that each kind of request gets at least, however little a
+	// usual one of the others costs.
+	floorShare = 0.1
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is asked back.
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
@@ -61,9 +63,8 @@
 type Options struct {
 	// FleetShare returns the even part of this entry among all that run, 0 if it is not known.
 	FleetShare func() float64
-	// Ahead is by how many units all entries together may be ahead of a quota, so that an entry with a small
-	// share can send a request. With 0 a request that is larger than its bucket waits until that holds
-	// enough.
+	// Ahead is by how many units all entries together may be ahead of a quota before a request of usual
+	// cost is sent.
 	Ahead float64
 }
 
@@ -73,15 +74,17 @@
 	key   uint32
 	// started is set once there was a share. The bucket is as empty then as it may be.
 	started bool
-	// tokens is how much could be sent at tokensAt; less than 0 if that was sent ahead.
+	// tokens is how much could be sent at tokensAt; less than 0 if that was sent ahead. The cost of one
+	// request is no reason to refuse it, only that of usual ones of its kind: what it costs more is
+	// owed by those that follow.
 	tokens   float64
 	tokensAt time.Time
 	// share is this entry's share at shareAt.
 	share   float64
 	shareAt time.Time
-	// saved is the cost of a request that was refused at savedAt.
-	saved   float64
-	savedAt time.Time
+	// kinds holds the kinds of requests by their numbers, sent what was sent of all recently.
+	kinds map[int]*kindUse
+	sent  fading
 	// demand and recent are what was asked until demandAt, as units that fade within demandTime and
 	// recentTime.
 	demand, recent float64
@@ -92,6 +95,38 @@
 	promisedUntil time.Time
 }
 
+// kindUse is what is known of one kind of requests of a workspace.
+type kindUse struct {
+	// count and asked are the requests that were asked for and their cost, which fade within
+	// costTime.
+	count, asked float64
+	askedAt      time.Time
+	// sent is the cost of those that were sent.
+	sent fading
+}
+
+// fading is a sum that fades within demandTime.
+type fading struct {
+	sum float64
+	at  time.Time
+}
+
+// value returns the sum at a time.
+func (f *fading) value(now time.Time) float64 { return f.sum * decay(now.Sub(f.at), demandTime) }
+
+func (f *fading) add(now time.Time, units float64) { f.sum, f.at = f.value(now)+units, now }
+
+// decay returns the part of a sum that is left after a time.
+func decay(elapsed, memory time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / memory.Seconds())
+}
+
+// ask records a request that is asked for.
+func (u *kindUse) ask(now time.Time, cost float64) {
+	left := decay(now.Sub(u.askedAt), costTime)
+	u.count, u.asked, u.askedAt = u.count*left+1, u.asked*left+cost, now
+}
+
 // grants are what one sidecar has granted.
 type grants struct {
 	// reportedAt is when the report was sent that they answer.
@@ -148,12 +183,12 @@
 		}
 		b := e.buckets[name]
 		if b == nil {
-			b = &bucket{key: Key(name), tokensAt: now, demandAt: now}
+			b = &bucket{key: Key(name), tokensAt: now, demandAt: now, kinds: make(map[int]*kindUse)}
 			e.buckets[name] = b
 		}
 		b.quota = quota
 		e.refill(b, now)
-		b.tokens = min(b.tokens, e.capacity(b, now))
+		b.tokens = min(b.tokens, e.burst(b))
 	}
 	clear(e.byKey)
 	for _, b := range e.buckets {
@@ -183,9 +218,10 @@
 	}
 }
 
-// Ask records that a request of a workspace asks for its cost, and reports whether it may be sent. If not,
-// the caller should come back after the given time.
-func (e *Enforcer) Ask(name string, cost float64) (retryAfter time.Duration, ok bool) {
+// Ask records that a request of a workspace and of a kind asks for its cost, and reports whether it may be
+// sent. If not, the caller should come back after the given time. Kinds are few numbers; requests of one kind
+// are equal but for what they cost.
+func (e *Enforcer) Ask(name string, kind int, cost float64) (retryAfter time.Duration, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.buckets[name]
@@ -196,42 +232,61 @@
 	b.fade(now)
 	b.demand += cost
 	b.recent += cost
+	use := b.kind(kind)
+	use.ask(now, cost)
 	e.refill(b, now)
-	if e.allows(b, cost) {
+	if e.allows(b, use, cost, now) {
 		return 0, true
 	}
-	return e.refuse(b, cost, now), false
+	return e.refuse(b, use, cost, now), false
+}
+
+// kind returns the use of a kind. The caller holds mu.
+func (b *bucket) kind(number int) *kindUse {
+	use := b.kinds[number]
+	if use == nil {
+		use = new(kindUse)
+		b.kinds[number] = use
+	}
+	return use
 }
 
 // Take charges a request that is about to be sent. It returns false if there is no room for it;
 // nothing may be sent then.
-func (e *Enforcer) Take(name string, cost float64) bool {
+func (e *Enforcer) Take(name string, kind int, cost float64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.buckets[name]
 	if b == nil {
 		return true
 	}
-	e.refill(b, e.clock.Now())
-	if !e.allows(b, cost) {
+	now := e.clock.Now()
+	e.refill(b, now)
+	use := b.kind(kind)
+	if !e.allows(b, use, cost, now) {
 		return false
 	}
 	b.tokens -= cost
+	b.sent.add(now, cost)
+	use.sent.add(now, cost)
 	return true
 }
 
 // GiveBack returns what was charged for a request that has certainly not run.
-func (e *Enforcer) GiveBack(name string, cost float64) {
+func (e *Enforcer) GiveBack(name string, kind int, cost float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if b := e.buckets[name]; b != nil {
-		e.refill(b, e.clock.Now())
-		b.tokens = min(b.tokens+cost, e.capacity(b, b.tokensAt))
+		now := e.clock.Now()
+		e.refill(b, now)
+		b.tokens = min(b.tokens+cost, e.burst(b))
+		b.sent.add(now, -cost)
+		b.kind(kind).sent.add(now, -cost)
 	}
 }
 
 // RetryAfter returns when a caller should come back for whose request Take had no room.
-func (e *Enforcer) RetryAfter(name string, cost float64) time.Duration {
+func (e *Enforcer) RetryAfter(name string, kind int, cost float64) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.buckets[name]
@@ -240,7 +295,7 @@
 	}
 	now := e.clock.Now()
 	e.refill(b, now)
-	return e.refuse(b, cost, now)
+	return e.refuse(b, b.kind(kind), cost, now)
 }
 
 // Share returns this entry's share of a workspace's quota, for logs.
@@ -253,26 +308,51 @@
 	return 1
 }
 
-// allows reports whether a request fits into the bucket. A request that is larger than the bucket
-// may be sent ahead when that is full. The caller holds mu.
-func (e *Enforcer) allows(b *bucket, cost float64) bool {
-	if b.share <= 0 {
+// allows reports whether a request of a kind may be sent. The caller holds mu.
+func (e *Enforcer) allows(b *bucket, use *kindUse, cost float64, now time.Time) bool {
+	if b.share <= 0 || cost > max(b.quota.Burst, e.options.Ahead) {
 		return false
 	}
-	if b.tokens+e.ahead() >= cost {
+	usual, floor := use.usual(), use.sent.value(now) < floorShare*b.sent.value(now)
+	if floor && usual <= e.ahead() {
 		return true
 	}
-	// Of many entries few have sent a whole request ahead at the same time; on average it is half.
-	full := b.tokens >= e.burst(b) || !b.toppedAt.IsZero() && b.tokensAt.Sub(b.toppedAt) < ampleTime
-	return full && cost-b.tokens <= 2*e.ahead()
+	return b.tokens+e.ahead() >= e.needed(b, use, cost, now)
+}
+
+// needed returns how much the bucket must hold for a request of a kind, with what may be sent ahead: as much
+// as a usual one costs, but no more than it can hold. It is nothing while the quota is ample, and for a kind
+// that has had less than its least share. The caller holds mu.
+func (e *Enforcer) needed(b *bucket, use *kindUse, cost float64, now time.Time) float64 {
+	most := e.burst(b) + e.ahead()
+	switch {
+	case !b.toppedAt.IsZero() && now.Sub(b.toppedAt) < ampleTime:
+		return 0
+	case b.usual(now) > e.even*(b.quota.Burst+2*e.options.Ahead):
+		// If each of so many entries sent one request, that alone would be beyond the quota.
+		return max(cost-e.ahead(), min(cost, most))
+	case use.sent.value(now) < floorShare*b.sent.value(now):
+		return 0
+	}
+	return min(use.usual(), most)
+}
+
+// usual returns what a request of the kind usually costs.
+func (u *kindUse) usual() float64 { return u.asked / max(u.count, 1) }
+
+// usual returns what a request of the workspace usually costs.
+func (b *bucket) usual(now time.Time) float64 {
+	var asked, count float64
+	for _, use := range b.kinds {
+		left := decay(now.Sub(use.askedAt), costTime)
+		asked, count = asked+left*use.asked, count+left*use.count
+	}
+	return asked / max(count, 1)
 }
 
 // refuse returns when the caller of a refused request should come back: after those that were
 // refused before. The caller holds mu.
-func (e *Enforcer) refuse(b *bucket, cost float64, now time.Time) time.Duration {
-	if cost > e.burst(b) {
-		b.saved, b.savedAt = min(cost, b.quota.Burst), now
-	}
+func (e *Enforcer) refuse(b *bucket, use *kindUse, cost float64, now time.Time) time.Duration {
 	rate := b.quota.Rate * b.share
 	if rate <= 0 {
 		return spread(2 * minRetryAfter)
@@ -280,7 +360,7 @@
 	duration := func(units float64) time.Duration {
 		return time.Duration(min(units/rate, maxRetryAfter.Seconds()) * float64(time.Second))
 	}
-	at := now.Add(duration(cost - b.tokens))
+	at := now.Add(duration(e.needed(b, use, cost, now) - b.tokens))
 	if b.promisedUntil.After(at) {
 		at = b.promisedUntil
 	}
@@ -306,28 +386,19 @@
 	if !b.started && b.share > 0 {
 		b.started, b.tokens, elapsed = true, -e.ahead(), 0
 	}
-	b.tokens = min(b.tokens+elapsed.Seconds()*b.quota.Rate*share, e.capacity(b, now))
+	b.tokens = min(b.tokens+elapsed.Seconds()*b.quota.Rate*share, e.burst(b))
 	b.tokensAt = now
 }
 
 // ahead returns by how much this entry may be ahead of its share. The caller holds mu.
 func (e *Enforcer) ahead() float64 { return e.options.Ahead * e.even }
 
-// burst returns this entry's part of the burst: half of it goes by shares, half evenly, since a bucket with
+// burst returns this entry's part of the burst, which is all that the bucket may hold: half of it goes by shares, half evenly, since a bucket with
 // few requests needs more room for each. The caller holds mu.
 func (e *Enforcer) burst(b *bucket) float64 {
 	return b.quota.Burst * (b.share + min(e.even, 1)) / 2
 }
 
-// capacity returns how much the bucket may hold. The caller holds mu.
-func (e *Enforcer) capacity(b *bucket, now time.Time) float64 {
-	capacity := e.burst(b)
-	if b.saved > 0 && now.Sub(b.savedAt) < saveTime {
-		return max(capacity, min(b.saved, b.quota.Burst))
-	}
-	return capacity
-}
-
 // shareOf returns this entry's share of the quota of the workspace with a key: the mean of its parts of all
 // portions. The caller holds mu.
 func (e *Enforcer) shareOf(key uint32, now time.Time) float64 {
@@ -374,8 +445,8 @@
 // fade brings the demand up to the given time.
 func (b *bucket) fade(now time.Time) {
 	if elapsed := now.Sub(b.demandAt); elapsed > 0 {
-		b.demand *= math.Exp(-elapsed.Seconds() / demandTime.Seconds())
-		b.recent *= math.Exp(-elapsed.Seconds() / recentTime.Seconds())
+		b.demand *= decay(elapsed, demandTime)
+		b.recent *= decay(elapsed, recentTime)
 		b.demandAt = now
 	}
 }
@@ -469,11 +540,13 @@
 	for _, b := range e.byKey[key] {
 		e.refill(b, now)
 		b.share, b.shareAt = e.shareOf(key, now), now
-		b.tokens = min(b.tokens, e.capacity(b, now))
+		capacity := e.burst(b)
+		b.tokens = min(b.tokens, capacity)
 		if b.started && e.ample(b, now) {
-			// What the others have and do not use is at most the rest of the burst.
-			capacity := e.capacity(b, now)
-			b.tokens, b.toppedAt = min(capacity, b.tokens+(1-min(1, b.share))*(capacity+2*e.ahead())), now
+			// What the others have and do not use is at most the rest of the burst, and pays what was
+			// sent ahead here.
+			others := 1 - min(1, b.share)
+			b.tokens, b.toppedAt = min(capacity, b.tokens+others*(max(0, -b.tokens)+capacity+2*e.ahead())), now
 		}
 	}
 }
--- a/internal/quota/enforcer/fleet_test.go
+++ b/internal/quota/enforcer/fleet_test.go
@@ -62,10 +62,24 @@
 	started func(*Enforcer)
 	// even replaces the even part if it is set.
 	even float64
+	// ahead is Options.Ahead of the entries.
+	ahead float64
+	// drawCost draws the kind of a request and what it costs, with a mean of meanCost.
+	drawCost func(*rand.Rand) (kind int, cost float64)
+	meanCost float64
+	// asked holds all requests.
+	asked []askedRequest
+}
+
+// askedRequest is the kind of a request, what it costs and whether it was sent.
+type askedRequest struct {
+	kind int
+	cost float64
+	sent bool
 }
 
 func newFleet(entries, sidecars int, quota Quota, seed uint64) *fleet {
-	f := &fleet{clock: &virtualClock{now: time.Unix(1_000_000, 0)}, random: rand.New(rand.NewPCG(seed, 1)), quota: quota, cuts: make(map[[2]int]time.Time), started: func(*Enforcer) {}}
+	f := &fleet{clock: &virtualClock{now: time.Unix(1_000_000, 0)}, random: rand.New(rand.NewPCG(seed, 1)), quota: quota, cuts: make(map[[2]int]time.Time), started: func(*Enforcer) {}, ahead: slack, drawCost: twoCosts, meanCost: meanCost}
 	for range sidecars {
 		f.sidecars = append(f.sidecars, granter.New(f.clock))
 	}
@@ -89,7 +103,7 @@
 		even = f.even
 	}
 	startedAt := f.clock.now
-	e.enforcer = New(Options{Ahead: slack, FleetShare: func() float64 {
+	e.enforcer = New(Options{Ahead: f.ahead, FleetShare: func() float64 {
 		if f.even == 0 && f.clock.now.Sub(startedAt) < 2*time.Second {
 			return 0
 		}
@@ -176,12 +190,12 @@
 	}})
 }
 
-// cost returns what a request counts as: most are short, a fifth are long.
-func (f *fleet) cost() float64 {
-	if f.random.IntN(5) == 0 {
-		return 12_000
+// twoCosts returns what a request of the only kind costs: most are short, a fifth are long.
+func twoCosts(random *rand.Rand) (kind int, cost float64) {
+	if random.IntN(5) == 0 {
+		return 0, 12_000
 	}
-	return 2_400
+	return 0, 2_400
 }
 
 // poisson returns how many of events with a mean number happen.
@@ -211,16 +225,19 @@
 			if !f.running(e) {
 				continue
 			}
-			for range f.poisson(asks * f.quota.Rate * step.Seconds() / meanCost * e.weight / total) {
-				cost := f.cost()
+			for range f.poisson(asks * f.quota.Rate * step.Seconds() / f.meanCost * e.weight / total) {
+				kind, cost := f.drawCost(f.random)
 				asked += cost
 				if f.tokens >= cost {
 					f.tokens -= cost
 					allowed += cost
 				}
-				if _, ok := e.enforcer.Ask(customer, cost); ok && e.enforcer.Take(customer, cost) {
+				_, ok := e.enforcer.Ask(customer, kind, cost)
+				ok = ok && e.enforcer.Take(customer, kind, cost)
+				if ok {
 					sent += cost
 				}
+				f.asked = append(f.asked, askedRequest{kind: kind, cost: cost, sent: ok})
 			}
 		}
 		served += sent
@@ -268,6 +285,9 @@
 func TestQuotaHoldsInAnyWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.SampledFrom([]int{1, 3, 9, 27, 27, 60, 360}).Draw(t, "entries"), rapid.SampledFrom([]int{1, 4, 10}).Draw(t, "sidecars"), drawQuota(t), rapid.Uint64().Draw(t, "seed"))
+		if rapid.Bool().Draw(t, "longTailed") {
+			f.ahead, f.drawCost, f.meanCost = productAhead, longTailedCosts, longTailedMean
+		}
 		f.startAll()
 		play(t, f)
 	})
@@ -334,7 +354,7 @@
 			f.started = func(e *Enforcer) {
 				b := e.buckets[customer]
 				b.started, b.share, b.shareAt = true, 1, e.clock.Now().Add(time.Second)
-				b.tokens, b.saved, b.savedAt = quota.Burst, quota.Burst, e.clock.Now()
+				b.tokens, b.quota.Burst = quota.Burst, 27*quota.Burst
 			}
 		}
 		f.startAll()
--- a/internal/routing/router/quota.go
+++ b/internal/routing/router/quota.go
@@ -14,6 +14,15 @@
 	return workspace.Quota.Cost(tokens)
 }
 
+// quotaKind returns the number of the request's kind: that of requests with a prompt is by the priority of
+// the route, and callers' retries are no kind of their own.
+func (d *dispatch) quotaKind() int {
+	if d.request.Prompt == nil {
+		return -1
+	}
+	return d.request.Route.Priority
+}
+
 // checkQuota returns a failure if the quota of the workspace has no room for the request. It is
 // charged only when an attempt is sent.
 func (d *dispatch) checkQuota() *Failure {
@@ -26,7 +35,7 @@
 		return nil
 	}
 	quotas, name := d.router.options.Quotas, d.request.Workspace.Name
-	retryAfter, ok := quotas.Ask(name, cost)
+	retryAfter, ok := quotas.Ask(name, d.quotaKind(), cost)
 	if ok {
 		return nil
 	}
@@ -45,7 +54,7 @@
 		return &Failure{Reason: ReasonReplicaFailed}
 	}
 	quotas, name, cost := d.router.options.Quotas, d.request.Workspace.Name, d.quotaCost()
-	retryAfter := quotas.RetryAfter(name, cost)
+	retryAfter := quotas.RetryAfter(name, d.quotaKind(), cost)
 	d.countBySize("refused.quota")
 	d.router.logger.Info("route: not sent, beyond the quota of its workspace.", "request", d.request.ID, "route", d.request.Route.Name, "rank", d.request.kindRank(), "workspace", name, "cost", cost, "share", quotas.Share(name), "back", retryAfter)
 	return &Failure{Reason: ReasonQuota, NotRun: true, RetryAfter: retryAfter}
@@ -58,7 +67,7 @@
 	if cost <= 0 || d.charged {
 		return true
 	}
-	d.charged = d.router.options.Quotas.Take(d.request.Workspace.Name, cost)
+	d.charged = d.router.options.Quotas.Take(d.request.Workspace.Name, d.quotaKind(), cost)
 	return d.charged
 }
 
@@ -66,6 +75,6 @@
 func (d *dispatch) giveBack() {
 	if d.charged {
 		d.charged = false
-		d.router.options.Quotas.GiveBack(d.request.Workspace.Name, d.quotaCost())
+		d.router.options.Quotas.GiveBack(d.request.Workspace.Name, d.quotaKind(), d.quotaCost())
 	}
 }
--- a/internal/routing/router/quota_test.go
+++ b/internal/routing/router/quota_test.go
@@ -23,10 +23,10 @@
 	workspace := &Workspace{Name: "customer", Quota: enforcer.Quota{Rate: rate, Burst: rate, Unit: enforcer.Tokens, PlainTokens: 200}}
 	quotas := enforcer.New(enforcer.Options{FleetShare: func() float64 { return 1 }}, timekeeper.System{})
 	quotas.SetQuotas(map[string]enforcer.Quota{workspace.Name: workspace.Quota})
-	quotas.GiveBack(workspace.Name, 0)
+	quotas.GiveBack(workspace.Name, 0, 0)
 	b.router.options.Quotas = quotas
 	<-time.After(100 * time.Millisecond)
-	quotas.GiveBack(workspace.Name, 0)
+	quotas.GiveBack(workspace.Name, 0, 0)
 	<-time.After(2 * time.Second)
 	return b, workspace
 }
@@ -69,6 +69,6 @@
 			request.Workspace.Quota.PlainTokens = 900
 			assert.Equal(t, b.router.Begin(request).Failure.Reason, ReasonRejected)
 		}
-		assert.Assert(t, b.router.options.Quotas.Take(workspace.Name, 1000))
+		assert.Assert(t, b.router.options.Quotas.Take(workspace.Name, -1, 1000))
 	})
 }
