The arbiter does not refuse a request by its own size

What callers saw: where there was not room for all, the largest prompts of a kind were refused for the small ones of the same kind.

The queue and the request's own prefill together were compared with a part of a more urgent kind's target, the whole prompt with a tenth of what was sent, and half of it with what more urgent kinds were served. Small requests keep the queue just where large ones do not fit.

Change: what is usual for requests of the rank counts in place of the own size: the mean prefill that was expected of them, and their mean length. Its own size counts only where it decides whether the answer is of use (the expected wait) or whether the replica's memory can hold it.

--- a/internal/routing/arbiter/arbiter.go
+++ b/internal/routing/arbiter/arbiter.go
@@ -114,7 +114,9 @@
 	Reason Reason
 	// After is the time after which to ask again, or after which the caller may return.
 	After time.Duration
-	// Limit is the longest queue, own prefill included, with which the request would be sent.
+	// Limit is the longest queue, with the usual prefill of requests of the rank, with which the
+	// request would be sent. The request's own prefill does not count: large requests of a rank
+	// would be refused for small ones.
 	Limit time.Duration
 	// Used and Share are the workspace's part of the tokens sent recently, and the part that
 	// is due to it.
@@ -129,6 +131,8 @@
 	floorShare float64
 	// sharesIgnored is set if workspaces have no shares.
 	sharesIgnored bool
+	// sizeCounts is set if the size of a request counts against it, not that of usual ones.
+	sizeCounts bool
 }
 
 // Arbiter decides for one service. It knows what this daemon sees of demand, and is safe for
@@ -163,6 +167,9 @@
 	regular sum
 	// held are the tokens that are held now.
 	held int
+	// requests counts those that have asked, decided those that were decided on, and prefill is what
+	// these were expected to take of the prefill time of others, in seconds.
+	requests, decided, prefill sum
 }
 
 // New returns an arbiter that has seen no requests.
@@ -176,6 +183,10 @@
 	work    Work
 	// held and sent are set while the request is held, and once it was sent.
 	held, sent bool
+	// usualPrefill is what requests of the rank usually take of the prefill time of others, as of the
+	// first decision; decided is set from then on.
+	usualPrefill time.Duration
+	decided      bool
 }
 
 // Ask returns the claim of a request that has arrived. The caller must call Release once the
@@ -191,6 +202,7 @@
 	}
 	rank.askedAt = now
 	rank.asked.add(now, tokens)
+	rank.requests.add(now, 1)
 	a.total.asked.add(now, tokens)
 	workspace := a.workspace(work.Workspace)
 	workspace.weight = work.Weight
@@ -211,6 +223,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
+	c.expectPrefill(now, place)
 	verdict := c.judge(now, place)
 	c.setHeld(verdict.Action == Hold)
 	switch verdict.Action {
@@ -222,6 +235,30 @@
 	return verdict
 }
 
+// expectPrefill sets usualPrefill at the first decision, and records what is expected of the request
+// itself. The caller holds mu.
+func (c *Claim) expectPrefill(now time.Time, place Place) {
+	if c.decided {
+		return
+	}
+	c.decided = true
+	rank, own := &c.arbiter.ranks[c.work.Rank], place.Prefill+place.Repeat
+	c.usualPrefill = own
+	if decided := rank.decided.at(now); decided > 0 {
+		c.usualPrefill = time.Duration(rank.prefill.at(now) / decided * float64(time.Second))
+	}
+	if c.arbiter.settings.sizeCounts {
+		c.usualPrefill = own
+	}
+	rank.decided.add(now, 1)
+	rank.prefill.add(now, own.Seconds())
+}
+
+// usualTokens returns the usual length of the prompts of the rank.
+func (r *rankUse) usualTokens(now time.Time) float64 {
+	return r.asked.at(now) / max(1, r.requests.at(now))
+}
+
 // judge returns the verdict without its effects. The caller holds mu.
 func (c *Claim) judge(now time.Time, place Place) Verdict {
 	a, work := c.arbiter, c.work
@@ -253,7 +290,7 @@
 	}
 	idle := time.Duration(idleShare * float64(urgent))
 	switch {
-	case !place.Full && (place.Queue <= idle || place.Queue+place.Prefill+place.Repeat <= verdict.Limit):
+	case !place.Full && (place.Queue <= idle || place.Queue+c.usualPrefill <= verdict.Limit):
 		verdict.Reason = Room
 	case protects && a.servedBetter(now, work):
 		verdict.Action = Refuse
@@ -300,19 +337,23 @@
 // share. Half of the least share is kept for workspaces that are not above their own. The caller
 // holds mu.
 func (a *Arbiter) belowFloor(now time.Time, work Work, above bool) bool {
-	use, tokens, share := &a.ranks[work.Rank], float64(work.Tokens), a.settings.floorShare
+	use, share := &a.ranks[work.Rank], a.settings.floorShare
 	if above {
 		share *= aboveShareFactor
 	}
+	tokens := use.usualTokens(now)
+	if a.settings.sizeCounts {
+		tokens = float64(work.Tokens)
+	}
 	return use.sent.at(now)+tokens <= share*(a.total.sent.at(now)+tokens)
 }
 
-// servedBetter reports whether, with half of the work, a greater part of the requests of its rank
-// would be sent than of a more urgent one for which there is not room: with all of it, a rank that
+// servedBetter reports whether, with half of a usual request, a greater part of the requests of its rank
+// would be sent than of a more urgent one for which there is not room: with a whole one, a rank that
 // asks rarely would never be sent. The caller holds mu.
 func (a *Arbiter) servedBetter(now time.Time, work Work) bool {
 	use := &a.ranks[work.Rank]
-	served := min(pressedShare, (use.sent.at(now)+float64(work.Tokens)/2)/max(1, use.asked.at(now)))
+	served := min(pressedShare, (use.sent.at(now)+use.usualTokens(now)/2)/max(1, use.asked.at(now)))
 	for i := range work.Rank {
 		if a.ranks[i].servedShare(now) < served {
 			return true
--- a/internal/routing/arbiter/load_test.go
+++ b/internal/routing/arbiter/load_test.go
@@ -32,6 +32,8 @@
 	target    time.Duration
 	perSecond float64
 	from, to  time.Duration
+	// drawTokens draws the length of a prompt; nil means that all have tokens.
+	drawTokens func(*rand.Rand) int
 }
 
 // outcome counts what became of the requests of a stream.
@@ -48,13 +50,23 @@
 	freeAt   time.Time
 	queue    []*caller
 	outcomes []outcome
+	// prompts holds the length of each prompt and whether it was sent, by stream.
+	prompts [][]prompt
 	// returns are when refused callers were asked to return.
 	returns []time.Time
 }
 
+// prompt is the length of a prompt and whether it was sent.
+type prompt struct {
+	tokens int
+	sent   bool
+}
+
 // caller is one request of a stream that looks for room at a time.
 type caller struct {
-	stream   int
+	stream int
+	// prompt is the index of its prompt in load.prompts.
+	prompt   int
 	spec     stream
 	at       time.Time
 	arrived  time.Time
@@ -63,7 +75,7 @@
 }
 
 func newLoad(streams []stream, configure func(*settings)) *load {
-	l := &load{clock: &virtualClock{now: time.Unix(1000, 0)}, outcomes: make([]outcome, len(streams))}
+	l := &load{clock: &virtualClock{now: time.Unix(1000, 0)}, outcomes: make([]outcome, len(streams)), prompts: make([][]prompt, len(streams))}
 	l.arbiter = New(l.clock)
 	if configure != nil {
 		configure(&l.arbiter.settings)
@@ -75,7 +87,12 @@
 			to = loadTime
 		}
 		for at := s.from; at < to; at += time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)) {
-			l.queue = append(l.queue, &caller{stream: i, spec: s, at: start.Add(at), arrived: start.Add(at)})
+			c := &caller{stream: i, prompt: len(l.prompts[i]), spec: s, at: start.Add(at), arrived: start.Add(at)}
+			if s.drawTokens != nil {
+				c.spec.tokens = s.drawTokens(random)
+			}
+			l.prompts[i] = append(l.prompts[i], prompt{tokens: c.spec.tokens})
+			l.queue = append(l.queue, c)
 		}
 	}
 	return l
@@ -124,6 +141,7 @@
 	case Send:
 		l.freeAt = now.Add(queue + prefill)
 		o.sent++
+		l.prompts[c.stream][c.prompt].sent = true
 		if l.freeAt.Sub(c.arrived) <= s.target {
 			o.inTime++
 		}
@@ -132,7 +150,7 @@
 		if !c.returned {
 			o.returned++
 			l.returns = append(l.returns, now.Add(verdict.After))
-			l.queue = append(l.queue, &caller{stream: c.stream, spec: s, at: now.Add(verdict.After), arrived: c.arrived, returned: true})
+			l.queue = append(l.queue, &caller{stream: c.stream, prompt: c.prompt, spec: s, at: now.Add(verdict.After), arrived: c.arrived, returned: true})
 		}
 	}
 	c.claim.Release()
