Quotas: the test at exactly the quota is back

Cause: it was taken out while the quotas were tuned; 0.98 of what one bucket for all would serve is wanted there as well. Change: TestUnevenDemandIsServed asks for 1 times the quota again.

--- a/internal/quota/enforcer/fleet_test.go
+++ b/internal/quota/enforcer/fleet_test.go
@@ -408,7 +408,7 @@
 // what one bucket for all would serve, 98% are served.
 func TestUnevenDemandIsServed(t *testing.T) {
 	for _, rate := range []float64{230_000, 600_000, 1_450_000} {
-		for _, asks := range []float64{0.5, 0.8, 3, 7} {
+		for _, asks := range []float64{0.5, 0.8, 1, 3, 7} {
 			checkServed(t, newFleet(27, 8, Quota{Rate: rate, Burst: rate, Unit: Tokens}, 1), asks, true)
 		}
 	}
