Soak: a replica whose answers have no end

Cause: no stand-in sent without end on reports, orders and events, so that no play showed that a sidecar keeps such answers. Change: scenario "endless": a model replica answers every call with bytes that have no end; the memory of all daemons is limited as the platform limits it.

--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -47,11 +47,13 @@
 	Rejects
 	// Silences keeps connections open and makes no events for as long as it lasts.
 	Silences
-	// Troubles is the number of troubles.
+	// Troubles is the number of troubles that are drawn.
 	Troubles
+	// Endless answers each call with bytes that have no end.
+	Endless = Troubles
 )
 
-var troubleNames = [Troubles]string{"none", "preempts", "resets", "rejects", "silences"}
+var troubleNames = [Troubles + 1]string{"none", "preempts", "resets", "rejects", "silences", "endless"}
 
 func (t Trouble) String() string { return troubleNames[t] }
 
--- a/internal/standin/generator/serve.go
+++ b/internal/standin/generator/serve.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,7 +23,31 @@
 	mux.HandleFunc("GET /kv-events", g.handleEvents)
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { g.handleRequest(w, r, born) })
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.currentTrouble() == Endless {
+			g.answerEndlessly(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// currentTrouble returns what goes wrong now.
+func (g *Generator) currentTrouble() Trouble {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.trouble
+}
+
+// answerEndlessly sends bytes until the caller closes the connection or the trouble ends.
+func (g *Generator) answerEndlessly(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(checker.FieldRequestID, r.Header.Get(checker.FieldRequestID))
+	block := bytes.Repeat([]byte{' '}, 64<<10)
+	for g.currentTrouble() == Endless {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
 }
 
 func answer(w http.ResponseWriter, status int, body any) {
--- a/internal/standin/soaker/memory.go
+++ b/internal/standin/soaker/memory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/internal/standin/checker"
+	"github.com/cyclamenward/cyclamenward/internal/standin/generator"
 	"github.com/cyclamenward/cyclamenward/internal/standin/launcher"
 )
 
@@ -48,6 +49,24 @@
 	return nil
 }
 
+// playEndless has a model replica answer each call with bytes that have no end, beside requests that do
+// not need it, to daemons whose memory is limited.
+func playEndless(d *deployment, quiet bool) error {
+	var tasks sync.WaitGroup
+	stop := make(chan struct{})
+	for _, daemon := range d.daemons() {
+		tasks.Go(func() { limitMemory(daemon, stop) })
+	}
+	if !quiet {
+		d.generators[0].SetTrouble(generator.Endless)
+	}
+	tasks.Go(func() { d.sendNamed("s", 4, 6, true, drawStream) })
+	d.sendAll(24, 30, false, drawPlain)
+	close(stop)
+	tasks.Wait()
+	return nil
+}
+
 // uploadAll has callers send large bodies.
 func (d *deployment) uploadAll(callers int) {
 	body := strings.Repeat("x", largeBytes)
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -42,6 +42,7 @@
 	"troubled":  {Options{Edges: 5, Workers: 6, Generators: 4, Places: 6, Pause: 2 * time.Second}, playTroubled},
 	"quotas":    {Options{Edges: 5, Workers: 6, Generators: 4, Quotas: hotQuotas, Invariants: []string{"quota", "pressure"}}, playQuotas},
 	"memory":    {Options{Edges: 1, Workers: 3}, playMemory},
+	"endless":   {Options{Edges: 1, Workers: 3, Generators: 2}, playEndless},
 }
 
 // Scenarios returns the names of the scenarios.
--- a/internal/standin/soaker/soak_test.go
+++ b/internal/standin/soaker/soak_test.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// TestEndlessReplicaDoesNotEndDaemons guards against a replica that answers callers, reports and events with bytes
+// that have no end: the daemons that call it ran out of memory, and other requests on them were lost (LOST).
+func TestEndlessReplicaDoesNotEndDaemons(t *testing.T) {
+	broken, err := PlayScenario("endless", Play{Folder: t.ArtifactDir(), Program: binary(t, "cyclamenward-platform"), Out: t.Output()})
+	held(t, broken, err)
+}
+
 // TestHotWorkspaceStaysWithinItsQuota guards against a workspace that gets more than its quota over all edges
 // while these are killed and restarted (QUOTA).
 func TestHotWorkspaceStaysWithinItsQuota(t *testing.T) {
