Router: the longest load tests run side by side

Cause: the router's tests took 413 to 426 s with the race detector, of the 600 s that go test allows for a package. Change: the twelve longest, which play in virtual time and share no state, are parallel. Nothing in them changes.

--- a/internal/routing/router/budget_test.go
+++ b/internal/routing/router/budget_test.go
@@ -189,6 +189,7 @@
 // replicas that are asked beside another, and trials of isolated requests, on routes that share a
 // service or move to another one in the middle of a window.
 func TestEachArrivalBeyondTheFirstIsPaidFor(t *testing.T) {
+	t.Parallel()
 	budget := limiter.BudgetLimits{Ratio: 0.2, Extra: 5, Window: 10 * time.Second}
 	largest := 0.0
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/routing/router/load_test.go
+++ b/internal/routing/router/load_test.go
@@ -136,6 +136,7 @@
 // all requests must be in time; at one and a half times the capacity the surplus is
 // refused, and most of the rest must be in time.
 func TestPaceAdaptsToEngineSpeed(t *testing.T) {
+	t.Parallel()
 	noneUnreachable := func(time.Duration) int { return 0 }
 	for _, tokensPerSecond := range []float64{20_000, 60_000, 180_000} {
 		capacity := 8 * tokensPerSecond / 3000
--- a/internal/routing/router/opening_test.go
+++ b/internal/routing/router/opening_test.go
@@ -324,6 +324,7 @@
 // TestOpeningAfterCrashUnderFullLoad guards against replicas that are flooded or left idle when they are
 // back from a crash. A pacer that never opens is caught.
 func TestOpeningAfterCrashUnderFullLoad(t *testing.T) {
+	t.Parallel()
 	sound := playCrash(t, openingPlays, 1, promptWork, soundShare, promptRequest, func(*openingReplica) {})
 	assert.Equal(t, len(sound.wrong(0.05, 0.9)), 0, "%v", sound.wrong(0.05, 0.9))
 	closed := playCrash(t, 1, 1, promptWork, neverOpens, promptRequest, func(*openingReplica) {})
@@ -334,6 +335,7 @@
 // TestOpeningOfSlowReplicas guards against floods of replicas that are half as fast for three seconds after
 // their start. They find their lower pace. A pacer that opens at once is caught.
 func TestOpeningOfSlowReplicas(t *testing.T) {
+	t.Parallel()
 	slow := func(r *openingReplica) { r.slowUntil = time.Now().Add(3 * time.Second) }
 	sound := playCrash(t, openingPlays, 1, promptWork, soundShare, promptRequest, slow)
 	assert.Equal(t, len(sound.wrong(0.25, 0.5)), 0, "%v", sound.wrong(0.25, 0.5))
@@ -344,6 +346,7 @@
 
 // TestOpeningOfPlainServersWithSixSlots is the crash of plain servers, of which nobody reports the load.
 func TestOpeningOfPlainServersWithSixSlots(t *testing.T) {
+	t.Parallel()
 	sound := playCrash(t, openingPlays, 6, 120*time.Millisecond, soundShare, plainRequest, func(*openingReplica) {})
 	assert.Equal(t, len(sound.wrong(0.05, 0.9)), 0, "%v", sound.wrong(0.05, 0.9))
 	closed := playCrash(t, 1, 6, 120*time.Millisecond, neverOpens, plainRequest, func(*openingReplica) {})
@@ -395,6 +398,7 @@
 // TestOpeningOfFlappingReplicas guards against ever more requests lost at replicas that go down and up by
 // turns: with a pace they lose fewer than with a backoff alone.
 func TestOpeningOfFlappingReplicas(t *testing.T) {
+	t.Parallel()
 	flap := func(f *openingFleet) map[time.Duration]func() {
 		events := make(map[time.Duration]func())
 		for at := 2 * time.Second; at < 9*time.Second; at += 1400 * time.Millisecond {
--- a/internal/routing/router/poison_test.go
+++ b/internal/routing/router/poison_test.go
@@ -203,6 +203,7 @@
 // TestPoisonIsIsolatedInFleetsOfAllSizes has each daemon see a few of the crashes only, for plain
 // services and for models whose replicas end before the head of the answer.
 func TestPoisonIsIsolatedInFleetsOfAllSizes(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{1, 5, 23, 360} {
 		for _, prompt := range []bool{false, true} {
 			synctest.Test(t, func(t *testing.T) {
@@ -224,6 +225,7 @@
 // TestPoisonThatKeepsComingIsTriedSeldom has the poison come for two hours: all trials count
 // against the bound.
 func TestPoisonThatKeepsComingIsTriedSeldom(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newPoisonedFleet(5, 6, "poison")
 		defer f.exchange(time.Second)()
--- a/internal/routing/router/ratelimit_test.go
+++ b/internal/routing/router/ratelimit_test.go
@@ -160,6 +160,7 @@
 // TestLimitsHoldOverFleetsOfAllSizes guards against daemons that each allow what all together
 // may: one replica names a limit far below one request a second for each daemon.
 func TestLimitsHoldOverFleetsOfAllSizes(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{1, 5, 23, 360} {
 		for _, limit := range []float64{0, 0.3, 1.9, 20} {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/routing/router/renewal_test.go
+++ b/internal/routing/router/renewal_test.go
@@ -130,6 +130,7 @@
 // replica under load: no stream ends if a twelfth of them or less is interrupted. With three
 // replicas the rest ends, and its callers may resume it.
 func TestStreamsOfALostReplicaAreContinued(t *testing.T) {
+	t.Parallel()
 	for _, replicas := range []int{3, 12, 60} {
 		for _, rate := range []int{10, 60} {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/routing/router/soak_test.go
+++ b/internal/routing/router/soak_test.go
@@ -249,6 +249,7 @@
 // TestSoakOfDrillsLeavingAndPauses has replicas leave, crash and ask for pauses, and the list
 // lag and go back to older copies, in series that overlap, at random.
 func TestSoakOfDrillsLeavingAndPauses(t *testing.T) {
+	t.Parallel()
 	for seed := range *soakSeeds {
 		synctest.Test(t, func(t *testing.T) {
 			s := newSoak(uint64(seed))
--- a/internal/routing/router/speed_test.go
+++ b/internal/routing/router/speed_test.go
@@ -185,6 +185,7 @@
 // 600 ms, while fast ones have room: a wave whose mean is two thirds of what the replicas can do. Replicas
 // whose speed counts must halve what is late or refused.
 func TestReplicasOfUnlikeSpeedUnderAWave(t *testing.T) {
+	t.Parallel()
 	var lost [2]int
 	for i, speeds := range []bool{false, true} {
 		for range 3 {
