--- a/internal/quota/enforcer/enforcer.go
+++ b/internal/quota/enforcer/enforcer.go
@@ -393,8 +393,8 @@
 // ahead returns by how much this entry may be ahead of its share. The caller holds mu.
 func (e *Enforcer) ahead() float64 { return e.options.Ahead * e.even }
 
-// burst returns this entry's part of the burst, which is all that the bucket may hold: half of it goes by shares, half evenly, since a bucket with
-// few requests needs more room for each. The caller holds mu.
+// burst returns this entry's part of the burst, which is all that the bucket may hold: half of it goes by
+// shares, half evenly, since a bucket with few requests needs more room for each. The caller holds mu.
 func (e *Enforcer) burst(b *bucket) float64 {
 	return b.quota.Burst * (b.share + min(e.even, 1)) / 2
 }
