Soak: a deployment of the size, the routes and the rates of the users' sheets

The soak had three to five edges, three or four sidecars, a dozen callers that wait for each answer, one zone, and routes that allow more attempts than those of the sheets, so that it could not tell what an ordinary run of such a deployment looks like.

Requests that end without an answer are counted by what is known of them (passed on or not, at once or later, how long after SIGTERM), as the log of a play could not tell why one was excused.

--- a/internal/standin/checker/fields.go
+++ b/internal/standin/checker/fields.go
@@ -73,5 +73,14 @@
 	return time.Duration(milliseconds) * time.Millisecond
 }
 
+// RetryAfterOf decodes the field with the seconds until a caller may come back, 0 if that is not valid.
+func RetryAfterOf(field string) time.Duration {
+	seconds, err := strconv.ParseFloat(field, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // Seconds encodes a time as the seconds of a header field.
 func Seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- a/internal/standin/checker/history.go
+++ b/internal/standin/checker/history.go
@@ -113,6 +113,8 @@
 	Complete bool
 	// Whole is when the last byte of the request was sent, zero if it was not.
 	Whole time.Time
+	// RetryAfter is when a refused caller may come back, 0 if the answer does not say.
+	RetryAfter time.Duration
 	// Abandoned is set if the caller gave up first.
 	Abandoned bool
 	EndedAt   time.Time
@@ -291,7 +293,9 @@
 	// on with a stream. Orders and CacheUses count what ONE, STALE and WALL are about.
 	Repeats, Resumptions, Orders, CacheUses int
 	Budget                                  BudgetShares
-	Faults                                  map[string]int
+	// Cuts counts the requests that ended without a complete answer, by what is known of them.
+	Cuts   map[string]int
+	Faults map[string]int
 }
 
 // Summary returns the counts up to now.
@@ -319,6 +323,6 @@
 	for _, d := range h.disturbances {
 		s.Faults[d.Fault]++
 	}
-	s.Budget = h.budgetShares()
+	s.Budget, s.Cuts = h.budgetShares(), h.cuts()
 	return s
 }
--- a/internal/standin/checker/loss.go
+++ b/internal/standin/checker/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -72,3 +73,44 @@
 	}
 	return found
 }
+
+// cuts counts the requests that end without a complete answer, by what is known of each. The caller
+// holds mu.
+func (h *History) cuts() map[string]int {
+	counts := make(map[string]int)
+	for _, x := range h.order {
+		a := x.answer
+		if a == nil || a.Complete {
+			continue
+		}
+		stoppedAt, stopped := h.stopBefore(x.Machine, a.EndedAt)
+		parts := []string{"calm"}
+		if !h.calm(x.SentAt, a.EndedAt, x.Machine) {
+			parts[0] = "disturbed"
+		}
+		if stopped {
+			parts = append(parts, fmt.Sprintf("stopped %ds", int(x.SentAt.Sub(stoppedAt).Seconds())))
+		}
+		switch {
+		case a.Abandoned:
+			parts = append(parts, "abandoned")
+		case a.Whole.IsZero():
+			parts = append(parts, "not sent")
+		case a.EndedAt.Sub(a.Whole) <= h.bounds.LossSlack:
+			parts = append(parts, "at once")
+		default:
+			parts = append(parts, "later")
+		}
+		if len(x.runs) > 0 {
+			parts = append(parts, "passed on")
+		}
+		if x.Kind == AtMostOnce {
+			parts = append(parts, "once")
+		}
+		if x.outlives(stoppedAt, h.bounds.Grace) && stopped {
+			parts = append(parts, "excused")
+		}
+		counts[strings.Join(parts, ", ")]++
+	}
+	return counts
+}
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -3,6 +3,7 @@
 package generator
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,6 +24,12 @@
 	// preempted request has been read in again.
 	troubleAt  = 8
 	preemption = 1800 * time.Millisecond
+	// EventsParameter is the parameter of a query with the number of events.
+	EventsParameter = "events"
+	// IntervalParameter is that with the milliseconds between two events.
+	IntervalParameter = "interval-ms"
+	// ReadParameter is that with the milliseconds in which the prompt is read.
+	ReadParameter = "read-ms"
 	// loadTime is the time to load weights.
 	loadTime = 390 * time.Millisecond
 	// heartbeat is the interval at which the entry is written if it has changed.
@@ -66,6 +73,8 @@
 	Dedicated map[string]bool
 	// Weights is the version at the start.
 	Weights int
+	// Slots is how many requests the replica runs at once, 0 for the constant of that name.
+	Slots int
 }
 
 // Group holds the replicas that can fetch parts from each other.
@@ -118,6 +127,7 @@
 
 // New starts a replica at a free port. Close ends it.
 func New(options Options, store *storekeeper.Store, history *checker.History, group *Group) (*Generator, error) {
+	options.Slots = cmp.Or(options.Slots, Slots)
 	g := &Generator{options: options, store: store, history: history, group: group, stop: make(chan struct{}), weights: options.Weights, changed: make(chan struct{}), eventAdded: make(chan struct{})}
 	listener, err := net.Listen("tcp", net.JoinHostPort(options.IP, "0"))
 	if err != nil {
@@ -229,7 +239,7 @@
 		return
 	}
 	entry := map[string]any{
-		"service": g.options.Service, "address": g.address, "zone": g.options.Zone, "version": "v1", "slots": Slots, "state": "ready", "cold-left-ms": 0,
+		"service": g.options.Service, "address": g.address, "zone": g.options.Zone, "version": "v1", "slots": g.options.Slots, "state": "ready", "cold-left-ms": 0,
 		"stage": "colocated", "models": models, "sequence": g.sequence, "born": g.born,
 	}
 	if g.store.Put("servers/"+g.options.ID, entry) == nil {
--- a/internal/standin/generator/serve.go
+++ b/internal/standin/generator/serve.go
@@ -141,7 +141,7 @@
 	switch {
 	case expected != "" && expected != g.options.ID, err == nil && expectedVersion != weights:
 		return admission{status: http.StatusMisdirectedRequest}
-	case g.running >= Slots, g.trouble == Rejects, time.Now().Before(g.loadedAt):
+	case g.running >= g.options.Slots, g.trouble == Rejects, time.Now().Before(g.loadedAt):
 		return admission{status: http.StatusServiceUnavailable}
 	}
 	g.running++
@@ -188,11 +188,24 @@
 	g.stream(w, r, run, admitted, born)
 }
 
+// parameter returns a whole number of a request's query, or what is usual.
+func parameter(r *http.Request, name string, usual int) int {
+	if n, err := strconv.Atoi(r.URL.Query().Get(name)); err == nil {
+		return n
+	}
+	return usual
+}
+
 // stream makes the events of a run.
 func (g *Generator) stream(w http.ResponseWriter, r *http.Request, run *checker.Run, admitted admission, born int64) {
-	for n := run.After + 1; n < Events; n++ {
-		pause := eventInterval
-		if admitted.preempted && n == troubleAt {
+	events, interval := parameter(r, EventsParameter, Events), time.Duration(parameter(r, IntervalParameter, int(eventInterval.Milliseconds())))*time.Millisecond
+	strikesAt := min(troubleAt, events/2)
+	for n := run.After + 1; n < events; n++ {
+		pause := interval
+		if n == run.After+1 {
+			pause += time.Duration(parameter(r, ReadParameter, 0)) * time.Millisecond
+		}
+		if admitted.preempted && n == strikesAt {
 			pause = preemption
 		}
 		if !g.pause(r, pause) {
@@ -203,7 +216,7 @@
 			return
 		}
 		text := fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", n, n, run.ID)
-		if admitted.reset && n >= troubleAt {
+		if admitted.reset && n >= strikesAt {
 			run.End(true)
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			w.(http.Flusher).Flush()
--- a/internal/standin/launcher/settings.go
+++ b/internal/standin/launcher/settings.go
@@ -1,17 +1,23 @@
 package launcher
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/cyclamenward/cyclamenward/internal/standin/checker"
 )
 
-// Zone is the zone of all machines of a deployment.
+// Zone is the zone of a machine that names none.
 const Zone = "pampa-norte"
 
-// region is the region of Zone.
-const region = "pampa"
+// regions holds the region of each zone.
+var regions = map[string]string{Zone: "pampa", "pampa-sur": "pampa", "cuyo-sur": "cuyo"}
+
+// Zones returns the names of all zones.
+func Zones() []string { return slices.Sorted(maps.Keys(regions)) }
 
 // MemoryMB is the memory of a process.
 const MemoryMB = 134
@@ -23,6 +29,8 @@
 type Machine struct {
 	// Role is the role of the daemon, edge or side.
 	Role, Name, IP string
+	// Zone is "" for the constant of that name.
+	Zone string
 	// Port is the first one for connections between daemons. It is the same on all machines.
 	Port int
 	// StoreAddress is the address of the store as this machine reaches it.
@@ -35,9 +43,10 @@
 
 // settingsText returns the settings file of a machine. JSON is YAML.
 func settingsText(m Machine, front, ready string, bounds checker.Bounds) ([]byte, error) {
+	zone := cmp.Or(m.Zone, Zone)
 	fields := map[string]any{
-		"node-name": m.Name, "role": m.Role, "machine-class": m.Role, "ip": m.IP, "zone": Zone, "region": region,
-		"zones":           map[string]string{Zone: region},
+		"node-name": m.Name, "role": m.Role, "machine-class": m.Role, "ip": m.IP, "zone": zone, "region": regions[zone],
+		"zones":           regions,
 		"listen":          map[string]string{"front": front, "ready": ready},
 		"ephemeral-ports": []int{m.Port, m.Port + portCount - 1},
 		"bootstrap":       true,
--- a/internal/standin/soaker/caller.go
+++ b/internal/standin/soaker/caller.go
@@ -67,7 +67,8 @@
 				return
 			}
 			request, key := c.draw(c)
-			open = c.exchange(edge, connection, reader, request, key) && !c.fresh
+			_, kept := c.exchange(edge, connection, reader, request, key)
+			open = kept && !c.fresh
 		}
 		_ = connection.Close()
 	}
@@ -131,12 +132,13 @@
 	return keys[request.Workspace]
 }
 
-// exchange sends one request and reads its answer. It returns whether the connection is still open.
-func (c *caller) exchange(edge *launcher.Daemon, connection net.Conn, reader *bufio.Reader, request checker.Request, key string) bool {
+// exchange sends one request and reads its answer. It returns the answer, and whether the connection is
+// still open.
+func (c *caller) exchange(edge *launcher.Daemon, connection net.Conn, reader *bufio.Reader, request checker.Request, key string) (answer checker.Answer, open bool) {
 	c.sent++
 	request.ID, request.Machine, request.SentAt = fmt.Sprintf("%s-%d", c.name, c.sent), edge.Name(), time.Now()
 	c.deployment.history.Send(request)
-	answer := checker.Answer{ID: request.ID}
+	answer.ID = request.ID
 	limit := request.SentAt.Add(request.Timeout + patience)
 	if c.random.IntN(abandonedOne) == 0 {
 		limit, answer.Abandoned = request.SentAt.Add(c.upTo(maxAbandonMs)), true
@@ -148,6 +150,7 @@
 	response, err := http.ReadResponse(reader, &http.Request{Method: request.Method})
 	if err == nil {
 		answer.Status, answer.Seal = response.StatusCode, response.Header.Get(checker.FieldSeal)
+		answer.RetryAfter = checker.RetryAfterOf(response.Header.Get(checker.FieldRetryAfter))
 		if request.Events > 0 && response.StatusCode == http.StatusOK {
 			answer.Events, err = readEvents(response.Body)
 		} else {
@@ -161,7 +164,7 @@
 		answer.Abandoned = false
 	}
 	c.deployment.history.Answer(answer)
-	return answer.Complete && !response.Close
+	return answer, answer.Complete && !response.Close
 }
 
 // write sends a request, its body with a length or in chunks, and some bodies in halves.
--- a/internal/standin/soaker/configuration.go
+++ b/internal/standin/soaker/configuration.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -25,6 +26,18 @@
 	versionsKept = 2
 )
 
+// routeBounds are the bounds of routes that differ by deployment.
+type routeBounds struct {
+	plainTimeout, chatTimeout  time.Duration
+	lookAttempts, bookAttempts int
+}
+
+// smallRoutes are the bounds of small deployments, standardRoutes those of the users' sheets.
+var (
+	smallRoutes    = routeBounds{plainTimeout, streamTimeout, plainAttempts, plainAttempts}
+	standardRoutes = routeBounds{1500 * time.Millisecond, 3 * time.Second, 2, 1}
+)
+
 // keys holds the key of each workspace.
 var keys = map[string]string{"club-a": "key-a", "club-b": "key-b", dedicatedWorkspace: "key-c"}
 
@@ -34,7 +47,7 @@
 	defer d.mu.Unlock()
 	d.configuration++
 	version := checker.Version{Number: d.configuration, SentAt: time.Now(), Quotas: d.options.Quotas}
-	if err := d.store.Put("op/config", configurationOf(d.configuration, d.options.Quotas)); err != nil {
+	if err := d.store.Put("op/config", d.configurationOf(d.configuration)); err != nil {
 		return err
 	}
 	version.AckAt = time.Now()
@@ -42,17 +55,21 @@
 	return nil
 }
 
-// configurationOf returns a version of the configuration.
-func configurationOf(version int, quotas map[string]checker.Quota) map[string]any {
-	plain := func(name, kind string) map[string]any {
-		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": plainService, "route-kind": kind, "timeout-ms": plainTimeout.Milliseconds(), "target-latency-ms": 200, "priority": 2, "max-attempts": plainAttempts, "public": false}
+// configurationOf returns a version of the configuration. The caller holds mu.
+func (d *deployment) configurationOf(version int) map[string]any {
+	quotas, bounds := d.options.Quotas, d.options.Routes
+	plain := func(name, kind string, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": plainService, "route-kind": kind, "timeout-ms": bounds.plainTimeout.Milliseconds(), "target-latency-ms": 200, "priority": 2, "max-attempts": attempts, "public": false}
+	}
+	stream := func(name string, resumable bool, attempts int, timeout time.Duration) map[string]any {
+		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": modelService, "route-kind": "streaming", "timeout-ms": timeout.Milliseconds(), "target-latency-ms": 600, "priority": 0, "max-attempts": attempts, "public": false, "session-affinity": true, "resumable": resumable, "gap-aim-ms": 400}
 	}
-	stream := func(name string, resumable bool, attempts int) map[string]any {
-		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "service": modelService, "route-kind": "streaming", "timeout-ms": streamTimeout.Milliseconds(), "target-latency-ms": 600, "priority": 0, "max-attempts": attempts, "public": false, "session-affinity": true, "resumable": resumable, "gap-aim-ms": 400}
+	routes := []any{plain("look", "idempotent", bounds.lookAttempts), plain("book", "non_idempotent", bounds.bookAttempts), stream("chat", true, streamAttempts, bounds.chatTimeout), stream("once", false, onceAttempts, streamTimeout)}
+	for i := range d.moreRoutes {
+		routes = append(routes, plain(fmt.Sprintf("more%d", i), "idempotent", bounds.lookAttempts))
 	}
-	routes := []any{plain("look", "idempotent"), plain("book", "non_idempotent"), stream("chat", true, streamAttempts), stream("once", false, onceAttempts)}
 	for v := max(1, version-versionsKept+1); v <= version; v++ {
-		routes = append(routes, plain(fmt.Sprintf("v%d", v), "idempotent"))
+		routes = append(routes, plain(fmt.Sprintf("v%d", v), "idempotent", bounds.lookAttempts))
 	}
 	workspaces := []any{}
 	for name, key := range keys {
@@ -66,7 +83,7 @@
 		"version": version, "routes": routes, "tenants": workspaces,
 		"services": []any{
 			map[string]any{"name": plainService, "health-path": "/health", "slots": 64},
-			map[string]any{"name": modelService, "health-path": "/health", "max-conns": 620, "engine": map[string]any{"slots": generator.Slots, "kv-capacity-tokens": 80000, "kv-token-bytes": 131072, "link-mbps": 260000, "max-inflight": 12, "models": []any{map[string]any{"name": modelName}}}},
+			map[string]any{"name": modelService, "health-path": "/health", "max-conns": 620, "engine": map[string]any{"slots": cmp.Or(d.options.Slots, generator.Slots), "kv-capacity-tokens": 80000, "kv-token-bytes": 131072, "link-mbps": 260000, "max-inflight": 12, "models": []any{map[string]any{"name": modelName}}}},
 		},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4 << 20, "header-timeout-ms": 5000, "idle-timeout-ms": 15000},
 	}
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -41,10 +41,19 @@
 	// of all deployments.
 	Quotas     map[string]checker.Quota
 	Invariants []string
+	// Spread puts the machines and replicas of each kind into all zones in turn.
+	Spread bool
+	// Slots is how many requests a model replica runs at once, 0 for what is usual, and FailurePercent
+	// the share of all requests that replicas of the plain service answer with 500.
+	Slots, FailurePercent int
+	// Routes are the bounds of the routes, zero for those of small deployments.
+	Routes routeBounds
 	// Linked puts relays on the links of callers and of replicas too.
 	Linked bool
 	// Seed draws what a scenario leaves open.
 	Seed uint64
+	// Time is how long a scenario of drawn faults takes, 0 for what is usual.
+	Time time.Duration
 }
 
 // deployment is a running fleet with all that is around it.
@@ -71,12 +80,17 @@
 	workers       []*worker.Worker
 	joined        int
 	configuration int
-	weights       int
+	// moreRoutes is the number of routes in the configuration that nobody asks for.
+	moreRoutes int
+	weights    int
 }
 
 // newDeployment starts a fleet and waits until its edges are ready.
 func newDeployment(options Options) (*deployment, error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	if options.Routes == (routeBounds{}) {
+		options.Routes = smallRoutes
+	}
 	d := &deployment{options: options, history: checker.New(options.Bounds), store: storekeeper.New(options.PageItems), links: make(map[string]*relayer.Relay), group: generator.NewGroup(), host: fleet.LoopbackHost(), ctx: ctx, cancel: cancel}
 	if err := d.start(); err != nil {
 		d.close()
@@ -111,7 +125,7 @@
 		}
 	}
 	for i := range d.options.Edges {
-		edge, err := d.launch(launcher.Machine{Role: "edge", Name: fmt.Sprintf("edge-%d", i), IP: fleet.LoopbackHost()})
+		edge, err := d.launch(launcher.Machine{Role: "edge", Name: fmt.Sprintf("edge-%d", i), IP: fleet.LoopbackHost(), Zone: d.zone(i)})
 		if err != nil {
 			return err
 		}
@@ -167,6 +181,15 @@
 	return d.links[name]
 }
 
+// zone returns the zone of the i-th machine or replica of its kind.
+func (d *deployment) zone(i int) string {
+	if !d.options.Spread {
+		return launcher.Zone
+	}
+	zones := launcher.Zones()
+	return zones[i%len(zones)]
+}
+
 // advertise returns how the address of a replica is advertised.
 func (d *deployment) advertise(id, ip string) func(string) (string, error) {
 	return func(address string) (string, error) {
@@ -181,12 +204,12 @@
 func (d *deployment) addGenerator(i int) error {
 	ip := fleet.LoopbackHost()
 	id := fmt.Sprintf("m-%d", i)
-	g, err := generator.New(generator.Options{ID: id, IP: ip, Advertise: d.advertise(id, ip), Service: modelService, Model: modelName, Zone: launcher.Zone, Dedicated: map[string]bool{dedicatedWorkspace: true}, Weights: 1}, d.store, d.history, d.group)
+	g, err := generator.New(generator.Options{ID: id, IP: ip, Advertise: d.advertise(id, ip), Service: modelService, Model: modelName, Zone: d.zone(i), Dedicated: map[string]bool{dedicatedWorkspace: true}, Weights: 1, Slots: d.options.Slots}, d.store, d.history, d.group)
 	if err != nil {
 		return err
 	}
 	d.generators = append(d.generators, g)
-	side, err := d.launch(launcher.Machine{Role: "side", Name: fmt.Sprintf("side-%d", i), IP: ip, App: g.Address(), Service: modelService})
+	side, err := d.launch(launcher.Machine{Role: "side", Name: fmt.Sprintf("side-%d", i), IP: ip, Zone: d.zone(i), App: g.Address(), Service: modelService})
 	if err != nil {
 		return err
 	}
@@ -198,9 +221,9 @@
 func (d *deployment) join() (*worker.Worker, error) {
 	d.mu.Lock()
 	d.joined++
-	id := fmt.Sprintf("p-%d", d.joined)
+	id, zone := fmt.Sprintf("p-%d", d.joined), d.zone(d.joined)
 	d.mu.Unlock()
-	w, err := worker.New(worker.Options{ID: id, IP: d.host, Advertise: d.advertise(id, d.host), Service: plainService, Zone: launcher.Zone, Drain: d.options.Bounds.Drain, Places: d.options.Places, Pause: d.options.Pause}, d.store, d.history)
+	w, err := worker.New(worker.Options{ID: id, IP: d.host, Advertise: d.advertise(id, d.host), Service: plainService, Zone: zone, Drain: d.options.Bounds.Drain, Places: d.options.Places, Pause: d.options.Pause, FailurePercent: d.options.FailurePercent}, d.store, d.history)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -23,6 +23,8 @@
 	Quiet bool
 	// Seed draws what a scenario leaves open.
 	Seed uint64
+	// Time is how long a scenario of drawn faults takes, 0 for what is usual.
+	Time time.Duration
 }
 
 // scenario is a deployment with what is done to it.
@@ -41,6 +43,8 @@
 	"busy":      {Options{Edges: 5, Workers: 6, Generators: 4, Places: 6, Pause: 2 * time.Second}, playBusy},
 	"troubled":  {Options{Edges: 5, Workers: 6, Generators: 4, Places: 6, Pause: 2 * time.Second}, playTroubled},
 	"quotas":    {Options{Edges: 5, Workers: 6, Generators: 4, Quotas: hotQuotas, Invariants: []string{"quota", "pressure"}}, playQuotas},
+	"standard":  {Options{Edges: 5, Workers: 3, Generators: 12, Places: 6, Slots: 64, FailurePercent: 3, Spread: true, Routes: standardRoutes}, playStandard},
+	"crowded":   {Options{Edges: 40, Workers: 12, Generators: 80, Places: 6, Slots: 64, FailurePercent: 3, Spread: true, Routes: standardRoutes}, playStandard},
 	"memory":    {Options{Edges: 1, Workers: 3}, playMemory},
 	"endless":   {Options{Edges: 1, Workers: 3, Generators: 2}, playEndless},
 }
@@ -57,7 +61,7 @@
 	if !found {
 		return nil, fmt.Errorf("no scenario %q", name)
 	}
-	s.options.Folder, s.options.Program, s.options.Seed = p.Folder, p.Program, p.Seed
+	s.options.Folder, s.options.Program, s.options.Seed, s.options.Time = p.Folder, p.Program, p.Seed, p.Time
 	s.options.Bounds, s.options.PageItems = checker.DefaultBounds(), storekeeper.DefaultPageItems
 	d, err := newDeployment(s.options)
 	if err != nil {
--- a/internal/standin/soaker/soak.go
+++ b/internal/standin/soaker/soak.go
@@ -1,8 +1,10 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -21,6 +23,8 @@
 	plainCallers               int
 	streamCallers              int
 	faults                     []fault
+	// minPause and maxPause bound the pause between two faults, in milliseconds, 0 for what is usual.
+	minPause, maxPause int
 	// linked puts relays on the links of callers and replicas.
 	linked bool
 	// herd is set if most replicas fail all the while, and edges are killed one after the other.
@@ -54,6 +58,8 @@
 	out        io.Writer
 	stop       chan struct{}
 	tasks      sync.WaitGroup
+	// traffic is nil if a few callers send requests in turn instead.
+	traffic *traffic
 }
 
 // SoakOptions say what to play.
@@ -103,6 +109,9 @@
 		faults = append(faults, fmt.Sprintf("%s %d", fault, count))
 	}
 	slices.Sort(faults)
+	for _, cut := range slices.Sorted(maps.Keys(summary.Cuts)) {
+		_, _ = fmt.Fprintf(out, "cut: %d %s\n", summary.Cuts[cut], cut)
+	}
 	_, _ = fmt.Fprintf(out, "%d requests: %d answered, %d refused, %d cut; %d repeats; %d resumptions, %d orders, %d cached parts used\nof the bounds on repeats: %s\nstruck: %s\n",
 		summary.Requests, summary.Answered, summary.Refused, summary.Cut, summary.Repeats, summary.Resumptions, summary.Orders, summary.CacheUses, summary.Budget, strings.Join(faults, ", "))
 }
@@ -138,7 +147,7 @@
 	var ends sync.WaitGroup
 	defer ends.Wait()
 	for n := 0; ; n++ {
-		pause := s.milliseconds(minFaultPause, maxFaultPause)
+		pause := s.milliseconds(cmp.Or(s.plan.minPause, minFaultPause), cmp.Or(s.plan.maxPause, maxFaultPause))
 		if s.plan.herd {
 			pause = s.milliseconds(minHerdPause, maxHerdPause)
 		}
--- a/internal/standin/soaker/soak_test.go
+++ b/internal/standin/soaker/soak_test.go
@@ -78,3 +78,16 @@
 	broken, err := PlayScenario("busy", Play{Folder: t.ArtifactDir(), Program: binary(t, "cyclamenward-platform"), Out: t.Output()})
 	held(t, broken, err)
 }
+
+// TestStandardDeploymentUnderDrawnFaults guards against requests that are sent to more replicas than their
+// route allows, too many repeats and lost answers on a deployment of the size, the routes and the rates of
+// the users' sheets (BUDGET, LOST).
+func TestStandardDeploymentUnderDrawnFaults(t *testing.T) {
+	program := binary(t, "cyclamenward-platform")
+	for _, seed := range []uint64{3, 6} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			broken, err := PlayScenario("standard", Play{Folder: t.ArtifactDir(), Program: program, Out: t.Output(), Seed: seed, Time: 10 * time.Second})
+			held(t, broken, err)
+		})
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -39,15 +39,24 @@
 	Pauses
 	// Misdirects says that another replica is meant.
 	Misdirects
+	// Hangs does not answer nearly half of the requests, Fails answers as many with 500.
+	Hangs
+	Fails
 )
 
-var behaviourNames = [...]string{"behaves", "rejects", "drops before", "drops after", "truncates", "answers late", "", "pauses", "misdirects"}
+// greyPercent is the share of the requests that a replica which hangs or fails does not answer soundly.
+const greyPercent = 45
+
+var behaviourNames = [...]string{"behaves", "rejects", "drops before", "drops after", "truncates", "answers late", "", "pauses", "misdirects", "hangs", "fails"}
 
 func (b Behaviour) String() string { return behaviourNames[b] }
 
 const (
 	// lateness is how much longer a late answer takes, workTime how long any takes.
 	lateness, workTime = 700 * time.Millisecond, 10 * time.Millisecond
+	// percentStep has no divisor in common with 100, so that any share of a hundred requests is spread
+	// over them.
+	percentStep = 37
 	// slots is how many requests a replica says it runs at once. It runs any number.
 	slots = 64
 	// WorkParameter is the parameter of a query with the milliseconds that a request takes.
@@ -65,6 +74,8 @@
 	// and asks for Pause if that is not 0.
 	Places int
 	Pause  time.Duration
+	// FailurePercent is the share of all requests that are answered with 500.
+	FailurePercent int
 }
 
 // Worker is a replica of a plain service.
@@ -78,6 +89,8 @@
 	behaviour atomic.Int32
 	// running counts the requests that run.
 	running atomic.Int32
+	// begun counts the requests that have run.
+	begun atomic.Int64
 
 	// mu guards the field below.
 	mu   sync.Mutex
@@ -143,6 +156,15 @@
 	context.AfterFunc(ctx, w.Close)
 }
 
+// Crash ends the replica without a word. Its entry is gone after a time.
+func (w *Worker) Crash(entryStays time.Duration) {
+	w.mu.Lock()
+	w.left = true
+	w.mu.Unlock()
+	w.Close()
+	time.AfterFunc(entryStays, func() { w.store.Remove("servers/" + w.options.ID) })
+}
+
 // Left reports whether the replica leaves.
 func (w *Worker) Left() bool {
 	w.mu.Lock()
@@ -198,10 +220,23 @@
 		run.End(true)
 		panic(http.ErrAbortHandler)
 	}
+	percent := int(w.begun.Add(1) * percentStep % 100)
+	grey := percent < greyPercent
+	if behaviour == Hangs && grey {
+		<-request.Context().Done()
+		run.End(false)
+		return
+	}
 	if !work(request, behaviour) {
 		run.End(false)
 		return
 	}
+	if behaviour == Fails && grey || percent < w.options.FailurePercent {
+		header.Set(checker.FieldSeal, checker.Seal(w.options.ID, id))
+		run.End(false)
+		out.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	answer := checker.AnswerTo(id)
 	header.Set(checker.FieldSeal, checker.Seal(w.options.ID, id))
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
