Soak: the crash of a replica that has made its last event excuses a stream's cut

Traced in the logs of the edges and of the sidecar: the replica was restarted at 17:07:58.062, all of its connections ended within 2 ms, and it had made the last event but not sent the end of the stream. The run counted as ended by itself. Another replica has nothing to add behind the last event, and its empty answer is not taken for an end.

The rule does not count what the replica broke off, so a crash between the run's begin and the answer's end excuses it; silence, or a crash before the run, does not (two broken variants that are caught, one case that is allowed).

The faults of a play are written beside the logs: when the replica crashed could only be read from what the edges saw.

--- a/internal/standin/checker/check_test.go
+++ b/internal/standin/checker/check_test.go
@@ -123,6 +123,16 @@
 			p.run("stream", "r1", 0).endedAt = at(2 * time.Second)
 			p.answer(Answer{ID: "stream", Status: http.StatusOK, Seal: Seal("r1", "stream"), EndedAt: at(2 * time.Second)})
 		},
+		"LOST: a stream whose replica was silent": func(p play) {
+			p.strike("r1", "MODEL REPLICA silences", 500*time.Millisecond)
+			p.run("stream", "r1", 0).endedAt = at(time.Second)
+			p.answer(Answer{ID: "stream", Status: http.StatusOK, Seal: Seal("r1", "stream"), Events: events(0)})
+		},
+		"LOST: a stream whose replica had crashed before": func(p play) {
+			p.strike("r1", FaultCrash, -time.Second)
+			p.run("stream", "r1", 0).endedAt = at(time.Second)
+			p.answer(Answer{ID: "stream", Status: http.StatusOK, Seal: Seal("r1", "stream"), Events: events(0)})
+		},
 		"GONE: streams of callers that left": func(p play) {
 			for n := range 4 {
 				id := fmt.Sprint("left", n)
@@ -303,6 +313,11 @@
 			run.brokeOff, run.endedAt = true, at(time.Second)
 			p.answer(Answer{ID: "stream", Status: http.StatusOK, Seal: Seal("r1", "stream"), Events: events(0)})
 		},
+		"a stream whose replica crashed after its last event": func(p play) {
+			p.strike("r1", FaultCrash, 990*time.Millisecond)
+			p.run("stream", "r1", 0).endedAt = at(980 * time.Millisecond)
+			p.answer(Answer{ID: "stream", Status: http.StatusOK, Seal: Seal("r1", "stream"), Events: events(0, 1, 2)})
+		},
 		"work in the last sixth of the grace time": func(p play) {
 			p.strike("e", FaultStop, -time.Second)
 			p.run("stream", "r1", 0).endedAt = at(7 * time.Second)
--- a/internal/standin/checker/history.go
+++ b/internal/standin/checker/history.go
@@ -3,6 +3,7 @@
 package checker
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -283,8 +284,22 @@
 	return time.Time{}, false
 }
 
-// FaultStop is the name of a planned end by SIGTERM.
-const FaultStop = "TERM"
+// FaultStop is the name of a planned end by SIGTERM, FaultCrash that of the crash of a model replica.
+const (
+	FaultStop  = "TERM"
+	FaultCrash = "MODEL REPLICA RESTART"
+)
+
+// Faults returns a line for each fault that struck, in order.
+func (h *History) Faults() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var lines []string
+	for _, d := range h.disturbances {
+		lines = append(lines, fmt.Sprintf("%s to %s %s: %s", d.From.Format(time.StampMicro), d.To.Format(time.StampMicro), d.Target, d.Fault))
+	}
+	return lines
+}
 
 // Summary counts requests, answers and faults.
 type Summary struct {
--- a/internal/standin/checker/loss.go
+++ b/internal/standin/checker/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -40,13 +41,21 @@
 // caller holds mu.
 func (h *History) brokenOff(x *exchange) bool {
 	for _, run := range x.runs {
-		if run.brokeOff || !h.calm(x.SentAt, x.answer.EndedAt, LinkTarget(run.Replica)) {
+		if run.brokeOff || !h.calm(x.SentAt, x.answer.EndedAt, LinkTarget(run.Replica)) || h.crashed(run.Replica, run.At, x.answer.EndedAt) {
 			return true
 		}
 	}
 	return false
 }
 
+// crashed reports whether a replica crashed in a span. One that has made its last event may not have sent
+// the end of the stream. The caller holds mu.
+func (h *History) crashed(replica string, from, to time.Time) bool {
+	return slices.ContainsFunc(h.disturbances, func(d *Disturbance) bool {
+		return d.Target == replica && d.Fault == FaultCrash && !d.From.Before(from) && !d.From.After(to)
+	})
+}
+
 // outlives reports whether a replica was at work on the request in the last sixth of the grace time
 // of a machine that was stopped shortly before the request was sent, or later.
 func (x *exchange) outlives(stoppedAt time.Time, grace time.Duration) bool {
--- a/internal/standin/soaker/fault.go
+++ b/internal/standin/soaker/fault.go
@@ -126,7 +126,7 @@
 		return nil
 	}
 	g := s.deployment.generators[s.random.IntN(len(s.deployment.generators))]
-	end := s.deployment.history.Disturb(g.ID(), "MODEL REPLICA RESTART", false)
+	end := s.deployment.history.Disturb(g.ID(), checker.FaultCrash, false)
 	if err := g.Restart(); err != nil {
 		s.print("%v", err)
 	}
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -6,7 +6,10 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -83,9 +86,15 @@
 	return d.broken(), nil
 }
 
-// broken returns the broken promises.
+// faultsFile is the file with the faults of a play, beside the logs.
+const faultsFile = "faults.txt"
+
+// broken returns the broken promises. It writes down the faults that struck.
 func (d *deployment) broken() []string {
 	broken := d.history.Check()
+	if err := os.WriteFile(filepath.Join(d.options.Folder, faultsFile), []byte(strings.Join(d.history.Faults(), "\n")+"\n"), 0o600); err != nil {
+		broken = append(broken, "NOT RUN: "+err.Error())
+	}
 	for _, daemon := range d.daemons() {
 		if n := daemon.Crashes(); n > 0 {
 			broken = append(broken, fmt.Sprintf("CRASH: %s ended by itself %d times", daemon.Name(), n))
