A retry that is reserved for an attempt beside a slow replica is spent once

Cause: a dispatch that had reserved a retry and had not needed it kept the reservation while a fork of it, which takes a silent stream over, held a copy. Both could spend it, so that one repeat was not taken from the budget (BUDGET).

Change: the fork gets the reservation, and what it has not spent returns when it is joined.

TestReservedRetryIsSpentOnce failed before: the dispatch spent it as well.

--- a/internal/routing/router/budget_test.go
+++ b/internal/routing/router/budget_test.go
@@ -227,3 +227,28 @@
 	worst, _ := playBudget(t, []budgetPhase{phase}, limiter.BudgetLimits{Ratio: 0.4, Extra: 10, Window: 10 * time.Second})
 	assert.Check(t, worst > 1, "%v", worst)
 }
+
+// TestReservedRetryIsSpentOnce guards against a retry that was reserved for an attempt beside a slow replica,
+// was not needed, and is then used by both a fork and the dispatch that it was forked from (BUDGET).
+func TestReservedRetryIsSpentOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		bed := newTestBed(2, nil)
+		bed.router.options.RetryBudget = limiter.BudgetLimits{Window: 10 * time.Second}
+		d := newDispatch(bed.router, newRequest(route(Streaming, 3, true)))
+		defer d.release()
+		d.retryReserved = true
+		other := d.fork()
+		defer other.cancel()
+		assert.Check(t, other.spendRetry())
+		assert.Check(t, !d.spendRetry(), "the fork has spent it")
+		d.join(other)
+		assert.Check(t, !d.spendRetry(), "the fork has spent it")
+
+		d.retryReserved = true
+		other = d.fork()
+		defer other.cancel()
+		d.join(other)
+		assert.Check(t, d.spendRetry(), "the fork has not spent it")
+	})
+}
--- a/internal/routing/router/hedge.go
+++ b/internal/routing/router/hedge.go
@@ -95,7 +95,7 @@
 	other.forkedRuns++
 	slow, sentAt, open := d.choice.replica, d.sentAt, true
 	// The fork's first attempt is paid for.
-	other.retryReserved, d.retryReserved = false, false
+	other.retryReserved = false
 	a, found := race(d, other, d.sending, func() answer {
 		result := other.sendUntilAnswered()
 		other.retryReserved = other.retryReserved || other.sentAt.IsZero()
--- a/internal/routing/router/race.go
+++ b/internal/routing/router/race.go
@@ -55,9 +55,11 @@
 	}
 }
 
-// fork returns a dispatch that continues the request at another replica.
+// fork returns a dispatch that continues the request at another replica. A retry that is reserved is
+// the fork's until it is joined.
 func (d *dispatch) fork() *dispatch {
 	other := *d
+	d.retryReserved = false
 	other.attemptState = new(attemptState)
 	other.excluded = append(slices.Clone(d.excluded), d.choice.replica)
 	other.lastFailure, other.fallback, other.forked = nil, nil, true
