--- a/internal/standin/soaker/traffic.go
+++ b/internal/standin/soaker/traffic.go
@@ -25,6 +25,8 @@
 	probeInterval, missedProbes = time.Second, 2
 	// keptShare is the share of requests that are sent on a connection that was used before.
 	keptShare = 0.7
+	// trafficStream tells the random numbers of the traffic from those of its kinds and visitors.
+	trafficStream = 1 << 32
 	// peekTime is how long a kept connection is looked at before it is used.
 	peekTime = time.Millisecond
 	// returnShare is the part of the time that is left which a refused caller waits at most.
@@ -106,7 +108,10 @@
 	percent atomic.Int64
 
 	// mu guards the fields below.
-	mu       sync.Mutex
+	mu sync.Mutex
+	// random draws edges and connections.
+	random *rand.Rand
+	// visitors counts all visitors.
 	visitors int
 	// idle holds visitors whose connections are open.
 	idle []*visitor
@@ -116,7 +121,7 @@
 
 // startTraffic starts requests of some kinds. They end with stop.
 func (d *deployment) startTraffic(kinds []kind, seed uint64) *traffic {
-	t := &traffic{deployment: d, seed: seed, stop: make(chan struct{}), missed: make(map[*launcher.Daemon]int)}
+	t := &traffic{deployment: d, seed: seed, stop: make(chan struct{}), random: rand.New(rand.NewPCG(seed, trafficStream)), missed: make(map[*launcher.Daemon]int)}
 	t.percent.Store(100)
 	for _, edge := range d.edges {
 		t.tasks.Go(func() { t.probe(edge) })
@@ -154,8 +159,8 @@
 	}
 }
 
-// request sends one request. A caller that is refused, or whose request may be repeated, sends it anew
-// once on a new connection.
+// request sends one request. A caller that is refused, or that gets no answer to what may be repeated,
+// sends it anew once on a new connection.
 func (t *traffic) request(k kind) {
 	v := t.pick()
 	if v == nil {
@@ -173,8 +178,10 @@
 	if !wait(t.stop, min(answer.RetryAfter, time.Duration(returnShare*float64(left)))) {
 		return
 	}
-	request.Timeout -= time.Since(began)
-	if again := t.connect(); again != nil && request.Timeout > 0 {
+	if request.Timeout -= time.Since(began); request.Timeout <= 0 {
+		return
+	}
+	if again := t.connect(); again != nil {
 		t.send(again, request, key)
 	}
 }
@@ -194,28 +201,27 @@
 
 // pick returns a visitor, mostly one whose connection was used before; nil if there is no edge.
 func (t *traffic) pick() *visitor {
-	for rand.Float64() < keptShare {
+	for {
 		v := t.takeIdle()
 		if v == nil {
-			break
+			return t.connect()
 		}
 		if v.isOpen() {
 			return v
 		}
 		_ = v.connection.Close()
 	}
-	return t.connect()
 }
 
-// takeIdle returns one of the idle visitors, nil if there is none.
+// takeIdle mostly returns one of the idle visitors, nil if there is none.
 func (t *traffic) takeIdle() *visitor {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := len(t.idle)
-	if n == 0 {
+	if n == 0 || t.random.Float64() >= keptShare {
 		return nil
 	}
-	i := rand.IntN(n)
+	i := t.random.IntN(n)
 	v := t.idle[i]
 	t.idle[i] = t.idle[n-1]
 	t.idle = t.idle[:n-1]
@@ -243,7 +249,7 @@
 		if 2*len(rotation) < len(t.deployment.edges) {
 			rotation = t.deployment.edges
 		}
-		edge := rotation[rand.IntN(len(rotation))]
+		edge := rotation[t.random.IntN(len(rotation))]
 		t.visitors++
 		n := t.visitors
 		t.mu.Unlock()
