--- a/internal/standin/soaker/fault.go
+++ b/internal/standin/soaker/fault.go
@@ -97,7 +97,11 @@
 // misbehave has a replica of the plain service misbehave for a while.
 func (s *Soak) misbehave() func() {
 	list := s.deployment.staying()
-	w, behaviour := list[s.random.IntN(len(list))], worker.Behaviour(1+s.random.IntN(int(worker.Behaviours)-1))
+	return s.behave(list[s.random.IntN(len(list))], worker.Behaviour(1+s.random.IntN(int(worker.Behaviours)-1)))
+}
+
+// behave sets what a replica of the plain service does, and returns what ends it.
+func (s *Soak) behave(w *worker.Worker, behaviour worker.Behaviour) func() {
 	end := s.deployment.history.Disturb(w.ID(), "REPLICA "+behaviour.String(), true)
 	w.SetBehaviour(behaviour)
 	return func() {
--- a/internal/standin/soaker/standard.go
+++ b/internal/standin/soaker/standard.go
@@ -17,13 +17,20 @@
 // standardTime is how long faults strike a standard deployment, unless a play says otherwise.
 const standardTime = 40 * time.Second
 
-// theme is what strikes a standard deployment: drawn faults with pauses between them.
+// theme is what strikes a standard deployment: drawn faults with pauses between them, in milliseconds.
 type theme struct {
 	name               string
 	faults             []fault
 	minPause, maxPause int
 }
 
+const (
+	// herdPercent is the share of the daemons that are killed at the same moment.
+	herdPercent = 55
+	// burstPercent is the rate of a burst, as a share of what is usual.
+	burstPercent = 170
+)
+
 // themes are played in turn by the seeds.
 var themes = []theme{
 	{"rolling", slices.Concat(rolls, []fault{{weight: 1, strike: (*Soak).configure}, {weight: 1, strike: (*Soak).wantWeights}}), 8000, 12000},
@@ -113,7 +120,7 @@
 // killHerd kills a little more than half of all daemons at the same moment.
 func (s *Soak) killHerd() func() {
 	for _, daemon := range s.deployment.daemons() {
-		if s.random.IntN(100) < 55 {
+		if s.random.IntN(100) < herdPercent {
 			daemon.Kill()
 		}
 	}
@@ -123,7 +130,7 @@
 // burst has more requests come for a while.
 func (s *Soak) burst() func() {
 	end := s.deployment.history.Disturb("traffic", "BURST", true)
-	s.traffic.percent.Store(170)
+	s.traffic.percent.Store(burstPercent)
 	return func() {
 		s.traffic.percent.Store(100)
 		end()
@@ -134,12 +141,7 @@
 func (s *Soak) turnGrey() func() {
 	list := s.deployment.staying()
 	w, behaviour := list[s.random.IntN(len(list))], []worker.Behaviour{worker.Hangs, worker.Fails, worker.Rejects, worker.DropsAfter, worker.DropsBefore}[s.random.IntN(5)]
-	end := s.deployment.history.Disturb(w.ID(), "REPLICA "+behaviour.String(), true)
-	w.SetBehaviour(behaviour)
-	return func() {
-		w.SetBehaviour(worker.Behaves)
-		end()
-	}
+	return s.behave(w, behaviour)
 }
 
 // failPlain has all replicas of the plain service fail in one way for a while, failModels all model
