--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -26,7 +26,7 @@
 	Quiet bool
 	// Seed draws what a scenario leaves open.
 	Seed uint64
-	// Time is how long a scenario of drawn faults takes, 0 for what is usual.
+	// Time is the duration of a scenario of drawn faults, 0 for the default.
 	Time time.Duration
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -39,12 +39,12 @@
 	Pauses
 	// Misdirects says that another replica is meant.
 	Misdirects
-	// Hangs does not answer nearly half of the requests, Fails answers as many with 500.
+	// Hangs does not answer greyPercent of the requests, Fails answers them with 500.
 	Hangs
 	Fails
 )
 
-// greyPercent is the share of the requests that a replica which hangs or fails does not answer soundly.
+// greyPercent is the share of the requests that a replica with a grey failure hangs on or fails.
 const greyPercent = 45
 
 var behaviourNames = [...]string{"behaves", "rejects", "drops before", "drops after", "truncates", "answers late", "", "pauses", "misdirects", "hangs", "fails"}
@@ -156,13 +156,13 @@
 	context.AfterFunc(ctx, w.Close)
 }
 
-// Crash ends the replica without a word. Its entry is gone after a time.
-func (w *Worker) Crash(entryStays time.Duration) {
+// Crash closes the replica at once. Its entry expires after a time.
+func (w *Worker) Crash(entryTTL time.Duration) {
 	w.mu.Lock()
 	w.left = true
 	w.mu.Unlock()
 	w.Close()
-	time.AfterFunc(entryStays, func() { w.store.Remove("servers/" + w.options.ID) })
+	time.AfterFunc(entryTTL, func() { w.store.Remove("servers/" + w.options.ID) })
 }
 
 // Left reports whether the replica leaves.
