platform: tickets, load queues, enrolled daemons, ranks and SIGHUP are the product's

The tests went along with their assertions.

Measured: lint; with the race detector the tests of platform, internal/weights, internal/fleet and internal/daemon pass; TestHangupAtStartEndsNoProcess ten times.

--- a/platform/cmd/cyclamenward-platform/hangup.go
+++ b/internal/daemon/ignorer/start.go
@@ -1,7 +1,7 @@
-package main
+package ignorer
 
 // The Go runtime leaves SIGHUP ignored if it finds it so. A constructor runs before the runtime starts:
-// until then, and until main would call signal.Ignore, the signal would end the process.
+// until init, the signal would end the process.
 
 /*
 #include <signal.h>
--- a/internal/fleet/replacer/replace.go
+++ b/internal/fleet/replacer/replace.go
@@ -12,6 +12,7 @@
 	"context"
 	"maps"
 	"math"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -34,10 +35,20 @@
 	// ticket back and take it again would leave the replica without orders for longer than
 	// lossTimeout, the spread and a handover.
 	absenceTimeout = 15 * time.Second
-	// callTimeout bounds the attempt to take a ticket.
-	callTimeout = 2 * time.Second
+	// callTimeout bounds the attempt to take a ticket, connectTimeout that to connect to a sidecar.
+	callTimeout, connectTimeout = 2 * time.Second, 200 * time.Millisecond
 )
 
+// AcceptsConnections reports whether a daemon listens at an address.
+func AcceptsConnections(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, connectTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // Replica is a replica that needs a sidecar.
 type Replica struct {
 	// Address is the replica's IP address and port, Sidecar where its own sidecar listens.
--- a/platform/substitute_test.go
+++ b/internal/weights/orderer/cache_test.go
@@ -1,4 +1,4 @@
-package platform
+package orderer
 
 import (
 	"sync/atomic"
@@ -13,12 +13,12 @@
 func TestSubstituteFollowsAddressToAnotherService(t *testing.T) {
 	var latest atomic.Pointer[[]router.Descriptor]
 	latest.Store(&[]router.Descriptor{{ID: "a", Address: "10.0.0.1:1", Service: "chat"}, {ID: "b", Address: "10.0.0.2:1", Service: "code"}})
-	s := &sidecar{app: "10.0.0.1:1", list: &latest}
-	_, found := s.loadQueue()
+	c := NewQueueCache("10.0.0.1:1", "", &latest)
+	_, found := c.Get()
 	assert.Assert(t, found)
 
 	latest.Store(&[]router.Descriptor{{ID: "a", Address: "10.0.0.1:1", Service: "chat", Draining: true}, {ID: "c", Address: "10.0.0.1:1", Service: "code"}, {ID: "b", Address: "10.0.0.2:1", Service: "code"}})
-	queue, found := s.loadQueue()
+	queue, found := c.Get()
 	assert.Assert(t, found)
 	assert.Assert(t, len(queue.Predecessors) == 0, "two replicas in two lanes")
 }
