--- a/internal/standin/checker/history.go
+++ b/internal/standin/checker/history.go
@@ -284,7 +284,7 @@
 	return time.Time{}, false
 }
 
-// FaultStop is the name of a planned end by SIGTERM, FaultCrash that of the crash of a model replica.
+// FaultStop is the name of a planned stop by SIGTERM, FaultCrash that of a crash of a model replica.
 const (
 	FaultStop  = "TERM"
 	FaultCrash = "MODEL REPLICA RESTART"
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// Slots is the usual number of requests that a replica runs at once. It rejects others.
+	// Slots is the default number of requests that a replica runs at once. It rejects others.
 	Slots = 4
 	// Events is how many events a stream has, and eventInterval the time between two.
 	Events        = 40
--- a/internal/standin/generator/serve.go
+++ b/internal/standin/generator/serve.go
@@ -188,12 +188,12 @@
 	g.stream(w, r, run, admitted, born)
 }
 
-// parameter returns a whole number of a request's query, or what is usual.
-func parameter(r *http.Request, name string, usual int) int {
+// parameter returns a whole number of a request's query, or a default.
+func parameter(r *http.Request, name string, fallback int) int {
 	if n, err := strconv.Atoi(r.URL.Query().Get(name)); err == nil {
 		return n
 	}
-	return usual
+	return fallback
 }
 
 // stream makes the events of a run.
