--- a/internal/fleet/enroller/item.go
+++ b/internal/fleet/enroller/item.go
@@ -38,7 +38,7 @@
 	return ranks
 }
 
-// Count returns the number of items, and whether one of them has a key.
+// Count returns how many daemons have enrolled, by their items, and whether one of them has the key.
 func Count(items []replicator.Item, key string) (count int, found bool) {
 	for _, item := range items {
 		if !item.Removed {
