Checker: a stream that a harmed link brings late was not sent on late

Trace: edge-1 sends the stream to m-0 at 19.3085 s, over a link that holds bytes up for 300 ms (REPLICA LINK delays, 18.66 to 20.43). The connection ends (EOF) at 19.5096, and the edge sends it to m-1 35 µs on. m-1 gets it at once, m-0 only when the relay lets the bytes go, some 300 ms after they were sent, and makes its first event at 19.660. The checker orders runs by arrival and took m-0 for the replica that was asked second. The rule excuses the replica before, m-0, since the edge does not reach it soundly.

Change: a run counts as going on only if the link to its replica was calm from the request's sending to the arrival. Test: the case fails before and passes now; two broken variants, a link that is harmed before the request and one that is harmed after the arrival, are caught before and after.

--- a/internal/standin/checker/check.go
+++ b/internal/standin/checker/check.go
@@ -89,6 +89,10 @@
 		}
 		for i, later := range runs {
 			for _, earlier := range runs[:i] {
+				if !h.calm(x.SentAt, later.At, LinkTarget(later.Replica)) {
+					// A link that holds bytes up may bring last what was sent first.
+					continue
+				}
 				end := later.progressAt.Add(overlapLimit)
 				if !later.progressAt.IsZero() && !earlier.endedAt.IsZero() && earlier.endedAt.After(end) && h.calm(later.At.Add(-h.bounds.Stable), earlier.endedAt, x.Machine, earlier.Replica, LinkTarget(earlier.Replica)) {
 					found = append(found, fmt.Sprintf("%s goes on at %s while %s works on it for %v", x.ID, later.Replica, earlier.Replica, earlier.endedAt.Sub(later.progressAt)))
