Orderer: a queue whose service is known does not search the list for it

Change: the search is a method that returns at once if the service is given. The result is unchanged: the search was ignored in that case.

Measured: TestSubstituteFollowsAddressToAnotherService and the packages' tests pass as they are. No figure of speed was taken.

--- a/internal/weights/orderer/cache.go
+++ b/internal/weights/orderer/cache.go
@@ -36,16 +36,24 @@
 	derived := c.derived.Load()
 	if derived == nil || derived.list != list {
 		derived = &derivedQueue{list: list}
-		service := c.service
-		if i := slices.IndexFunc(*list, func(d router.Descriptor) bool { return d.Address == c.address && !d.Draining }); service == "" && i >= 0 {
-			service = (*list)[i].Service
-		}
-		derived.queue, derived.found = NewLoadQueue(*list, service, c.address)
+		derived.queue, derived.found = NewLoadQueue(*list, c.serviceIn(*list), c.address)
 		c.derived.Store(derived)
 	}
 	return derived.queue, derived.found
 }
 
+// serviceIn returns the replica's service, "" if it is not given and the list has no replica at the address
+// that stays.
+func (c *QueueCache) serviceIn(list []router.Descriptor) string {
+	if c.service != "" {
+		return c.service
+	}
+	if i := slices.IndexFunc(list, func(d router.Descriptor) bool { return d.Address == c.address && !d.Draining }); i >= 0 {
+		return list[i].Service
+	}
+	return ""
+}
+
 // ReplicaID returns the ID of the replica in the list, "" if it is not known.
 func (c *QueueCache) ReplicaID() string {
 	list := *c.list.Load()
