Listener: a test reads awaitsRoom under the lock that guards it

Cause: the test reads awaitsRoom without the connection's lock. synctest.Wait orders the read behind earlier writes, but nothing orders the later write of awaitRoom behind the read. The listener itself reads and writes it under the lock. Ruled out: the reads at the end of the test, which follow the close of a channel.

Change: the test takes the lock for the read; the assertion is the same.

--- a/listener/outbound_test.go
+++ b/listener/outbound_test.go
@@ -58,7 +58,10 @@
 		<-time.After(3 * time.Second)
 		slow.hold(28 << 10)
 		synctest.Wait()
-		assert.Check(t, slow.awaitsRoom)
+		slow.mu.Lock()
+		awaitsRoom := slow.awaitsRoom
+		slow.mu.Unlock()
+		assert.Check(t, awaitsRoom)
 		<-time.After(4 * time.Second)
 		<-written
 		assert.Check(t, silent.ended && !slow.ended && !idle.ended)
