--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -23,6 +23,8 @@
 	base    string
 	port    int
 	daemons []*daemon
+	// storeAddress returns the address of the store as a daemon reaches it, nil for the store itself.
+	storeAddress func(name string) string
 
 	mu     sync.Mutex
 	record *os.File
@@ -103,6 +105,9 @@
 	if app != "" {
 		settings["app"], settings["service"] = app, service
 	}
+	if r.storeAddress != nil {
+		settings["platform"].(map[string]any)["address"] = r.storeAddress(name)
+	}
 	text, _ := json.Marshal(settings)
 	path := filepath.Join(r.dir, name+".yaml")
 	if err := os.WriteFile(path, text, 0o644); err != nil {
