Watch: a daemon counts as watching the store only for a time after its answer

Callers saw: with the three entries that watch the store cut off from it at once, the other entries ran requests with a revoked key up to 3.5 s after the acknowledgement, 2.5 s are allowed (CONFIG; DRAIN with replicas that leave).

Cause: "I watch the store" was said, and believed, without an age. A watch waited for 2.5 s and failed 0.6 s later, a call that does not wait failed after that, and only then did the others turn to the store. Nothing bound the sum to the settings' deadlines, which were not read.

Ruled out: the others' own reads (0.3 s from the first report to the change); late reports (0.125 s). Not enough: a shorter watch alone, since a frozen or dark daemon says nothing and was counted until its sessions ended.

Change: messages carry how long ago the store answered; a daemon counts as watching for 0.55 of the smaller of config-deadline-ms and drain-ms after that, for itself and for others. A watch waits only as long as fits into that. Who begins to watch asks at once.

TestChangeIsInForceWhateverWatchersFail: fleets in virtual time, any watchers cut off, silent or killed at any phase. Test fixtures give the time of the store's answers in place of a flag; their bounds are as before.

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -94,8 +94,12 @@
 	// others. OnSharedHosts is called when another daemon reports it. Both may be nil.
 	SharedHosts   func() bool
 	OnSharedHosts func()
-	// WatchesStore reports whether this daemon watches the store successfully.
-	WatchesStore func() bool
+	// StoreAnsweredAt returns when the store last answered this daemon with all changes, zero if this
+	// daemon does not watch the store or its last call failed.
+	StoreAnsweredAt func() time.Time
+	// WatchValidity is how long after an answer of the store a daemon counts as watching it, for
+	// itself and for others, whatever happens to it meanwhile.
+	WatchValidity time.Duration
 	// PullDelay returns how long this daemon's table may be behind that of another
 	// daemon before it requests the changes. A daemon that watches the store mostly
 	// receives them from there within that time.
@@ -181,11 +185,11 @@
 	// replica, by its address.
 	sessions  map[*session]bool
 	byReplica map[string]*session
-	// peerWatchedAt is when a peer last reported that it watches the store.
+	// peerWatchedAt is when the store last answered a peer that watches it.
 	peerWatchedAt time.Time
-	// storeWatchedAt is when a peer last reported that it or a peer of its own watches the
-	// store, and storeWatchedSince since when there has been no gap of reportValidity or
-	// more between these reports.
+	// storeWatchedAt is when the store last answered a peer that watches it, or a peer of a
+	// peer, and storeWatchedSince since when there has been no gap of reportValidity or more
+	// between such answers.
 	storeWatchedAt, storeWatchedSince time.Time
 	// transfersUntil is when the link of the own replica has finished the transfers that
 	// were requested so far.
@@ -340,23 +344,45 @@
 	return sum
 }
 
-// recordPeerWatching records that a peer watches the store.
-func (a *Announcer) recordPeerWatching() {
+// storeWatch returns when the store last answered this daemon, and whether it counts as watching the
+// store.
+func (a *Announcer) storeWatch() (answeredAt time.Time, watches bool) {
+	answeredAt = a.deps.StoreAnsweredAt()
+	return answeredAt, a.watchValid(answeredAt)
+}
+
+// watchesStore reports whether this daemon counts as watching the store.
+func (a *Announcer) watchesStore() bool {
+	_, watches := a.storeWatch()
+	return watches
+}
+
+// watchValid reports whether a daemon that the store answered at a time, zero for never, counts as
+// watching it.
+func (a *Announcer) watchValid(answeredAt time.Time) bool {
+	return !answeredAt.IsZero() && a.deps.Clock.Now().Sub(answeredAt) < a.deps.WatchValidity
+}
+
+// recordPeerWatch records that the store answered a peer that watches it.
+func (a *Announcer) recordPeerWatch(answeredAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.peerWatchedAt = a.deps.Clock.Now()
+	if answeredAt.After(a.peerWatchedAt) {
+		a.peerWatchedAt = answeredAt
+	}
 }
 
-// recordStoreWatched records that a peer, or a peer of a peer, watches the store.
-func (a *Announcer) recordStoreWatched() {
+// recordStoreWatch records that the store answered a peer that watches it, or a peer of a peer.
+func (a *Announcer) recordStoreWatch(answeredAt time.Time) {
 	validity := a.reportValidity()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
-	if now.Sub(a.storeWatchedAt) >= validity {
-		a.storeWatchedSince = now
+	if answeredAt.Sub(a.storeWatchedAt) >= validity {
+		a.storeWatchedSince = a.deps.Clock.Now()
+	}
+	if answeredAt.After(a.storeWatchedAt) {
+		a.storeWatchedAt = answeredAt
 	}
-	a.storeWatchedAt = now
 }
 
 // StoreWatchedSince returns since when other daemons have watched the store without a
@@ -369,27 +395,30 @@
 	return a.storeWatchedSince, a.deps.Clock.Now().Sub(a.storeWatchedAt) < validity
 }
 
-// StoreWatchedAt returns when a connected daemon last reported that it or a peer of its own watches
-// the store, zero if none has.
+// StoreWatchedAt returns when the store last answered a connected daemon that watches it, or a peer of
+// such a daemon, zero if none has reported an answer.
 func (a *Announcer) StoreWatchedAt() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.storeWatchedAt
 }
 
-// reportValidity returns how long what a peer reports in regular messages is valid. A peer
-// without changes sends one each idleInterval.
+// reportValidity returns how long an answer of the store counts that a peer of a peer has
+// received: WatchValidity, and two messages on the way.
 func (a *Announcer) reportValidity() time.Duration {
-	return idleInterval + 2*max(otherRegionInterval, a.rateLimitInterval())
+	return a.deps.WatchValidity + 2*max(otherRegionInterval, a.rateLimitInterval())
 }
 
-// PeerWatchesStore reports whether a connected daemon has recently reported that it
-// watches the store. Such a daemon reports changes as soon as it has them.
-func (a *Announcer) PeerWatchesStore() bool {
-	validity := a.reportValidity()
+// PeerWatchesStore reports whether a connected daemon counts as watching the store. Such a
+// daemon reports changes as soon as it has them.
+func (a *Announcer) PeerWatchesStore() bool { return a.watchValid(a.peerWatch()) }
+
+// peerWatch returns when the store last answered a peer that watches it, zero if none has reported
+// an answer.
+func (a *Announcer) peerWatch() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.peerWatchedAt.IsZero() && a.deps.Clock.Now().Sub(a.peerWatchedAt) < validity
+	return a.peerWatchedAt
 }
 
 // watchersRankedBelow returns how many of the connected entries that watch the store
@@ -400,7 +429,7 @@
 	defer a.mu.Unlock()
 	count := 0
 	for s := range a.sessions {
-		if otherRank := s.rank.Load(); otherRank != 0 && otherRank < rank && s.watchesStore.Load() {
+		if otherRank := s.rank.Load(); otherRank != 0 && otherRank < rank && s.watchesStore() {
 			count++
 		}
 	}
--- a/internal/fleet/announcer/announcer_test.go
+++ b/internal/fleet/announcer/announcer_test.go
@@ -111,14 +111,18 @@
 		CacheLog:  d.cache,
 		PullDelay: func() time.Duration { return 0 },
 		Rank:      d.rank,
-		WatchesStore: func() bool {
+		StoreAnsweredAt: func() time.Time {
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			return d.watchesStore
+			if d.watchesStore {
+				return time.Now().Truncate(storeTiming.Wait + watchPause)
+			}
+			return time.Time{}
 		},
-		Broadcaster: d.broadcaster,
-		Clock:       timekeeper.System{},
-		Logger:      log.New(io.Discard), Recorder: recorder.New(), Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), Limits: divider.New(timekeeper.System{}),
+		WatchValidity: storeTiming.Validity,
+		Broadcaster:   d.broadcaster,
+		Clock:         timekeeper.System{},
+		Logger:        log.New(io.Discard), Recorder: recorder.New(), Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), Limits: divider.New(timekeeper.System{}),
 		Streams: pinner.New(timekeeper.System{}), Origin: d.origin,
 	})
 	assert.NilError(t, err)
--- a/internal/fleet/announcer/return_test.go
+++ b/internal/fleet/announcer/return_test.go
@@ -34,6 +34,9 @@
 	storeReadsPerSecond = 2000
 )
 
+// storeTiming is that of the smallest deployments.
+var storeTiming = watcher.NewTiming(2500 * time.Millisecond)
+
 var errStoreDown = errors.New("store is down")
 
 // returningStore simulates a store that can be down and return from an older copy.
@@ -141,7 +144,7 @@
 	return slices.Clone(s.changes[first:]), replicator.Position(s.era, s.revision), s.changed, nil
 }
 
-func (s *returningStore) source() watcher.Source {
+func (s *returningStore) source(wait time.Duration) watcher.Source {
 	watch := func(ctx context.Context, after uint64, wait time.Duration) ([]replicator.Item, uint64, error) {
 		if err := s.call(); err != nil {
 			return nil, 0, err
@@ -187,7 +190,7 @@
 			}
 		},
 		Watch: func(ctx context.Context, after uint64) ([]replicator.Item, uint64, error) {
-			return watch(ctx, after, 2500*time.Millisecond)
+			return watch(ctx, after, wait)
 		},
 		Poll: func(ctx context.Context, after uint64) ([]replicator.Item, uint64, error) {
 			return watch(ctx, after, 0)
@@ -202,6 +205,17 @@
 	clear(s.calls)
 }
 
+// total returns the number of calls.
+func (s *returningStore) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, calls := range s.calls {
+		sum += calls
+	}
+	return sum
+}
+
 // busiest returns the most calls in a second.
 func (s *returningStore) busiest() int {
 	s.mu.Lock()
@@ -213,6 +227,10 @@
 type storedDaemon struct {
 	*Announcer
 	watcher *watcher.Watcher
+	// storeLink is its link to the store.
+	storeLink *storeLink
+	// muted is set if the other daemons get nothing that it sends.
+	muted atomic.Bool
 }
 
 // followRoster updates a roster from the daemon's table until ctx ends, and calls onList with the
@@ -252,28 +270,40 @@
 
 // newStoredFleet returns a fleet of daemons that know the contents of the store.
 func newStoredFleet(store *returningStore, entries, sidecars int) []*storedDaemon {
-	f := &memoryFleet{}
+	return newTimedFleet(store, storeTiming, entries, sidecars)
+}
+
+// newTimedFleet is newStoredFleet with another timing.
+func newTimedFleet(store *returningStore, timing watcher.Timing, entries, sidecars int) []*storedDaemon {
+	f := &memoryFleet{muted: make(map[*Announcer]*atomic.Bool)}
 	items, revision := store.copied()
 	contents := replicator.Delta{Revision: replicator.Position(0, revision), Complete: true, Items: slices.Collect(maps.Values(items))}
 	var daemons []*storedDaemon
 	for i := range entries + sidecars {
-		d := &storedDaemon{}
+		d := &storedDaemon{storeLink: &storeLink{}}
 		var status *Status
 		rank := uint64(i + 1)
 		if i >= entries {
 			rank, status = 0, &Status{Address: fmt.Sprint("10.0.0.", i, ":80"), StartUnixMilli: 1, Running: 20}
 		}
 		deps := fleetDependencies(rank, status)
+		deps.WatchValidity = timing.Validity
 		follows := func() bool {
 			if rank == 0 {
 				return d.PeerWatchesStore()
 			}
 			return d.LowerRankedWatchers() >= 3
 		}
-		deps.WatchesStore = func() bool { return d.watcher != nil && !d.watcher.Outage().Failing && !follows() }
+		deps.StoreAnsweredAt = func() time.Time {
+			if d.watcher == nil || d.watcher.Outage().Failing || follows() {
+				return time.Time{}
+			}
+			return d.watcher.CurrentAt()
+		}
 		d.Announcer, _ = New("", deps)
 		deps.Table.Apply(contents)
-		d.watcher = watcher.New(store.source(), deps.Table, watcher.Options{Paused: follows, Position: d.EntriesBefore}, timekeeper.System{}, log.New(io.Discard))
+		d.watcher = watcher.New(d.storeLink.source(store.source(timing.Wait), timing.Wait), deps.Table, watcher.Options{Paused: follows, Position: d.EntriesBefore}, timekeeper.System{}, log.New(io.Discard))
+		f.muted[d.Announcer] = &d.muted
 		daemons = append(daemons, d)
 	}
 	for i, entry := range daemons[:entries] {
--- a/internal/fleet/announcer/scale_test.go
+++ b/internal/fleet/announcer/scale_test.go
@@ -49,6 +49,8 @@
 	name            string
 	reads, writes   *halfConn
 	messages, bytes *atomic.Int64
+	// muted drops what is written while it is set. It may be nil.
+	muted *atomic.Bool
 }
 
 func (c *memoryConn) Read(p []byte) (int, error) {
@@ -71,6 +73,9 @@
 func (c *memoryConn) Write(p []byte) (int, error) {
 	c.messages.Add(1)
 	c.bytes.Add(int64(len(p)))
+	if c.muted != nil && c.muted.Load() {
+		return len(p), nil
+	}
 	c.writes.update(func() { c.writes.data = append(c.writes.data, p...) })
 	return len(p), nil
 }
@@ -107,7 +112,14 @@
 		OnStatus: func(Status) {}, OnCache: func(string, CacheChanges) {},
 		BacklogTokens: func(string) (none [router.PriorityLevels]int) { return none },
 		Transfers:     func(string) time.Duration { return 0 },
-		WatchesStore:  func() bool { return rank > 0 && rank <= 3 },
+		StoreAnsweredAt: func() time.Time {
+			if rank > 0 && rank <= 3 {
+				// The store answers each watch without changes when its time is over.
+				return time.Now().Truncate(storeTiming.Wait + watchPause)
+			}
+			return time.Time{}
+		},
+		WatchValidity: storeTiming.Validity,
 		PullDelay:     func() time.Duration { return 100 * time.Millisecond },
 		Rank:          rank, Broadcaster: NewBroadcaster(), Clock: timekeeper.System{}, Logger: log.New(io.Discard), Recorder: recorder.New(),
 		Isolator: isolator.New(timekeeper.System{}), Leaving: router.NewLeavingRegistry(timekeeper.System{}), Limits: divider.New(timekeeper.System{}), Streams: pinner.New(timekeeper.System{}),
@@ -120,6 +132,8 @@
 	entries, sidecars []*Announcer
 	// messages and bytes count what all daemons have sent.
 	messages, bytes atomic.Int64
+	// muted holds, by daemon, what mutes its connections.
+	muted map[*Announcer]*atomic.Bool
 }
 
 func newMemoryFleet(entries, sidecars int) *memoryFleet {
@@ -146,8 +160,8 @@
 
 func (f *memoryFleet) connect(entry, sidecar *Announcer, otherRegion bool, address string) {
 	there, back := &halfConn{changed: make(chan struct{}, 1)}, &halfConn{changed: make(chan struct{}, 1)}
-	entryEnd := &memoryConn{name: address, reads: back, writes: there, messages: &f.messages, bytes: &f.bytes}
-	sidecarEnd := &memoryConn{name: "entry", reads: there, writes: back, messages: &f.messages, bytes: &f.bytes}
+	entryEnd := &memoryConn{name: address, reads: back, writes: there, messages: &f.messages, bytes: &f.bytes, muted: f.muted[entry]}
+	sidecarEnd := &memoryConn{name: "entry", reads: there, writes: back, messages: &f.messages, bytes: &f.bytes, muted: f.muted[sidecar]}
 	entry.tasks.Go(func() { _ = entry.runSession(entry.ctx, entryEnd, otherRegion) })
 	sidecar.tasks.Go(func() { _ = sidecar.runSession(sidecar.ctx, sidecarEnd, otherRegion) })
 }
--- a/internal/fleet/announcer/session.go
+++ b/internal/fleet/announcer/session.go
@@ -157,11 +157,13 @@
 	WantKeys      []string `cbor:"13,keyasint,omitempty"`
 	// Delta holds changes that were requested, or that the sender pushes.
 	Delta *replicator.Delta `cbor:"5,keyasint,omitempty"`
-	// WatchesStore is set while the sender watches the store successfully.
+	// WatchesStore is set while the sender counts as watching the store.
 	WatchesStore bool `cbor:"6,keyasint,omitempty"`
-	// PeerWatchesStore is set if a peer of the sender, a sidecar, watches the store
-	// successfully.
+	// PeerWatchesStore is set if a peer of the sender, a sidecar, counts as watching the store.
 	PeerWatchesStore bool `cbor:"20,keyasint,omitempty"`
+	// StoreAge is how long ago the store answered the sender if WatchesStore is set, or the peer
+	// if only PeerWatchesStore is set.
+	StoreAge time.Duration `cbor:"42,keyasint,omitempty"`
 	// CacheChanges holds the changes of the cache of the sender's replica since the
 	// previous message.
 	CacheChanges *CacheChanges `cbor:"7,keyasint,omitempty"`
@@ -259,10 +261,10 @@
 	// sending goroutine uses it.
 	sent sentState
 
-	// rank, watchesStore, lowerRankedWatchers, subscribed and revision are what the
-	// other end last reported.
+	// rank, storeAnsweredAt, lowerRankedWatchers, subscribed and revision are what the
+	// other end last reported. storeAnsweredAt is nil if it does not watch the store.
 	rank                atomic.Uint64
-	watchesStore        atomic.Bool
+	storeAnsweredAt     atomic.Pointer[time.Time]
 	lowerRankedWatchers atomic.Int64
 	subscribed          atomic.Bool
 	revision            atomic.Uint64
@@ -311,16 +313,17 @@
 type sentState struct {
 	// at is when the last message was sent, zero before the first.
 	at time.Time
-	// status, backlog, transfers, speed, watchesStore, subscribed, sharedHosts and versions are those last
-	// sent. The status is nil and the versions are nil before the first message.
-	status       *Status
-	backlog      Backlog
-	transfers    time.Duration
-	speed        gauger.Evidence
-	watchesStore bool
-	subscribed   bool
-	sharedHosts  bool
-	versions     map[string]uint64
+	// status, backlog, transfers, speed, storeAnsweredAt, subscribed, sharedHosts and versions are
+	// those last sent. The status is nil and the versions are nil before the first message.
+	// storeAnsweredAt is zero if the message did not have WatchesStore.
+	status          *Status
+	backlog         Backlog
+	transfers       time.Duration
+	speed           gauger.Evidence
+	storeAnsweredAt time.Time
+	subscribed      bool
+	sharedHosts     bool
+	versions        map[string]uint64
 	// quotasAt is when demand was last reported.
 	quotasAt time.Time
 	// evidence is the isolator's version at the last report.
@@ -457,21 +460,25 @@
 func (s *session) nextMessage() (*message, bool) {
 	deps := &s.announcer.deps
 	sent := &s.sent
-	m := &message{
-		OtherRegion: s.otherRegion.Load(), WatchesStore: deps.WatchesStore(), Subscribed: s.announcer.subscribes(s),
+	storeAnsweredAt, watches := s.announcer.storeWatch()
+	if !watches {
+		storeAnsweredAt = time.Time{}
 	}
+	m := &message{OtherRegion: s.otherRegion.Load(), WatchesStore: watches, Subscribed: s.announcer.subscribes(s)}
 	if sent.at.IsZero() {
 		m.Rank, m.Region, m.KnowsEras, m.KnowsStreams = deps.Rank, deps.Region, true, true
 		m.LinkBytesPerSecond = deps.LinkBytesPerSecond
 	}
 	newest := deps.Table.NewestRevision()
-	changed := m.WatchesStore != sent.watchesStore || m.Subscribed != sent.subscribed || s.announcesRevision(newest)
+	changed := !storeAnsweredAt.Equal(sent.storeAnsweredAt) || m.Subscribed != sent.subscribed || s.announcesRevision(newest)
 	if deps.SharedHosts != nil {
 		m.SharedHosts = deps.SharedHosts()
 		changed = changed || m.SharedHosts != sent.sharedHosts
 	}
 	if status := deps.Status(); status != nil {
-		m.PeerWatchesStore = s.announcer.PeerWatchesStore()
+		if peerAnsweredAt := s.announcer.peerWatch(); s.announcer.watchValid(peerAnsweredAt) {
+			m.PeerWatchesStore, m.StoreAge = true, deps.Clock.Now().Sub(peerAnsweredAt)
+		}
 		m.LowerRankedWatchers = s.announcer.watchersRankedBelow(s)
 		status.BacklogTokens, status.TransferQueue = newBacklog(s.announcer.backlogByPriority()), s.announcer.transferQueue()
 		shortened := status.withoutConstants(sent.status)
@@ -517,7 +524,7 @@
 	}
 	sent.announcedRevision = newest
 	sent.transfers, sent.speed = m.Transfers, m.Speed
-	sent.backlog, sent.watchesStore, sent.subscribed, sent.sharedHosts = m.BacklogTokens, m.WatchesStore, m.Subscribed, m.SharedHosts
+	sent.backlog, sent.storeAnsweredAt, sent.subscribed, sent.sharedHosts = m.BacklogTokens, storeAnsweredAt, m.Subscribed, m.SharedHosts
 	return m, changed || deps.Clock.Now().Sub(sent.at) >= idleInterval
 }
 
@@ -525,9 +532,8 @@
 // the store has changed, to the given revision: from a daemon that watches the store, and
 // from one of its region that has received a large change.
 func (s *session) announcesRevision(newest uint64) bool {
-	deps := &s.announcer.deps
 	latest := max(s.knownRevision(), s.sent.announcedRevision)
-	return deps.WatchesStore() && newest > latest || !s.otherRegion.Load() && s.announcer.largeRevision.Load() > latest
+	return s.announcer.watchesStore() && newest > latest || !s.otherRegion.Load() && s.announcer.largeRevision.Load() > latest
 }
 
 // knownRevision returns the newest revision up to which the other end has all changes,
@@ -544,14 +550,13 @@
 // that have subscribed, and by the entry with the lowest rank of those that watch the
 // store to all sidecars. Daemons that watch the store themselves need none.
 func (s *session) pushes() bool {
-	if s.watchesStore.Load() {
+	if s.watchesStore() {
 		return false
 	}
 	if s.subscribed.Load() {
 		return true
 	}
-	deps := &s.announcer.deps
-	return s.replicaAddress.Load() != nil && deps.Rank != 0 && deps.WatchesStore() && s.announcer.LowerRankedWatchers() == 0
+	return s.replicaAddress.Load() != nil && s.announcer.deps.Rank != 0 && s.announcer.watchesStore() && s.announcer.LowerRankedWatchers() == 0
 }
 
 // pushChanges sends the changes of the store that the other end does not have. Complete
@@ -573,7 +578,11 @@
 // send adds the state of the own copy of the store to a message and writes it.
 func (s *session) send(m message) error {
 	newest := s.announcer.deps.Table.NewestRevision()
-	m.Revision, m.Era, m.WatchesStore = replicator.RevisionOf(newest), replicator.EraOf(newest), s.announcer.deps.WatchesStore()
+	m.Revision, m.Era = replicator.RevisionOf(newest), replicator.EraOf(newest)
+	answeredAt, watches := s.announcer.storeWatch()
+	if m.WatchesStore = watches; watches {
+		m.StoreAge = s.announcer.deps.Clock.Now().Sub(answeredAt)
+	}
 	if !s.knowsEras.Load() {
 		m.AfterRevision = replicator.RevisionOf(m.AfterRevision)
 		if m.Delta != nil {
@@ -599,13 +608,7 @@
 	if m.OtherRegion {
 		s.otherRegion.Store(true)
 	}
-	if m.WatchesStore {
-		s.announcer.recordPeerWatching()
-	}
-	if m.WatchesStore || m.PeerWatchesStore {
-		s.announcer.recordStoreWatched()
-	}
-	s.watchesStore.Store(m.WatchesStore)
+	s.recordWatch(m)
 	if m.KnowsEras {
 		s.knowsEras.Store(true)
 	}
@@ -648,6 +651,26 @@
 	return nil
 }
 
+// recordWatch stores when the store last answered the other end, or a peer of its own.
+func (s *session) recordWatch(m *message) {
+	answeredAt := s.announcer.deps.Clock.Now().Add(-max(0, m.StoreAge))
+	if m.WatchesStore || m.PeerWatchesStore {
+		s.announcer.recordStoreWatch(answeredAt)
+	}
+	if !m.WatchesStore {
+		s.storeAnsweredAt.Store(nil)
+		return
+	}
+	s.announcer.recordPeerWatch(answeredAt)
+	s.storeAnsweredAt.Store(&answeredAt)
+}
+
+// watchesStore reports whether the other end counts as watching the store.
+func (s *session) watchesStore() bool {
+	answeredAt := s.storeAnsweredAt.Load()
+	return answeredAt != nil && s.announcer.watchValid(*answeredAt)
+}
+
 // applyChanges applies changes of the store that the other end has sent, in the given
 // number of bytes.
 func (s *session) applyChanges(delta replicator.Delta, receivedBytes int) {
@@ -761,7 +784,7 @@
 		switch {
 		case s.announcer.readsStoreForOthers():
 			delay = max(delay, s.announcer.deps.PullDelay()+s.announcer.pullTurn(storeReadSpacing))
-		case !s.watchesStore.Load():
+		case !s.watchesStore():
 			delay += slowLinkPullDelay
 		}
 	}
--- a/internal/state/watcher/watch.go
+++ b/internal/state/watcher/watch.go
@@ -47,8 +47,8 @@
 	// when the read began. It calls onPage with the items of each page as soon as it
 	// has them, and returns ErrReadStopped once onPage returns false.
 	Read func(ctx context.Context, onPage func([]replicator.Item) bool) ([]replicator.Item, uint64, error)
-	// Watch waits for changes after a revision. It returns them with the revision
-	// from which to continue, or ErrHistoryDropped.
+	// Watch waits for changes after a revision, for Timing.Wait at the most. It returns them with
+	// the revision from which to continue, or ErrHistoryDropped.
 	Watch func(ctx context.Context, after uint64) ([]replicator.Item, uint64, error)
 	// Poll returns the changes after a revision, as Watch does, without waiting for any.
 	Poll func(ctx context.Context, after uint64) ([]replicator.Item, uint64, error)
@@ -65,7 +65,7 @@
 }
 
 // pausedCheckInterval is how often a paused watcher checks whether it is still paused.
-const pausedCheckInterval = 250 * time.Millisecond
+const pausedCheckInterval = 100 * time.Millisecond
 
 // Options set how much of the store a watcher leaves to other daemons that fill the
 // table, too.
@@ -96,7 +96,7 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	outage Outage
-	// currentAt is when the store last answered with all changes, zero if it has not.
+	// currentAt is the time up to which the store's answers had all changes, zero without any.
 	currentAt time.Time
 	// polling is the poll that is under way, and nextPoll the one that follows it, for those who
 	// ask meanwhile. They are nil without any.
@@ -135,7 +135,8 @@
 	return w.outage
 }
 
-// CurrentAt returns when the store last answered this daemon with all changes, zero if it has not.
+// CurrentAt returns the time up to which the store has answered this daemon with all changes, zero if
+// it has not.
 func (w *Watcher) CurrentAt() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -204,9 +205,16 @@
 		}
 		w.table.Apply(replicator.Delta{Revision: newest, Items: items})
 	}
+	w.recordCurrent(w.clock.Now())
+}
+
+// recordCurrent records that the table has all changes up to a time.
+func (w *Watcher) recordCurrent(at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.currentAt = w.clock.Now()
+	if at.After(w.currentAt) {
+		w.currentAt = at
+	}
 }
 
 // run reads the store completely, unless other daemons have filled the table, and then
@@ -218,19 +226,22 @@
 	// droppedAt is the table's revision when the store had dropped the history after it, 0 if
 	// the table has a later one.
 	var droppedAt uint64
-	wasPaused := false
+	// resumed is set for the first call after a pause. It does not wait for changes, so that others
+	// learn at once that this daemon watches the store.
+	wasPaused, resumed := false, false
 	w.awaitFilled(ctx)
 	for ctx.Err() == nil {
 		if w.table.Filled() && w.options.Paused() {
 			// Others reach the store. Without calls of its own a paused watcher would never
 			// see the end of an outage.
 			w.recordOutcome(ctx, nil)
-			wasPaused, droppedAt = true, 0
+			wasPaused, resumed, droppedAt = true, true, 0
 			w.sleep(ctx, pausedCheckInterval)
 			continue
 		}
 		if wasPaused {
 			wasPaused = false
+			w.logger.Info("store: watched here, as too few others watch it.")
 			w.sleep(ctx, time.Duration(w.position())*callSpacing)
 			continue
 		}
@@ -242,8 +253,9 @@
 		if droppedAt != 0 || !w.table.Filled() {
 			revision, err = w.readAll(ctx)
 		} else {
-			revision, err = w.watch(ctx, max(revision, w.table.NewestRevision()))
+			revision, err = w.watch(ctx, max(revision, w.table.NewestRevision()), resumed)
 		}
+		resumed = false
 		w.recordOutcome(ctx, err)
 		switch {
 		case errors.Is(err, ErrHistoryDropped):
@@ -336,20 +348,23 @@
 		}
 		return !w.broughtUpToDate(before)
 	}
+	began := w.clock.Now()
 	items, revision, err := w.source.Read(ctx, onPage)
 	if err != nil {
 		return 0, fmt.Errorf("read store: %w", err)
 	}
 	w.table.Apply(replicator.Delta{Revision: revision, Complete: true, Items: items})
+	w.recordCurrent(began)
 	w.logger.Info("store: read completely.", "items", len(items), "revision", revision)
 	return revision, nil
 }
 
 // watch applies the changes after a revision to the table and returns the revision from
 // which to continue. A watch that is cut says nothing of the store: whether it answers is known
-// from a call that does not wait, and so is the end of an outage.
-func (w *Watcher) watch(ctx context.Context, after uint64) (uint64, error) {
-	if !w.Outage().Failing {
+// from a call that does not wait, and so is the end of an outage. With atOnce the watch does not wait
+// for changes either.
+func (w *Watcher) watch(ctx context.Context, after uint64, atOnce bool) (uint64, error) {
+	if !atOnce && !w.Outage().Failing {
 		revision, err := w.applyChanges(ctx, w.source.Watch, after)
 		if err == nil || errors.Is(err, ErrHistoryDropped) {
 			return revision, err
