Verifier: what has no valid status line is no answer

Cause: the HTTP library accepts any three digits and returns 200 for a status of 0, which it uses for "not set". No reader of answers looked at the bytes itself, so a check behind the library cannot see it.

Change: internal/wire/verifier checks the status line of each head against RFC 9112 before the library parses it: ReadHead for the client of replicas, Conn around the connections of plainservice, exchanger (store, reports, orders, cache events), engine, hosts and operator. The outcome of a booking is then unknown, and what may be repeated goes elsewhere.

--- /dev/null
+++ b/internal/wire/verifier/verify.go
@@ -0,0 +1,137 @@
+// Package verifier checks the heads of answers against the grammar of HTTP/1.1 (RFC 9112), which HTTP
+// libraries apply loosely: what is no answer by the grammar is not taken for one.
+package verifier
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+)
+
+var faults = errorx.NewNamespace("verifier")
+
+// Errors of a head.
+var (
+	// ErrMalformed means that bytes are no answer by the grammar.
+	ErrMalformed = faults.NewType("malformed").New("no answer by the grammar of HTTP/1.1")
+	// ErrTooLarge means that a head is larger than the buffer for it.
+	ErrTooLarge = faults.NewType("tooLarge").New("head of an answer is too large")
+)
+
+const (
+	// minStatus and maxStatus bound valid status codes (RFC 9110, section 15).
+	minStatus, maxStatus = 100, 599
+	// versionPrefix begins each answer.
+	versionPrefix = "HTTP/1."
+)
+
+// ReadHead reads the head of an answer, if it conforms to the grammar. It returns io.EOF only if
+// the connection ends before the first byte.
+func ReadHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	for n := 1; ; {
+		if _, err := reader.Peek(n); err != nil {
+			return fmt.Errorf("read head: %w", incomplete(err, reader.Buffered() > 0))
+		}
+		received, err := reader.Peek(reader.Buffered())
+		if err != nil {
+			return fmt.Errorf("read head: %w", err)
+		}
+		end, _, err := scanHead(received)
+		if err != nil {
+			return err
+		}
+		if end > 0 {
+			if err := header.Read(reader); err != nil {
+				return fmt.Errorf("parse head: %w", err)
+			}
+			return nil
+		}
+		n = len(received) + 1
+	}
+}
+
+// incomplete returns the error of a read within a head of which a part has arrived.
+func incomplete(err error, partial bool) error {
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return ErrTooLarge
+	case errors.Is(err, io.EOF) && partial:
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// scanHead returns the length and the status of the head at the beginning of what has been received,
+// or a length of 0 if it has not arrived whole. It returns ErrMalformed as soon as that is certain.
+func scanHead(received []byte) (length, status int, err error) {
+	line, rest, whole := bytes.Cut(received, []byte{'\n'})
+	if !whole {
+		return 0, 0, checkBeginning(line)
+	}
+	status, err = parseStatusLine(line)
+	if err != nil {
+		return 0, 0, err
+	}
+	for {
+		line, after, whole := bytes.Cut(rest, []byte{'\n'})
+		if !whole {
+			return 0, status, nil
+		}
+		rest = after
+		if string(line) == "\r" {
+			return len(received) - len(rest), status, nil
+		}
+	}
+}
+
+// checkBeginning checks the beginning of a status line.
+func checkBeginning(line []byte) error {
+	n := min(len(line), len(versionPrefix))
+	if string(line[:n]) != versionPrefix[:n] {
+		return fmt.Errorf("%w: it begins with %q", ErrMalformed, line[:n])
+	}
+	return nil
+}
+
+// parseStatusLine returns the status code of a status line without its line feed. As many servers do,
+// it may leave out the space before an empty reason.
+func parseStatusLine(line []byte) (int, error) {
+	text, found := bytes.CutSuffix(line, []byte{'\r'})
+	version, rest, _ := bytes.Cut(text, []byte{' '})
+	code, reason, _ := bytes.Cut(rest, []byte{' '})
+	status := parseStatus(code)
+	if !found || string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" || status < minStatus || status > maxStatus || !isText(reason) {
+		return 0, fmt.Errorf("%w: status line %.64q", ErrMalformed, line)
+	}
+	return status, nil
+}
+
+// parseStatus returns the number of three digits, 0 for anything else.
+func parseStatus(code []byte) int {
+	if len(code) != 3 {
+		return 0
+	}
+	status := 0
+	for _, digit := range code {
+		if digit < '0' || digit > '9' {
+			return 0
+		}
+		status = 10*status + int(digit-'0')
+	}
+	return status
+}
+
+// isText reports whether text holds no control characters but tabs.
+func isText(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/peer/engine/client.go
+++ b/peer/engine/client.go
@@ -16,6 +16,7 @@
 	"net"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/wire/verifier"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 )
@@ -269,7 +270,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode: %w", err)
 	}
-	connection, err := fasthttp.DialTimeout(c.address, dialTimeout)
+	connection, err := verifier.Dial(c.address, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- /dev/null
+++ b/peer/engine/form_test.go
@@ -0,0 +1,24 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAnswersWithInvalidStatusAreNoAnswers guards against an answer of a faulty engine with status 000 that
+// counts as a 200.
+func TestAnswersWithInvalidStatusAreNoAnswers(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		c := serve(t, func(id string, w io.Writer) {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 %s Trouble\r\n%s: %s\r\nConnection: close\r\n\r\n", status, HeaderRequestID, id)
+			writeEvent(w, "token", id, 0)
+			writeEvent(w, "end", id, 1)
+		})
+		tokens, err := generate(c, time.Second)
+		assert.ErrorIs(t, err, ErrExchangeFailed, "%s: %d tokens", status, tokens)
+	}
+}
--- a/peer/exchanger/exchange.go
+++ b/peer/exchanger/exchange.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/wire/verifier"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 )
@@ -105,7 +106,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &progressConn{Conn: conn, maxProgress: limits.MaxAnswerBytes}, nil
+			return verifier.NewConn(&progressConn{Conn: conn, maxProgress: limits.MaxAnswerBytes}), nil
 		},
 	}}
 }
--- /dev/null
+++ b/peer/exchanger/form_test.go
@@ -0,0 +1,37 @@
+package exchanger
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// answerOf returns the answer of a server that sends the given bytes.
+func answerOf(text string) (*Answer, error) {
+	client := newClient("server:80", 0, Limits{MaxAnswerBytes: testLimit}, func() (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			defer func() { _ = server.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+				_, _ = fmt.Fprint(server, text)
+			}
+		}()
+		return client, nil
+	})
+	defer client.http.CloseIdleConnections()
+	return client.Do(time.Now().Add(5*time.Second), Request{Method: http.MethodGet, Path: "/"})
+}
+
+// TestAnswersWithInvalidStatusAreNoAnswers guards against an answer of a faulty server with status 000 that
+// counts as a 200, such as that to an order.
+func TestAnswersWithInvalidStatusAreNoAnswers(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		answer, err := answerOf("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 2\r\n\r\n{}")
+		assert.Check(t, err != nil, "%s: %v", status, answer)
+	}
+}
--- a/peer/hosts/client.go
+++ b/peer/hosts/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/wire/verifier"
 	"github.com/valyala/fasthttp"
 )
 
@@ -51,7 +52,7 @@
 	return &Client{address: address, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       maxAnswerBytes,
-		Dial:                      func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, callTimeout) },
+		Dial:                      func(addr string) (net.Conn, error) { return verifier.Dial(addr, callTimeout) },
 	}}
 }
 
--- a/peer/operator/client.go
+++ b/peer/operator/client.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/wire/verifier"
 	"github.com/cyclamenward/cyclamenward/registrar"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
@@ -37,7 +38,7 @@
 	return &Client{address: address, token: token, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       maxAnswerBytes,
-		Dial:                      func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) },
+		Dial:                      func(addr string) (net.Conn, error) { return verifier.Dial(addr, dialTimeout) },
 	}}
 }
 
--- a/peer/plainservice/client.go
+++ b/peer/plainservice/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/wire/verifier"
 	"github.com/cyclamenward/cyclamenward/peer/exchanger"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
@@ -65,11 +66,14 @@
 	address string
 	http    *fasthttp.Client
 	limits  exchanger.Limits
+	dial    func(address string) (net.Conn, error)
 }
 
 // New returns a client of the server at the given address, whose answers share the memory with others.
 func New(address string, memory exchanger.Memory) *Client {
-	return &Client{address: address, limits: exchanger.Limits{MaxAnswerBytes: maxAnswerBytes, Memory: memory}, http: &fasthttp.Client{
+	c := &Client{address: address, limits: exchanger.Limits{MaxAnswerBytes: maxAnswerBytes, Memory: memory}}
+	c.dial = func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) }
+	c.http = &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           maxConnections,
 		// Paths are sent as they are, with the query that follows.
@@ -77,8 +81,15 @@
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 			return false, false
 		},
-		Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) },
-	}}
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := c.dial(addr)
+			if err != nil {
+				return nil, err
+			}
+			return verifier.NewConn(conn), nil
+		},
+	}
+	return c
 }
 
 // Do sends the call once and returns the complete answer.
--- a/peer/plainservice/cut_test.go
+++ b/peer/plainservice/cut_test.go
@@ -50,7 +50,7 @@
 		for cut := range len(text) + 1 {
 			t.Run(fmt.Sprint(name, cut), func(t *testing.T) {
 				c := New("192.0.2.1:80", exchanger.Memory{})
-				c.http.Dial = func(string) (net.Conn, error) { return &cutConn{unread: text[:cut]}, nil }
+				c.dial = func(string) (net.Conn, error) { return &cutConn{unread: text[:cut]}, nil }
 				answer, err := c.Do(&Call{RequestID: "r", Method: "POST", Path: "/", Timeout: time.Second})
 				if cut < len(text) {
 					assert.ErrorIs(t, err, ErrUnknownOutcome)
--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cyclamenward/cyclamenward/internal/wire/verifier"
 	"github.com/valyala/fasthttp"
 )
 
@@ -113,7 +114,7 @@
 func (a *Answer) readFinalHead() error {
 	for range maxInterimAnswers + 1 {
 		a.header.Reset()
-		if err := a.header.Read(a.conn.reader); err != nil {
+		if err := verifier.ReadHead(a.conn.reader, &a.header); err != nil {
 			return err
 		}
 		if status := a.header.StatusCode(); status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols {
