Replica: an answer without a length is whole only if its request was written

Cause: a connection reports its reset once. While a goroutine writes the body of the request, the write may receive it, and the read then sees an end like any other, where an answer without a length ends.

Failed or not ended: the exchange has failed. Framed answers are as before. The other readers write the whole request first, in the same goroutine, and fail with the write (read in the code).

--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -171,10 +171,33 @@
 			return fmt.Errorf("read trailer: %w", err)
 		}
 	}
+	if !a.delimited {
+		if err := a.awaitWrite(); err != nil {
+			return fmt.Errorf("request body was not written whole: %w", err)
+		}
+	}
 	a.complete = true
 	return nil
 }
 
+// awaitWrite returns the result of writing the request body once the server has ended the connection. A
+// connection reports its reset only once: if the write got it, the read has seen an end like any
+// other. A server that ends the connection before it has read the body resets it.
+func (a *Answer) awaitWrite() error {
+	if a.writeResult == nil {
+		return nil
+	}
+	deadline := a.client.clock.Now().Add(writeEndTimeout)
+	if a.deadline.Before(deadline) {
+		deadline = a.deadline
+	}
+	_ = a.conn.SetWriteDeadline(deadline)
+	err := <-a.writeResult
+	// A further read at the end has the same result.
+	a.writeResult <- err
+	return err
+}
+
 // ReadAll reads the complete body. A body of more than maxBytes bytes is an error. The caller must
 // call ReleaseBody once it does not need the body.
 func (a *Answer) ReadAll(maxBytes int) ([]byte, error) {
