Verifier: lines of a head that are no fields by the grammar make no answer

Callers saw: an answer in whose head the name of a field held a blank or a control byte was passed on with that line, or with a body that was not the replica's (MIXED).

Cause: the HTTP library repairs heads. It removes blanks before a colon (so that "Content-Length : 1" cuts the body), lets blanks stand in names, joins lines that begin with one to the line before, and takes a line feed alone as the end of a line: "\nX-A: 1" ends the head, and the rest of it becomes the body. Other control bytes in names were refused before (each of 0 to 32 tried at three places).

Change: the verifier checks each line before the library sees it: a token, a colon behind it, a value without control characters but tabs, CR and LF. The same for interim heads and, in the client of replicas, trailers. Continued lines (obsolete, may be refused) and HTTP/1.0 with a transfer encoding are refused.

--- a/internal/wire/verifier/verify.go
+++ b/internal/wire/verifier/verify.go
@@ -1,4 +1,4 @@
-// Package verifier checks the heads of answers against the grammar of HTTP/1.1 (RFC 9112), which HTTP
+// Package verifier checks the heads and trailers of answers against the grammar of HTTP/1.1 (RFC 9112), which HTTP
 // libraries apply loosely: what is no answer by the grammar is not taken for one.
 package verifier
 
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
@@ -33,23 +34,42 @@
 // ReadHead reads the head of an answer, if it conforms to the grammar. It returns io.EOF only if
 // the connection ends before the first byte.
 func ReadHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	err := await(reader, func(received []byte) (int, error) {
+		length, _, err := scanHead(received)
+		return length, err
+	})
+	if err != nil {
+		return fmt.Errorf("read head: %w", err)
+	}
+	if err := header.Read(reader); err != nil {
+		return fmt.Errorf("parse head: %w", err)
+	}
+	return nil
+}
+
+// ReadTrailer reads the fields behind the last chunk of a body, if they conform to the grammar.
+func ReadTrailer(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	if err := await(reader, func(received []byte) (int, error) { return scanFields(received, true) }); err != nil {
+		return fmt.Errorf("read trailer: %w", err)
+	}
+	if err := header.ReadTrailer(reader); err != nil {
+		return fmt.Errorf("parse trailer: %w", err)
+	}
+	return nil
+}
+
+// await waits until scan finds a whole section at the beginning of what has been received.
+func await(reader *bufio.Reader, scan func(received []byte) (length int, err error)) error {
 	for n := 1; ; {
 		if _, err := reader.Peek(n); err != nil {
-			return fmt.Errorf("read head: %w", incomplete(err, reader.Buffered() > 0))
+			return incomplete(err, reader.Buffered() > 0)
 		}
 		received, err := reader.Peek(reader.Buffered())
-		if err != nil {
-			return fmt.Errorf("read head: %w", err)
-		}
-		end, _, err := scanHead(received)
 		if err != nil {
 			return err
 		}
-		if end > 0 {
-			if err := header.Read(reader); err != nil {
-				return fmt.Errorf("parse head: %w", err)
-			}
-			return nil
+		if length, err := scan(received); err != nil || length > 0 {
+			return err
 		}
 		n = len(received) + 1
 	}
@@ -77,16 +97,53 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	length, err = scanFields(rest, line[len(versionPrefix)] != '0')
+	if length > 0 {
+		length += len(received) - len(rest)
+	}
+	return length, status, err
+}
+
+// scanFields returns the length of the fields at the beginning of what has been received, with the empty line
+// that ends them, or 0 if they have not arrived whole. mayEncode is set if the body may have a transfer
+// encoding. It returns ErrMalformed as soon as that is certain.
+func scanFields(received []byte, mayEncode bool) (int, error) {
+	rest := received
 	for {
 		line, after, whole := bytes.Cut(rest, []byte{'\n'})
 		if !whole {
-			return 0, status, nil
+			return 0, nil
 		}
 		rest = after
 		if string(line) == "\r" {
-			return len(received) - len(rest), status, nil
+			return len(received) - len(rest), nil
+		}
+		// A line that begins with a blank continues the one before it in an obsolete form, which may be refused.
+		text, found := bytes.CutSuffix(line, []byte{'\r'})
+		name, value, hasValue := bytes.Cut(text, []byte{':'})
+		if !found || !hasValue || !isToken(name) || !isText(value) || !mayEncode && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+			return 0, fmt.Errorf("%w: field %.64q", ErrMalformed, line)
+		}
+	}
+}
+
+// tokenCharacters holds the characters of tokens, which names of fields are.
+var tokenCharacters = func() (set [256]bool) {
+	const others = "!#$%&'*+-.^_`|~"
+	for c := range set {
+		set[c] = c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z' || strings.IndexByte(others, byte(c)) >= 0
+	}
+	return set
+}()
+
+// isToken reports whether text is a token.
+func isToken(text []byte) bool {
+	for _, c := range text {
+		if !tokenCharacters[c] {
+			return false
 		}
 	}
+	return len(text) > 0
 }
 
 // checkBeginning checks the beginning of a status line.
--- a/internal/wire/verifier/verify_test.go
+++ b/internal/wire/verifier/verify_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -81,6 +82,51 @@
 	}
 }
 
+// malformedFields are no fields by the grammar, or of forms that may be refused.
+var malformedFields = func() []string {
+	fields := []string{": 1", "X-A", "X-A : 1", "X A: 1", " X-A: 1", "\tX-A: 1", "X-A\t: 1", "Content-Length : 1", " Content-Length: 1", "\nX-A: 1", "X-A: 1\n", "X-A: 1\nX-B: 2", "X-A: 1\r", "\n", "X-\xfc: 1", "X(A): 1"}
+	for c := range byte(' ') {
+		fields = append(fields, "X"+string(c)+"A: 1", string(c)+"X-A: 1", "X-A"+string(c)+": 1", string(c)+"Content-Length: 1")
+		if c != '\t' {
+			fields = append(fields, "X-A: 1"+string(c)+"2")
+		}
+	}
+	return append(fields, "X\x7fA: 1", "X-A: \x7f")
+}()
+
+// TestMalformedFieldsAreNoAnswers guards against heads in which the name of a field has a blank or a control
+// character: the library passes such a line on, takes its length for the real one, or takes what follows for the
+// body.
+func TestMalformedFieldsAreNoAnswers(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	for _, field := range malformedFields {
+		for _, head := range []string{status + field + "\r\n" + fields, status + "X-B: 1\r\n" + field + "\r\n" + fields, status + "X-B: 1\r\n" + field + "\r\n\r\n"} {
+			_, err := readHead(t, head)
+			assert.ErrorIs(t, err, ErrMalformed, "%q", head)
+			for _, text := range []string{head + "ok", "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + status + fields + "ok"} {
+				got, err := readChecked(strings.NewReader(text))
+				assert.ErrorIs(t, err, ErrMalformed, "%q: %q", text, got)
+				assert.Equal(t, got, "", "%q", text)
+			}
+		}
+		var trailer fasthttp.ResponseHeader
+		assert.ErrorIs(t, ReadTrailer(bufio.NewReader(strings.NewReader(field+"\r\n\r\n")), &trailer), ErrMalformed, "%q", field)
+	}
+	_, err := readHead(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	assert.ErrorIs(t, err, ErrMalformed)
+}
+
+// TestSoundFieldsPass has fields of all forms that the grammar allows.
+func TestSoundFieldsPass(t *testing.T) {
+	for _, field := range []string{"X-A:", "X-A:1", "x-a:\t 1 \t", "!#$%&'*+-.^_`|~09: \xfc \"(,/:;<=>?@[\\]{}", "X-A: a\tb", "X-Cookie: a=b; c", "1: 2"} {
+		header, err := readHead(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n"+fields)
+		assert.NilError(t, err, "%q", field)
+		assert.Equal(t, header.ContentLength(), 2)
+		var trailer fasthttp.ResponseHeader
+		assert.NilError(t, ReadTrailer(bufio.NewReader(strings.NewReader(field+"\r\n\r\n")), &trailer), "%q", field)
+	}
+}
+
 // TestGarbageFailsBeforeItsEnd guards against a wait for the end of a head that is none.
 func TestGarbageFailsBeforeItsEnd(t *testing.T) {
 	for _, text := range []string{"g", "HTTP/2", "HTTP/1.1 000 Trouble\r\n"} {
@@ -130,16 +176,30 @@
 	assert.ErrorIs(t, err, ErrMalformed)
 }
 
+// latin1 returns the bytes of s as the characters with these numbers.
+func latin1(s string) string {
+	var text strings.Builder
+	for i := range len(s) {
+		text.WriteRune(rune(s[i]))
+	}
+	return text.String()
+}
+
 // FuzzHead has a head read by the library only if it conforms to the grammar, whole and byte by byte alike.
 func FuzzHead(f *testing.F) {
 	for _, line := range append(malformedStatusLines, soundStatusLines...) {
 		f.Add(line + "\r\n" + fields)
 	}
+	for _, field := range malformedFields {
+		f.Add("HTTP/1.1 200 OK\r\n" + field + "\r\n" + fields)
+	}
+	model := regexp.MustCompile(`^(?s:HTTP/1\.[01] [1-5][0-9]{2}(?: [\t -~\x{80}-\x{ff}]*)?\r\n(?:[-!#$%&'*+.^_\x60|~0-9A-Za-z]+:[\t -~\x{80}-\x{ff}]*\r\n)*\r\n)`)
 	f.Fuzz(func(t *testing.T, head string) {
 		header, err := readHead(t, head)
 		if err == nil {
 			status := header.StatusCode()
 			assert.Assert(t, status >= minStatus && status <= maxStatus, "%q", head)
+			assert.Assert(t, model.MatchString(latin1(head)), "%q", head)
 		}
 	})
 }
--- a/peer/engine/form_test.go
+++ b/peer/engine/form_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"testing"
@@ -22,3 +23,17 @@
 		assert.ErrorIs(t, err, ErrExchangeFailed, "%s: %d tokens", status, tokens)
 	}
 }
+
+// TestAnswersWithMalformedFieldNamesAreNoAnswers guards against an answer in whose head the name of a field has a
+// blank or a control character.
+func TestAnswersWithMalformedFieldNamesAreNoAnswers(t *testing.T) {
+	for _, field := range []string{"X A: 1", "X-A : 1", "Content-Length : 1", " X-A: 1", "\tX-A: 1", "\nX-A: 1", "\nContent-Length: 1", "X\x01A: 1"} {
+		c := serve(t, func(id string, w io.Writer) {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nConnection: close\r\n\r\n", HeaderRequestID, id, field)
+			writeEvent(w, "token", id, 0)
+			writeEvent(w, "end", id, 1)
+		})
+		tokens, err := generate(c, time.Second)
+		assert.Check(t, errors.Is(err, ErrExchangeFailed), "%q: %d tokens, %v", field, tokens, err)
+	}
+}
--- a/peer/exchanger/form_test.go
+++ b/peer/exchanger/form_test.go
@@ -35,3 +35,12 @@
 		assert.Check(t, err != nil, "%s: %v", status, answer)
 	}
 }
+
+// TestAnswersWithMalformedFieldNamesAreNoAnswers guards against an answer in whose head the name of a field has a
+// blank or a control character.
+func TestAnswersWithMalformedFieldNamesAreNoAnswers(t *testing.T) {
+	for _, field := range []string{"X A: 1", "X-A : 1", "Content-Length : 1", " X-A: 1", "\tX-A: 1", "\nX-A: 1", "\nContent-Length: 1", "X\x01A: 1"} {
+		answer, err := answerOf("HTTP/1.1 200 OK\r\nX-B: 1\r\n" + field + "\r\nContent-Length: 2\r\n\r\n{}")
+		assert.Check(t, err != nil, "%q: %v", field, answer)
+	}
+}
--- a/peer/plainservice/form_test.go
+++ b/peer/plainservice/form_test.go
@@ -1,6 +1,7 @@
 package plainservice
 
 import (
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -24,3 +25,12 @@
 		assert.ErrorIs(t, err, ErrUnknownOutcome, "%s: %v", status, answer)
 	}
 }
+
+// TestAnswersWithMalformedFieldNamesAreNoAnswers guards against an answer in whose head the name of a field has a
+// blank or a control character: its caller got what follows that line as the body.
+func TestAnswersWithMalformedFieldNamesAreNoAnswers(t *testing.T) {
+	for _, field := range []string{"X A: 1", "X-A : 1", "Content-Length : 1", " X-A: 1", "\tX-A: 1", "\nX-A: 1", "\nContent-Length: 1", "X\x01A: 1"} {
+		answer, err := answerOf("HTTP/1.1 200 OK\r\nX-B: 1\r\n" + field + "\r\nContent-Length: 6\r\n\r\nbooked")
+		assert.Check(t, errors.Is(err, ErrUnknownOutcome), "%q: %v", field, answer)
+	}
+}
--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -167,8 +167,8 @@
 	}
 	if a.chunked {
 		var trailer fasthttp.ResponseHeader
-		if err := trailer.ReadTrailer(a.conn.reader); err != nil {
-			return fmt.Errorf("read trailer: %w", err)
+		if err := verifier.ReadTrailer(a.conn.reader, &trailer); err != nil {
+			return err
 		}
 	}
 	if !a.delimited {
--- a/peer/replica/form_test.go
+++ b/peer/replica/form_test.go
@@ -21,3 +21,20 @@
 		}
 	}
 }
+
+// TestAnswersWithMalformedFieldNamesAreNoAnswers guards against an answer in whose head the name of a field has a
+// blank or a control character: its caller got the line, or what follows it as the body.
+func TestAnswersWithMalformedFieldNamesAreNoAnswers(t *testing.T) {
+	const fields = "\r\n" + idField + ": r\r\n"
+	for _, field := range []string{"X A: 1", "X-A : 1", "Content-Length : 1", " X-A: 1", "\tX-A: 1", "\nX-A: 1", "\nContent-Length: 1", "X\x01A: 1"} {
+		for _, text := range []string{
+			"HTTP/1.1 200 OK" + fields + field + "\r\nContent-Length: 6\r\n\r\nbooked",
+			"HTTP/1.1 200 OK" + fields + field + "\r\n\r\nbooked",
+			"HTTP/1.1 103 Early Hints\r\nX-B: 1\r\n" + field + "\r\n\r\nHTTP/1.1 200 OK" + fields + "Content-Length: 6\r\n\r\nbooked",
+			"HTTP/1.1 200 OK" + fields + "Transfer-Encoding: chunked\r\n\r\n" + encodeChunk("booked") + "0\r\nX-B: 1\r\n" + field + "\r\n\r\n",
+		} {
+			got, err := readCut(text, 1<<10, io.EOF)
+			assert.Check(t, err != nil, "%q: %q", text, got)
+		}
+	}
+}
