--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -49,8 +49,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// down holds the daemons that do not answer.
-	down map[string]bool
+	// down holds the daemons that do not answer, storeCut those that get no answers of the store.
+	down, storeCut map[string]bool
 	// partitioned is set while region 0 is cut off from the others.
 	partitioned bool
 	// lossPercent is the percentage of messages that are lost.
@@ -61,7 +61,7 @@
 
 func newNetwork(daemons, regions int, seed uint64, faults keyvalue.Faults) *network {
 	n := &network{
-		storeState: keyvalue.New(timekeeper.System{}, seed), daemons: map[string]*daemon{}, down: map[string]bool{},
+		storeState: keyvalue.New(timekeeper.System{}, seed), daemons: map[string]*daemon{}, down: map[string]bool{}, storeCut: map[string]bool{},
 		random: spreader.Random(seed), stop: make(chan struct{}), ready: make(chan struct{}),
 	}
 	n.storeState.SetFaults(faults)
@@ -93,7 +93,12 @@
 			return n.exchange(ctx, d, peer, message)
 		},
 	}
-	source := spreader.Source{Store: n.storeState.Store(), Prefix: "config/", Parse: parse}
+	isCut := func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.storeCut[d.address]
+	}
+	source := spreader.Source{Store: cuttableStore(n.storeState.Store(), isCut), Prefix: "config/", Parse: parse}
 	d.gossip = spreader.NewGossip(d.table, timekeeper.System{}, n.random, peers, source, spreader.DefaultOptions, func(error) {})
 	n.done.Add(1)
 	go func() {
