Watch: waits for 1.5 s at most, so that lists count as current

Cause: with a deadline of 5 s (large) a watch waited for 2 s. Its answer, and two messages that report it, are then up to 3.5 s old at an entry, which is maxListGap: its list of replicas could count as not current, and streams that are taken up would cost a call of the store each.

Change: a bound of 1.5 s. Nothing changes for deadlines of up to 4 s (1.45 s).

--- a/internal/routing/router/software.go
+++ b/internal/routing/router/software.go
@@ -18,8 +18,8 @@
 	softwareMemory = 10 * time.Minute
 	// maxListGap is the longest time for which the list of replicas may not be known to be current
 	// without being regarded as interrupted. It exceeds the interval at which a watch without
-	// changes is answered, and is too short for a replica to come and go unnoticed: an entry
-	// lapses after three heartbeats.
+	// changes is answered and the time in which other daemons report the answer, and is too short for
+	// a replica to come and go unnoticed: an entry lapses after three heartbeats.
 	maxListGap = 3500 * time.Millisecond
 )
 
--- a/internal/state/watcher/timing.go
+++ b/internal/state/watcher/timing.go
@@ -12,10 +12,10 @@
 	reportMargin = 500 * time.Millisecond
 	// defaultDeadline applies without a deadline.
 	defaultDeadline = 2500 * time.Millisecond
-	// Wait is at least minWait, and at most maxWait, so that an idle connection that has become
-	// silent is detected.
+	// Wait is at least minWait, and at most maxWait, so that daemons to which others report the store's
+	// answers know from them that their list of replicas is current.
 	minWait = 100 * time.Millisecond
-	maxWait = 2500 * time.Millisecond
+	maxWait = 1500 * time.Millisecond
 )
 
 // Timing divides the time within which a change must be in force on all daemons. Most of them receive
--- a/internal/wire/verifier/verify.go
+++ b/internal/wire/verifier/verify.go
@@ -39,7 +39,7 @@
 		return length, err
 	})
 	if err != nil {
-		return fmt.Errorf("read head: %w", err)
+		return fmt.Errorf("check head: %w", err)
 	}
 	if err := header.Read(reader); err != nil {
 		return fmt.Errorf("parse head: %w", err)
@@ -50,7 +50,7 @@
 // ReadTrailer reads the fields behind the last chunk of a body, if they conform to the grammar.
 func ReadTrailer(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	if err := await(reader, func(received []byte) (int, error) { return scanFields(received, true) }); err != nil {
-		return fmt.Errorf("read trailer: %w", err)
+		return fmt.Errorf("check trailer: %w", err)
 	}
 	if err := header.ReadTrailer(reader); err != nil {
 		return fmt.Errorf("parse trailer: %w", err)
