Exchanger: tests share the server of one answer

Cause: the test of answers with wrong forms repeated the server of the test of truncated ones, as duplicates showed. Checks are as before; go test ./peer/exchanger passes.

--- a/peer/exchanger/endless_test.go
+++ b/peer/exchanger/endless_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -124,16 +123,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				client := newClient("server:80", 0, Limits{MaxAnswerBytes: testLimit}, func() (net.Conn, error) {
-					client, server := net.Pipe()
-					go func() {
-						defer func() { _ = server.Close() }()
-						if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
-							_, _ = fmt.Fprint(server, text)
-						}
-					}()
-					return client, nil
-				})
+				client := newClient("server:80", 0, Limits{MaxAnswerBytes: testLimit}, func() (net.Conn, error) { return answering(text), nil })
 				_, err := client.Do(time.Now().Add(time.Second), Request{Method: http.MethodGet, Path: "/"})
 				assert.Assert(t, err != nil)
 				client.http.CloseIdleConnections()
--- a/peer/exchanger/form_test.go
+++ b/peer/exchanger/form_test.go
@@ -11,18 +11,21 @@
 	"gotest.tools/v3/assert"
 )
 
+// answering returns a connection to a server that answers one request with the given bytes.
+func answering(text string) net.Conn {
+	client, server := net.Pipe()
+	go func() {
+		defer func() { _ = server.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+			_, _ = fmt.Fprint(server, text)
+		}
+	}()
+	return client
+}
+
 // answerOf returns the answer of a server that sends the given bytes.
 func answerOf(text string) (*Answer, error) {
-	client := newClient("server:80", 0, Limits{MaxAnswerBytes: testLimit}, func() (net.Conn, error) {
-		client, server := net.Pipe()
-		go func() {
-			defer func() { _ = server.Close() }()
-			if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
-				_, _ = fmt.Fprint(server, text)
-			}
-		}()
-		return client, nil
-	})
+	client := newClient("server:80", 0, Limits{MaxAnswerBytes: testLimit}, func() (net.Conn, error) { return answering(text), nil })
 	defer client.http.CloseIdleConnections()
 	return client.Do(time.Now().Add(5*time.Second), Request{Method: http.MethodGet, Path: "/"})
 }
