Test of SIGHUP at start: both signal masks of one moment

Cause: the test read the mask of ignored signals and that of handled ones by two reads of /proc/PID/status. The process goes on between them: if it loads, ignores SIGHUP and starts the runtime after the first read and before the second, the masks contradict each other although SIGHUP was ignored in time. The test is wrong there, not the program.

Change: one read of the status yields both masks; the kernel collects them under one lock. The check is as strict: at each moment at which the runtime handles signals, SIGHUP must be ignored.

--- a/internal/standin/launcher/hangup_test.go
+++ b/internal/standin/launcher/hangup_test.go
@@ -29,7 +29,8 @@
 		_ = command.Wait()
 	}()
 	for {
-		ignored, caught := signalMask(t, command.Process.Pid, "SigIgn"), signalMask(t, command.Process.Pid, "SigCgt")
+		status := processStatus(t, command.Process.Pid)
+		ignored, caught := signalMask(t, status, "SigIgn"), signalMask(t, status, "SigCgt")
 		if caught&signalBit(syscall.SIGURG) == 0 {
 			// The runtime has not started.
 			continue
@@ -42,12 +43,18 @@
 // signalBit returns the bit of a signal in a mask.
 func signalBit(signal syscall.Signal) uint64 { return 1 << (signal - 1) }
 
-// signalMask returns a mask of signals from the status of a process.
-func signalMask(t *testing.T, process int, name string) uint64 {
+// processStatus returns the status of a process at one moment.
+func processStatus(t *testing.T, process int) string {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
 	assert.NilError(t, err)
-	_, rest, found := strings.Cut(string(status), name+":")
+	return string(status)
+}
+
+// signalMask returns a mask of signals from the status of a process.
+func signalMask(t *testing.T, status, name string) uint64 {
+	t.Helper()
+	_, rest, found := strings.Cut(status, name+":")
 	assert.Assert(t, found, "no field %s", name)
 	text, _, _ := strings.Cut(rest, "\n")
 	mask, err := strconv.ParseUint(strings.TrimSpace(text), 16, 64)
