Answers behind the beginning of another are not joined to it

A faulty replica writes the beginning of an earlier refusal, cut at any byte, and then its whole answer.

Cause: the line that was cut ends with the line feed of the next answer's status line. Both are read as one head: status and "not run" of the refusal, ID, seal and body of the answer. By the grammar any text is a reason or the value of a field, and the ID is the right one.

Change: verifier takes no head or trailer whose reason or field holds a status line (ErrNested), for all six readers. What stands behind the cut is not used either: which lines belong to it cannot be told. A booking has an unknown outcome (502) then, a request that may be repeated goes elsewhere. A server that puts a whole status line into a field of its own is no longer understood.

--- a/internal/wire/verifier/verify.go
+++ b/internal/wire/verifier/verify.go
@@ -1,5 +1,5 @@
 // Package verifier checks the heads and trailers of answers against the grammar of HTTP/1.1 (RFC 9112), which HTTP
-// libraries apply loosely: what is no answer by the grammar is not taken for one.
+// libraries apply loosely: what is no answer by the grammar, or may be parts of two, is not taken for one.
 package verifier
 
 import (
@@ -20,6 +20,9 @@
 var (
 	// ErrMalformed means that bytes are no answer by the grammar.
 	ErrMalformed = faults.NewType("malformed").New("no answer by the grammar of HTTP/1.1")
+	// ErrNested means that a head holds the status line of another answer: it may be the beginning of one, which its
+	// sender left unfinished, and the whole other one.
+	ErrNested = faults.NewType("nested").New("status line within the head of an answer")
 	// ErrTooLarge means that a head is larger than the buffer for it.
 	ErrTooLarge = faults.NewType("tooLarge").New("head of an answer is too large")
 )
@@ -87,7 +90,8 @@
 }
 
 // scanHead returns the length and the status of the head at the beginning of what has been received,
-// or a length of 0 if it has not arrived whole. It returns ErrMalformed as soon as that is certain.
+// or a length of 0 if it has not arrived whole. It returns ErrMalformed or ErrNested as soon as
+// that is certain.
 func scanHead(received []byte) (length, status int, err error) {
 	line, rest, whole := bytes.Cut(received, []byte{'\n'})
 	if !whole {
@@ -106,7 +110,7 @@
 
 // scanFields returns the length of the fields at the beginning of what has been received, with the empty line
 // that ends them, or 0 if they have not arrived whole. mayEncode is set if the body may have a transfer
-// encoding. It returns ErrMalformed as soon as that is certain.
+// encoding. It returns ErrMalformed or ErrNested as soon as that is certain.
 func scanFields(received []byte, mayEncode bool) (int, error) {
 	rest := received
 	for {
@@ -124,6 +128,9 @@
 		if !found || !hasValue || !isToken(name) || !isText(value) || !mayEncode && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
 			return 0, fmt.Errorf("%w: field %.64q", ErrMalformed, line)
 		}
+		if holdsStatusLine(value) {
+			return 0, fmt.Errorf("%w: field %.64q", ErrNested, line)
+		}
 	}
 }
 
@@ -155,19 +162,45 @@
 	return nil
 }
 
-// parseStatusLine returns the status code of a status line without its line feed. As many servers do,
-// it may leave out the space before an empty reason.
+// parseStatusLine returns the status code of a status line without its line feed.
 func parseStatusLine(line []byte) (int, error) {
 	text, found := bytes.CutSuffix(line, []byte{'\r'})
-	version, rest, _ := bytes.Cut(text, []byte{' '})
-	code, reason, _ := bytes.Cut(rest, []byte{' '})
-	status := parseStatus(code)
-	if !found || string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" || status < minStatus || status > maxStatus || !isText(reason) {
+	status, reason := splitStatusLine(text)
+	if !found || status == 0 || !isText(reason) {
 		return 0, fmt.Errorf("%w: status line %.64q", ErrMalformed, line)
 	}
+	if holdsStatusLine(reason) {
+		return 0, fmt.Errorf("%w: status line %.64q", ErrNested, line)
+	}
 	return status, nil
 }
 
+// splitStatusLine returns the parts of a status line without its end, or a status of 0 if text is none. As many
+// servers do, it may leave out the space before an empty reason.
+func splitStatusLine(text []byte) (status int, reason []byte) {
+	version, rest, _ := bytes.Cut(text, []byte{' '})
+	code, reason, _ := bytes.Cut(rest, []byte{' '})
+	status = parseStatus(code)
+	if string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" || status < minStatus || status > maxStatus {
+		return 0, nil
+	}
+	return status, reason
+}
+
+// holdsStatusLine reports whether a status line begins anywhere within text.
+func holdsStatusLine(text []byte) bool {
+	for {
+		i := bytes.Index(text, []byte(versionPrefix))
+		if i < 0 {
+			return false
+		}
+		if status, _ := splitStatusLine(text[i:]); status != 0 {
+			return true
+		}
+		text = text[i+len(versionPrefix):]
+	}
+}
+
 // parseStatus returns the number of three digits, 0 for anything else.
 func parseStatus(code []byte) int {
 	if len(code) != 3 {
--- a/internal/wire/verifier/verify_test.go
+++ b/internal/wire/verifier/verify_test.go
@@ -116,9 +116,43 @@
 	assert.ErrorIs(t, err, ErrMalformed)
 }
 
+// nestedLines end with the status line of another answer.
+var nestedLines = []string{
+	"X-A: the queHTTP/1.1 200 OK", "X-A: HTTP/1.1 200 OK", "X-A:HTTP/1.0 503 ", "X-A: 1HTTP/1.1 200", "X-A: HTTP/1.HTTP/1.1 200 OK", "X-A: HTTP/1.1 HTTP/1.1 200 OK",
+	"X-A: HTTP/1.1 200 OHTTP/1.1 200 OK", "X-A: 1HTTP/1.1 100 Continue", "X-A: 1HTTP/1.1 599 a b",
+}
+
+// TestHeadsWithinHeadsAreNoAnswers guards against the beginning of an answer, cut at any byte, that is read as one head
+// with the answer behind it.
+func TestHeadsWithinHeadsAreNoAnswers(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	for _, line := range nestedLines {
+		heads := []string{
+			status + line + "\r\n" + fields, status + "X-B: 1\r\n" + line + "\r\n" + fields, "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + fields,
+			"HTTP/1.1 503" + strings.TrimPrefix(line, "X-A:") + "\r\n" + fields, "HTTP/1.1 503 Service" + strings.TrimPrefix(line, "X-A: ") + "\r\n" + fields,
+		}
+		for _, head := range heads {
+			if strings.HasPrefix(head, "HTTP/1.1 503H") {
+				// There is no space behind the status.
+				continue
+			}
+			_, err := readHead(t, head)
+			assert.ErrorIs(t, err, ErrNested, "%q", head)
+			got, err := readChecked(strings.NewReader(head + "ok"))
+			assert.ErrorIs(t, err, ErrNested, "%q: %q", head, got)
+			assert.Equal(t, got, "", "%q", head)
+		}
+		var trailer fasthttp.ResponseHeader
+		assert.ErrorIs(t, ReadTrailer(bufio.NewReader(strings.NewReader(line+"\r\n\r\n")), &trailer), ErrNested, "%q", line)
+	}
+}
+
 // TestSoundFieldsPass has fields of all forms that the grammar allows.
 func TestSoundFieldsPass(t *testing.T) {
-	for _, field := range []string{"X-A:", "X-A:1", "x-a:\t 1 \t", "!#$%&'*+-.^_`|~09: \xfc \"(,/:;<=>?@[\\]{}", "X-A: a\tb", "X-Cookie: a=b; c", "1: 2"} {
+	for _, field := range []string{
+		"X-A:", "X-A:1", "x-a:\t 1 \t", "!#$%&'*+-.^_`|~09: \xfc \"(,/:;<=>?@[\\]{}", "X-A: a\tb", "X-Cookie: a=b; c", "1: 2",
+		"Via: 1.1 a, HTTP/1.1 b", "Upgrade: HTTP/2.0, HTTP/1.1", "X-A: HTTP/1.1 2000 OK", "X-A: HTTP/1.1 20", "X-A: HTTP/1.2 200 OK", "X-A: HTTP/1.1  200", "X-A: HTTP/2 200 OK", "X-A: HTTP/1.",
+	} {
 		header, err := readHead(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n"+fields)
 		assert.NilError(t, err, "%q", field)
 		assert.Equal(t, header.ContentLength(), 2)
@@ -193,13 +227,20 @@
 	for _, field := range malformedFields {
 		f.Add("HTTP/1.1 200 OK\r\n" + field + "\r\n" + fields)
 	}
+	for _, line := range nestedLines {
+		f.Add("HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields)
+		f.Add("HTTP/1.1 200 " + line + "\r\n" + fields)
+	}
+	nested := regexp.MustCompile(`.HTTP/1\.[01] [1-5][0-9]{2}[ \r]`)
 	model := regexp.MustCompile(`^(?s:HTTP/1\.[01] [1-5][0-9]{2}(?: [\t -~\x{80}-\x{ff}]*)?\r\n(?:[-!#$%&'*+.^_\x60|~0-9A-Za-z]+:[\t -~\x{80}-\x{ff}]*\r\n)*\r\n)`)
 	f.Fuzz(func(t *testing.T, head string) {
 		header, err := readHead(t, head)
 		if err == nil {
 			status := header.StatusCode()
 			assert.Assert(t, status >= minStatus && status <= maxStatus, "%q", head)
-			assert.Assert(t, model.MatchString(latin1(head)), "%q", head)
+			text := model.FindString(latin1(head))
+			assert.Assert(t, text != "", "%q", head)
+			assert.Assert(t, !nested.MatchString(text), "%q", head)
 		}
 	})
 }
--- a/peer/engine/form_test.go
+++ b/peer/engine/form_test.go
@@ -37,3 +37,17 @@
 		assert.Check(t, errors.Is(err, ErrExchangeFailed), "%q: %d tokens, %v", field, tokens, err)
 	}
 }
+
+// TestAnswersBehindCutAnswersAreNotJoinedToThem guards against the beginning of an answer that is read as one head
+// with the answer behind it.
+func TestAnswersBehindCutAnswersAreNotJoinedToThem(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OHTTP/1.1 503 Full", "HTTP/1.1 200 HTTP/1.1 503 Full", "HTTP/1.1 200 OK\r\nX-B: 1HTTP/1.1 503 Full", "HTTP/1.1 103 EarlyHTTP/1.1 200 OK"} {
+		c := serve(t, func(id string, w io.Writer) {
+			_, _ = fmt.Fprintf(w, "%s\r\n%s: %s\r\nConnection: close\r\n\r\n", head, HeaderRequestID, id)
+			writeEvent(w, "token", id, 0)
+			writeEvent(w, "end", id, 1)
+		})
+		tokens, err := generate(c, time.Second)
+		assert.Check(t, errors.Is(err, ErrExchangeFailed), "%q: %d tokens, %v", head, tokens, err)
+	}
+}
--- a/peer/hosts/form_test.go
+++ b/peer/hosts/form_test.go
@@ -48,3 +48,12 @@
 		assert.Check(t, err != nil, "%q: %v", field, got)
 	}
 }
+
+// TestAnswersBehindCutAnswersAreNotJoinedToThem guards against the beginning of an answer that is read as one head
+// with the answer behind it.
+func TestAnswersBehindCutAnswersAreNotJoinedToThem(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OHTTP/1.1 503 Full", "HTTP/1.1 200 HTTP/1.1 503 Full", "HTTP/1.1 200 OK\r\nX-B: 1HTTP/1.1 503 Full", "HTTP/1.1 103 EarlyHTTP/1.1 200 OK"} {
+		got, err := New(serveOnce(t, head+"\r\nContent-Length: 2\r\n\r\n[]")).List()
+		assert.Check(t, err != nil, "%q: %v", head, got)
+	}
+}
--- a/peer/replica/cut_test.go
+++ b/peer/replica/cut_test.go
@@ -42,16 +42,23 @@
 
 // readCut returns the body of an answer of which only the given bytes arrive.
 func readCut(text string, atOnce int, end error) ([]byte, error) {
+	_, body, err := exchangeCut(text, atOnce, end)
+	return body, err
+}
+
+// exchangeCut returns the status and the body of an answer of which only the given bytes arrive.
+func exchangeCut(text string, atOnce int, end error) (status int, body []byte, err error) {
 	c := newClient()
 	c.dial = func(context.Context, string) (net.Conn, error) {
 		return &cutConn{unread: text, atOnce: atOnce, end: end}, nil
 	}
 	answer, err := c.Do(context.Background(), request("192.0.2.1:80", "r", "x"))
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	defer answer.Close()
-	return answer.ReadAll(1 << 20)
+	body, err = answer.ReadAll(1 << 20)
+	return answer.Header().StatusCode(), body, err
 }
 
 // TestAnswersCutAtAnyByteFail guards against answers that look whole though their replica stopped on the
