Bodies in chunks are read by the grammar

What callers would see (no report): a body in chunks counts as whole though a line before a chunk was cut and goes on with the status line of the next answer, or holds control characters; for four of the readers also though its trailer holds what is no field.

Cause: both libraries skip whatever stands behind the size of a chunk, and the one behind plainservice, exchanger, hosts and operator takes trailers as they come.

Change: verifier.ChunkedReader in place of the library's for the client of the replicas, and Conn scans chunks and trailers on the way to a library. Sizes, extensions, line ends and fields conform to the grammar or the answer is none.

Sound bodies of all forms pass byte for byte.

--- /dev/null
+++ b/internal/wire/verifier/chunk.go
@@ -0,0 +1,218 @@
+package verifier
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+const (
+	// maxChunkLineBytes bounds the line before a chunk.
+	maxChunkLineBytes = 4 << 10
+	// maxOverheadBytes bounds what the lines before chunks may have beyond allowedOverhead for each chunk and
+	// twice the bytes in it.
+	maxOverheadBytes, allowedOverhead = 16 << 10, 16
+	// lineEnd ends chunks.
+	lineEnd = "\r\n"
+)
+
+// ChunkedReader reads a body in chunks that conform to the grammar. It ends behind the last chunk, where the trailer
+// follows.
+type ChunkedReader struct {
+	reader *bufio.Reader
+	// remaining counts the bytes that are left of a chunk. endsChunk is set while the line end behind one has
+	// not been read.
+	remaining uint64
+	endsChunk bool
+	// overhead is what the lines so far had beyond what is allowed.
+	overhead int
+	// err is what all further reads return.
+	err error
+}
+
+// NewChunkedReader returns a reader of the chunks that begin at the next byte.
+func NewChunkedReader(reader *bufio.Reader) *ChunkedReader { return &ChunkedReader{reader: reader} }
+
+// Read implements io.Reader. It does not wait for more than the next byte of the body.
+func (r *ChunkedReader) Read(p []byte) (int, error) {
+	if len(p) == 0 || r.err != nil {
+		return 0, r.err
+	}
+	if r.remaining == 0 {
+		if r.err = r.beginChunk(); r.err != nil {
+			return 0, r.err
+		}
+	}
+	n, err := r.reader.Read(p[:min(uint64(len(p)), r.remaining)])
+	r.remaining -= uint64(n)
+	r.endsChunk = r.remaining == 0
+	if err != nil {
+		r.err = incomplete(err, true)
+	}
+	return n, r.err
+}
+
+// beginChunk reads what stands before the next chunk. It returns io.EOF behind the last one.
+func (r *ChunkedReader) beginChunk() error {
+	if r.endsChunk {
+		end, err := r.reader.Peek(len(lineEnd))
+		if err != nil {
+			return fmt.Errorf("read end of chunk: %w", incomplete(err, true))
+		}
+		if string(end) != lineEnd {
+			return fmt.Errorf("%w: %q behind a chunk", ErrMalformed, end)
+		}
+		_, _ = r.reader.Discard(len(lineEnd))
+		r.endsChunk = false
+	}
+	line, err := r.reader.ReadSlice('\n')
+	if err != nil {
+		return fmt.Errorf("read size of chunk: %w", incomplete(err, true))
+	}
+	if r.remaining, err = parseChunkLine(line[:len(line)-1]); err != nil {
+		return err
+	}
+	if r.remaining == 0 {
+		return io.EOF
+	}
+	r.overhead += len(line) - allowedOverhead
+	r.overhead = max(0, r.overhead-2*int(min(r.remaining, maxOverheadBytes)))
+	if len(line) > maxChunkLineBytes || r.overhead > maxOverheadBytes {
+		return fmt.Errorf("%w: lines of chunks", ErrTooLarge)
+	}
+	return nil
+}
+
+// chunkScanner scans a body in chunks, piece by piece, with its trailer.
+type chunkScanner struct {
+	// remaining counts the bytes that are left of a chunk. endsChunk is set while the line end behind one has
+	// not been scanned.
+	remaining uint64
+	endsChunk bool
+	// inTrailer is set behind the last chunk, and done behind the trailer.
+	inTrailer, done bool
+	// line holds the beginning of a line whose end has not arrived.
+	line []byte
+}
+
+// scan scans the next bytes.
+func (s *chunkScanner) scan(p []byte) error {
+	for len(p) > 0 && !s.done {
+		if s.remaining > 0 {
+			n := min(uint64(len(p)), s.remaining)
+			p, s.remaining = p[n:], s.remaining-n
+			continue
+		}
+		part, rest, whole := bytes.Cut(p, []byte{'\n'})
+		if len(s.line)+len(part) > maxChunkLineBytes {
+			return fmt.Errorf("%w: line among chunks", ErrTooLarge)
+		}
+		s.line = append(s.line, part...)
+		if !whole {
+			return nil
+		}
+		if err := s.scanLine(s.line); err != nil {
+			return err
+		}
+		p, s.line = rest, s.line[:0]
+	}
+	return nil
+}
+
+// scanLine scans a line without its line feed.
+func (s *chunkScanner) scanLine(line []byte) error {
+	isEmpty := string(line) == "\r"
+	switch {
+	case s.inTrailer && isEmpty:
+		s.done = true
+	case s.inTrailer:
+		if _, err := parseField(line); err != nil {
+			return fmt.Errorf("check trailer: %w", err)
+		}
+	case s.endsChunk && !isEmpty:
+		return fmt.Errorf("%w: %.64q behind a chunk", ErrMalformed, line)
+	case s.endsChunk:
+		s.endsChunk = false
+	default:
+		size, err := parseChunkLine(line)
+		if err != nil {
+			return err
+		}
+		s.remaining, s.endsChunk, s.inTrailer = size, size > 0, size == 0
+	}
+	return nil
+}
+
+// parseChunkLine returns the size in the line before a chunk, without its line feed.
+func parseChunkLine(line []byte) (uint64, error) {
+	text, found := bytes.CutSuffix(line, []byte{'\r'})
+	digits, extensions := text, []byte(nil)
+	if i := bytes.IndexAny(text, "; \t"); i >= 0 {
+		digits, extensions = text[:i], text[i:]
+	}
+	size, err := strconv.ParseUint(string(digits), 16, 63)
+	if err != nil || !found || !areExtensions(extensions) {
+		return 0, fmt.Errorf("%w: size of chunk %.64q", ErrMalformed, line)
+	}
+	return size, nil
+}
+
+// areExtensions reports whether text holds chunk extensions, or nothing.
+func areExtensions(text []byte) bool {
+	for len(text) > 0 {
+		var ok bool
+		if text, ok = cutSeparator(text, ';'); !ok {
+			return false
+		}
+		if text, ok = cutToken(text); !ok {
+			return false
+		}
+		rest, ok := cutSeparator(text, '=')
+		if !ok {
+			continue
+		}
+		if text, ok = cutToken(rest); ok {
+			continue
+		}
+		if text, ok = cutQuoted(rest); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// cutSeparator cuts a separator from the beginning of text, with the blanks around it.
+func cutSeparator(text []byte, separator byte) ([]byte, bool) {
+	rest := bytes.TrimLeft(text, " \t")
+	if len(rest) == 0 || rest[0] != separator {
+		return text, false
+	}
+	return bytes.TrimLeft(rest[1:], " \t"), true
+}
+
+// cutToken cuts a token from the beginning of text.
+func cutToken(text []byte) ([]byte, bool) {
+	n := 0
+	for n < len(text) && tokenCharacters[text[n]] {
+		n++
+	}
+	return text[n:], n > 0
+}
+
+// cutQuoted cuts a quoted string from the beginning of text.
+func cutQuoted(text []byte) ([]byte, bool) {
+	if len(text) == 0 || text[0] != '"' {
+		return text, false
+	}
+	for i := 1; i < len(text); i++ {
+		switch {
+		case text[i] == '"':
+			return text[i+1:], isText(text[1:i])
+		case text[i] == '\\':
+			i++
+		}
+	}
+	return text, false
+}
--- a/internal/wire/verifier/conn.go
+++ b/internal/wire/verifier/conn.go
@@ -18,7 +18,8 @@
 )
 
 // Conn is a connection to a server whose answers a library reads: it yields the bytes of a head only
-// once the whole head conforms to the grammar. One goroutine at a time may use it, but for Close.
+// once the whole head conforms to the grammar, and those of a body in chunks only if the lines among them
+// do. One goroutine at a time may use it, but for Close.
 type Conn struct {
 	net.Conn
 	// awaitsHead is set from a write until the head of the final answer to it has been checked.
@@ -26,6 +27,8 @@
 	// received holds bytes that were read ahead. The first checked of them may be returned.
 	received []byte
 	checked  int
+	// chunks scans the body if it is sent in chunks; nil if it is not.
+	chunks *chunkScanner
 }
 
 // NewConn returns a connection that checks the answers on another one.
@@ -45,7 +48,7 @@
 	if len(c.received) > 0 {
 		return 0, fmt.Errorf("%w: %d bytes behind an answer", ErrMalformed, len(c.received))
 	}
-	c.awaitsHead = true
+	c.awaitsHead, c.chunks = true, nil
 	return c.Conn.Write(p)
 }
 
@@ -57,7 +60,11 @@
 		}
 	}
 	if c.checked == 0 {
-		return c.Conn.Read(p)
+		n, err := c.Conn.Read(p)
+		if err := c.scanBody(p[:n]); err != nil {
+			return 0, err
+		}
+		return n, err
 	}
 	n := copy(p, c.received[:c.checked])
 	c.received, c.checked = c.received[n:], c.checked-n
@@ -66,20 +73,34 @@
 
 // checkHead checks the next head. What has arrived behind that of a final answer may be returned, too.
 func (c *Conn) checkHead() error {
-	length, status, err := scanHead(c.received[c.checked:])
+	head, err := scanHead(c.received[c.checked:])
 	switch {
 	case err != nil:
 		return err
-	case length == 0:
+	case head.length == 0:
 		return c.receive()
-	case status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols:
-		c.checked += length
+	case head.status < fasthttp.StatusOK && head.status != fasthttp.StatusSwitchingProtocols:
+		c.checked += head.length
 		return nil
 	}
+	if head.encoded {
+		c.chunks = &chunkScanner{}
+	}
+	if err := c.scanBody(c.received[c.checked+head.length:]); err != nil {
+		return err
+	}
 	c.awaitsHead, c.checked = false, len(c.received)
 	return nil
 }
 
+// scanBody scans bytes behind the head.
+func (c *Conn) scanBody(p []byte) error {
+	if c.chunks == nil {
+		return nil
+	}
+	return c.chunks.scan(p)
+}
+
 // receive reads more of a head.
 func (c *Conn) receive() error {
 	if len(c.received) >= maxHeadBytes {
--- a/internal/wire/verifier/verify.go
+++ b/internal/wire/verifier/verify.go
@@ -38,8 +38,8 @@
 // the connection ends before the first byte.
 func ReadHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	err := await(reader, func(received []byte) (int, error) {
-		length, _, err := scanHead(received)
-		return length, err
+		head, err := scanHead(received)
+		return head.length, err
 	})
 	if err != nil {
 		return fmt.Errorf("check head: %w", err)
@@ -52,7 +52,11 @@
 
 // ReadTrailer reads the fields behind the last chunk of a body, if they conform to the grammar.
 func ReadTrailer(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
-	if err := await(reader, func(received []byte) (int, error) { return scanFields(received, true) }); err != nil {
+	err := await(reader, func(received []byte) (int, error) {
+		length, _, err := scanFields(received, true)
+		return length, err
+	})
+	if err != nil {
 		return fmt.Errorf("check trailer: %w", err)
 	}
 	if err := header.ReadTrailer(reader); err != nil {
@@ -89,51 +93,73 @@
 	return err
 }
 
-// scanHead returns the length and the status of the head at the beginning of what has been received,
-// or a length of 0 if it has not arrived whole. It returns ErrMalformed or ErrNested as soon as
-// that is certain.
-func scanHead(received []byte) (length, status int, err error) {
+// head is what a head says of itself and of the body behind it.
+type head struct {
+	// length is 0 if the head has not arrived whole.
+	length, status int
+	// encoded is set if the body has a transfer encoding.
+	encoded bool
+}
+
+// scanHead scans the head at the beginning of what has been received. It returns ErrMalformed or ErrNested as
+// soon as that is certain.
+func scanHead(received []byte) (head, error) {
 	line, rest, whole := bytes.Cut(received, []byte{'\n'})
 	if !whole {
-		return 0, 0, checkBeginning(line)
+		return head{}, checkBeginning(line)
 	}
-	status, err = parseStatusLine(line)
+	status, err := parseStatusLine(line)
 	if err != nil {
-		return 0, 0, err
+		return head{}, err
 	}
-	length, err = scanFields(rest, line[len(versionPrefix)] != '0')
+	length, encoded, err := scanFields(rest, line[len(versionPrefix)] != '0')
 	if length > 0 {
 		length += len(received) - len(rest)
 	}
-	return length, status, err
+	return head{length, status, encoded}, err
 }
 
 // scanFields returns the length of the fields at the beginning of what has been received, with the empty line
 // that ends them, or 0 if they have not arrived whole. mayEncode is set if the body may have a transfer
-// encoding. It returns ErrMalformed or ErrNested as soon as that is certain.
-func scanFields(received []byte, mayEncode bool) (int, error) {
+// encoding, encoded if it has one. It returns ErrMalformed or ErrNested as soon as that is certain.
+func scanFields(received []byte, mayEncode bool) (length int, encoded bool, err error) {
 	rest := received
 	for {
 		line, after, whole := bytes.Cut(rest, []byte{'\n'})
 		if !whole {
-			return 0, nil
+			return 0, encoded, nil
 		}
 		rest = after
 		if string(line) == "\r" {
-			return len(received) - len(rest), nil
+			return len(received) - len(rest), encoded, nil
 		}
-		// A line that begins with a blank continues the one before it in an obsolete form, which may be refused.
-		text, found := bytes.CutSuffix(line, []byte{'\r'})
-		name, value, hasValue := bytes.Cut(text, []byte{':'})
-		if !found || !hasValue || !isToken(name) || !isText(value) || !mayEncode && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
-			return 0, fmt.Errorf("%w: field %.64q", ErrMalformed, line)
+		name, err := parseField(line)
+		if err != nil {
+			return 0, encoded, err
 		}
-		if holdsStatusLine(value) {
-			return 0, fmt.Errorf("%w: field %.64q", ErrNested, line)
+		if bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+			if !mayEncode {
+				return 0, encoded, fmt.Errorf("%w: field %.64q", ErrMalformed, line)
+			}
+			encoded = true
 		}
 	}
 }
 
+// parseField returns the name of a field in a line without its line feed.
+func parseField(line []byte) ([]byte, error) {
+	// A line that begins with a blank continues the one before it in an obsolete form, which may be refused.
+	text, found := bytes.CutSuffix(line, []byte{'\r'})
+	name, value, hasValue := bytes.Cut(text, []byte{':'})
+	if !found || !hasValue || !isToken(name) || !isText(value) {
+		return nil, fmt.Errorf("%w: field %.64q", ErrMalformed, line)
+	}
+	if holdsStatusLine(value) {
+		return nil, fmt.Errorf("%w: field %.64q", ErrNested, line)
+	}
+	return name, nil
+}
+
 // tokenCharacters holds the characters of tokens, which names of fields are.
 var tokenCharacters = func() (set [256]bool) {
 	const others = "!#$%&'*+-.^_`|~"
--- a/peer/plainservice/form_test.go
+++ b/peer/plainservice/form_test.go
@@ -43,3 +43,12 @@
 		assert.Check(t, errors.Is(err, ErrUnknownOutcome), "%q: %v", head, answer)
 	}
 }
+
+// TestAnswersWithMalformedChunksAreNoAnswers guards against a body in chunks that counts as whole with the beginning of
+// the next answer, or with lines that are no chunks.
+func TestAnswersWithMalformedChunksAreNoAnswers(t *testing.T) {
+	for _, end := range []string{"000HTTP/1.1 200 OK\r\nX-B: 1\r\n\r\n", "0;aHTTP/1.1 200 OK\r\n\r\n", "0x\r\n\r\n", "0\r\nX A: 1\r\n\r\n", "0\r\nX-A: 1HTTP/1.1 200 OK\r\n\r\n"} {
+		answer, err := answerOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbooked\r\n" + end)
+		assert.Check(t, errors.Is(err, ErrUnknownOutcome), "%q: %v", end, answer)
+	}
+}
--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http/httputil"
 	"slices"
 	"strconv"
 	"time"
@@ -135,7 +134,7 @@
 		a.body = io.LimitReader(a.conn.reader, int64(length))
 	case length == -1:
 		a.delimited, a.chunked = true, true
-		a.body = httputil.NewChunkedReader(a.conn.reader)
+		a.body = verifier.NewChunkedReader(a.conn.reader)
 	default:
 		a.body = a.conn.reader
 	}
