Tests of chunks: long lines behind Conn, an answer after a HEAD's

By hand each check of verifier was left out or loosened, 31 variants, and the tests of verifier and replica run: two were not noticed, the bound of lines among chunks in Conn and the end of the scan with the next request; a third only through a buffer.

--- a/internal/wire/verifier/chunk_test.go
+++ b/internal/wire/verifier/chunk_test.go
@@ -29,7 +29,7 @@
 // readChunks returns a body in chunks that arrives in one piece, and byte by byte.
 func readChunks(t *testing.T, text string) (string, error) {
 	t.Helper()
-	body, err := io.ReadAll(NewChunkedReader(bufio.NewReader(strings.NewReader(text))))
+	body, err := io.ReadAll(NewChunkedReader(bufio.NewReaderSize(strings.NewReader(text), 2*maxChunkLineBytes)))
 	slowBody, slowErr := io.ReadAll(NewChunkedReader(bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))))
 	assert.Equal(t, err == nil, slowErr == nil, "%q: %v, %v", text, err, slowErr)
 	assert.Equal(t, string(body), string(slowBody), "%q", text)
@@ -113,6 +113,25 @@
 	assert.NilError(t, err)
 	_, err = readChunks(t, strings.Repeat(long, 32)+"0\r\n")
 	assert.ErrorIs(t, err, ErrTooLarge)
-	_, err = readChunks(t, "1;"+strings.Repeat("a", maxChunkLineBytes)+"\r\nb\r\n0\r\n")
+	tooLong := "1;" + strings.Repeat("a", maxChunkLineBytes) + "\r\nb\r\n0\r\n"
+	_, err = readChunks(t, tooLong)
 	assert.ErrorIs(t, err, ErrTooLarge)
+	_, err = readChecked(strings.NewReader(chunkedHead + tooLong + "\r\n"))
+	assert.ErrorIs(t, err, ErrTooLarge)
+}
+
+// TestAnswerAfterOneWithoutItsBodyIsWhole guards against an answer that is refused since the one before it on the
+// connection, to a HEAD, has announced chunks.
+func TestAnswerAfterOneWithoutItsBodyIsWhole(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\n" + fields + "o\n"
+	server := &serverConn{unread: strings.NewReader(chunkedHead)}
+	conn := NewConn(server)
+	for _, want := range []string{chunkedHead, answer, chunkedHead + "0\r\n\r\n", answer} {
+		server.unread = strings.NewReader(want)
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
+		assert.NilError(t, err)
+		got, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), want)
+	}
 }
