Spreader: candidates take over from watchers that the store no longer answers

Cause: a daemon counted as watching as long as it answered its peers, whether or not the store answered it.

Change: one daemon of each region watches, 1.7 s a call, and reports each answer of the store to the six others with the lowest ranks at once. A candidate that has not heard of one for 2 s calls the store itself, in the order of ranks, 50 ms apart, first without a wait. Of two watchers the one of the lower rank goes on.

Evidence: TestRevisionsReachEveryDaemonWhicheverWatchersAreCutOff, red before, has fleets of 5, 12 and 360 daemons now, one to five of six candidates of each region cut off from the store, the others or both, at three phases of a watch; TestLateTakeoverIsNoticed keeps three broken variants.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -249,7 +249,7 @@
 
 // ToSyncMessage returns the message that carries a gossip state of the named daemon.
 func ToSyncMessage(name string, state spreader.SyncState) *link.SyncState {
-	result := &link.SyncState{Daemon: name, Digest: state.Digest, Full: state.Full, Revisions: state.Revisions}
+	result := &link.SyncState{Daemon: name, Digest: state.Digest, Full: state.Full, Revisions: state.Revisions, Watcher: state.Watcher}
 	for _, document := range state.Documents {
 		result.Documents = append(result.Documents, link.Document(document))
 	}
@@ -258,7 +258,7 @@
 
 // FromSyncMessage returns the gossip state in a message.
 func FromSyncMessage(state *link.SyncState) spreader.SyncState {
-	result := spreader.SyncState{Digest: state.Digest, Full: state.Full, Revisions: state.Revisions}
+	result := spreader.SyncState{Digest: state.Digest, Full: state.Full, Revisions: state.Revisions, Watcher: state.Watcher}
 	for _, document := range state.Documents {
 		result.Documents = append(result.Documents, spreader.Document(document))
 	}
--- a/peer/link/message.go
+++ b/peer/link/message.go
@@ -205,6 +205,8 @@
 	Revisions map[string]uint64 `cbor:"revisions,omitempty"`
 	// Documents holds documents that the receiver lacks or has in an older revision.
 	Documents []Document `cbor:"documents,omitempty"`
+	// Watcher is the sender's address if the store has just answered its watch.
+	Watcher string `cbor:"watcher,omitempty"`
 }
 
 // Document is one accepted revision of a service document.
--- a/spreader/fleet_test.go
+++ b/spreader/fleet_test.go
@@ -40,6 +40,7 @@
 // network is a simulated fleet with its store. It runs in the virtual time of a
 // testing/synctest bubble.
 type network struct {
+	options    spreader.Options
 	storeState *keyvalue.State
 	daemons    map[string]*daemon
 	addresses  []string
@@ -60,7 +61,12 @@
 }
 
 func newNetwork(daemons, regions int, seed uint64, faults keyvalue.Faults) *network {
+	return newNetworkWith(spreader.DefaultOptions, daemons, regions, seed, faults)
+}
+
+func newNetworkWith(options spreader.Options, daemons, regions int, seed uint64, faults keyvalue.Faults) *network {
 	n := &network{
+		options:    options,
 		storeState: keyvalue.New(timekeeper.System{}, seed), daemons: map[string]*daemon{}, down: map[string]bool{}, storeCut: map[string]bool{},
 		random: spreader.Random(seed), stop: make(chan struct{}), ready: make(chan struct{}),
 	}
@@ -99,7 +105,7 @@
 		return n.storeCut[d.address]
 	}
 	source := spreader.Source{Store: cuttableStore(n.storeState.Store(), isCut), Prefix: "config/", Parse: parse}
-	d.gossip = spreader.NewGossip(d.table, timekeeper.System{}, n.random, peers, source, spreader.DefaultOptions, func(error) {})
+	d.gossip = spreader.NewGossip(d.table, timekeeper.System{}, n.random, peers, source, n.options, func(error) {})
 	n.done.Add(1)
 	go func() {
 		defer n.done.Done()
@@ -242,6 +248,11 @@
 			assert.Equal(t, missing, 0, "revision %d", revision)
 			t.Logf("revision %d: median %s, last %s, %d daemons", revision, delays[len(delays)/2], delays[len(delays)-1], len(delays))
 		}
+		n.mu.Lock()
+		clear(n.down)
+		n.lossPercent = 0
+		n.mu.Unlock()
+		<-time.After(10 * time.Second)
 		reads := n.storeState.Counts().Reads
 		<-time.After(time.Minute)
 		t.Logf("store at rest: %.2f calls a second for 360 daemons", float64(n.storeState.Counts().Reads-reads)/60)
@@ -345,7 +356,7 @@
 	smallDown, smallUp := countReads(120)
 	largeDown, largeUp := countReads(360)
 	t.Logf("calls in 10 s with the store down: %d of 120 daemons, %d of 360; then up: %d and %d", smallDown, largeDown, smallUp, largeUp)
-	// Three watchers in each of seven regions, at most two tries a second each.
+	// Three tries at once in each of seven regions, at most two a second each.
 	assert.Check(t, smallDown <= 3*7*2*10 && largeDown <= 3*7*2*10)
 	assert.Check(t, smallUp <= 3*7*3 && largeUp <= 3*7*3)
 }
--- a/spreader/gossip.go
+++ b/spreader/gossip.go
@@ -27,11 +27,12 @@
 	Revisions map[string]uint64
 	// Documents are revisions that the receiver lacks.
 	Documents []Document
+	// Watcher is the sender's address if the store has just answered its watch, "" otherwise.
+	Watcher string
 }
 
-// Options are the intervals, timeouts and counts of the gossip. ExchangeInterval and
-// WatchRetryInterval are upper bounds: each wait is a random time between half of
-// the interval and all of it.
+// Options are the intervals, timeouts and counts of the gossip. ExchangeInterval, WatchRetryInterval and
+// StandbyRetryInterval are upper bounds: each wait is a random time between half of the interval and all of it.
 type Options struct {
 	// ExchangeInterval is the time between two periodic exchanges that a daemon
 	// starts.
@@ -44,26 +45,33 @@
 	RotationInterval time.Duration
 	// ExchangeTimeout bounds the wait for one answer of a peer.
 	ExchangeTimeout time.Duration
-	// WatchersPerRegion is the number of daemons in each region that watch the
-	// store.
-	WatchersPerRegion int
+	// WatchCandidates is the number of daemons in each region of which one watches the store.
+	WatchCandidates int
 	// WatchTimeout is how long one watch call waits for a change.
 	WatchTimeout time.Duration
-	// WatchRetryInterval is the wait after a failed watch, and the time after which
-	// a daemon that is not a watcher checks whether it has become one.
-	WatchRetryInterval time.Duration
+	// WatchValidity is how long a daemon counts as watching after the store has answered it. It is longer than
+	// WatchTimeout.
+	WatchValidity time.Duration
+	// TurnDelay is the time between the calls of two candidates that take over from a watcher.
+	TurnDelay time.Duration
+	// WatchRetryInterval is the wait of the first candidate after a failed watch, and the time after which a daemon
+	// that is no candidate checks whether it has become one. StandbyRetryInterval is the wait of the other candidates.
+	WatchRetryInterval, StandbyRetryInterval time.Duration
 }
 
 // DefaultOptions bring an accepted revision to every daemon within four seconds,
 // with a margin for one lost round of exchanges.
 var DefaultOptions = Options{
-	ExchangeInterval:   time.Second,
-	Neighbours:         4,
-	RotationInterval:   time.Minute,
-	ExchangeTimeout:    400 * time.Millisecond,
-	WatchersPerRegion:  3,
-	WatchTimeout:       30 * time.Second,
-	WatchRetryInterval: time.Second,
+	ExchangeInterval:     time.Second,
+	Neighbours:           4,
+	RotationInterval:     time.Minute,
+	ExchangeTimeout:      400 * time.Millisecond,
+	WatchCandidates:      6,
+	WatchTimeout:         1700 * time.Millisecond,
+	WatchValidity:        2 * time.Second,
+	TurnDelay:            50 * time.Millisecond,
+	WatchRetryInterval:   time.Second,
+	StandbyRetryInterval: 3 * time.Second,
 }
 
 // LeafOptions are for daemons that are notified of changes by others, and start
@@ -121,8 +129,13 @@
 	exchanges  atomic.Uint64
 	storeReads atomic.Uint64
 
+	startedAt time.Time
+
 	// mu guards the fields below.
 	mu sync.Mutex
+	// answeredAt holds when the store has answered the watchers of this region, by their addresses, as this daemon
+	// knows it.
+	answeredAt map[string]time.Time
 	// neighbours holds the peers that this daemon exchanges with, chosen at
 	// neighboursChosenAt.
 	neighbours         []string
@@ -142,6 +155,7 @@
 	g := &Gossip[T]{
 		table: table, clock: clock, random: random, peers: peers, source: source,
 		options: options, reportError: reportError, cancel: cancel, unreachable: make(map[string]time.Time),
+		answeredAt: make(map[string]time.Time), startedAt: clock.Now(),
 	}
 	g.start(func() { g.exchangeLoop(ctx) })
 	g.start(func() { g.pushLoop(ctx) })
@@ -174,6 +188,9 @@
 
 // Answer applies the documents in a peer's message and returns the answer to it.
 func (g *Gossip[T]) Answer(state SyncState) SyncState {
+	if state.Watcher != "" {
+		g.recordWatcher(state.Watcher)
+	}
 	g.applyDocuments(state.Documents)
 	snapshot := g.table.Snapshot()
 	answer := SyncState{Digest: snapshot.Digest()}
@@ -189,9 +206,14 @@
 
 // Exchange brings the tables of this daemon and one peer to the same revisions.
 func (g *Gossip[T]) Exchange(ctx context.Context, peer string) error {
+	return g.exchange(ctx, peer, "")
+}
+
+// exchange is Exchange with the Watcher of the first message.
+func (g *Gossip[T]) exchange(ctx context.Context, peer, watcher string) error {
 	g.exchanges.Add(1)
 	snapshot := g.table.Snapshot()
-	answer, err := g.roundTrip(ctx, peer, SyncState{Digest: snapshot.Digest()})
+	answer, err := g.roundTrip(ctx, peer, SyncState{Digest: snapshot.Digest(), Watcher: watcher})
 	g.recordResult(peer, err)
 	if err != nil {
 		return fmt.Errorf("exchange with %s: %w", peer, err)
--- a/spreader/watch.go
+++ b/spreader/watch.go
@@ -1,35 +1,44 @@
 package spreader
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/cyclamenward/cyclamenward/keeper"
 	"github.com/zeebo/xxh3"
 )
 
-// watchLoop watches the store while this daemon is one of its region's watchers,
-// and applies the changes to the table.
+// watchLoop watches the store while it is this daemon's turn, and applies the changes to the table.
 func (g *Gossip[T]) watchLoop(ctx context.Context) {
 	var afterRevision uint64
+	// The first call does not wait, so that the other candidates know at once whether the store answers it.
+	var timeout time.Duration
 	for {
-		if !g.isWatcher() {
-			if !g.sleep(ctx, g.jitter(g.options.WatchRetryInterval)) {
+		if wait := g.untilTurn(); wait > 0 {
+			timeout = 0
+			if !g.sleep(ctx, min(wait, g.jitter(g.options.WatchRetryInterval))) {
 				return
 			}
 			continue
 		}
 		g.storeReads.Add(1)
-		entries, revision, err := g.source.Store.Watch(ctx, g.source.Prefix, afterRevision, g.options.WatchTimeout)
+		entries, revision, err := g.source.Store.Watch(ctx, g.source.Prefix, afterRevision, timeout)
 		if err != nil {
-			if !g.sleep(ctx, g.jitter(g.options.WatchRetryInterval)) {
+			// Read all entries again, because changes may have been missed.
+			afterRevision, timeout = 0, 0
+			if !g.sleep(ctx, g.jitter(g.retryInterval())) {
 				return
 			}
-			// Read all entries again, because changes may have been missed.
-			afterRevision = 0
 			continue
 		}
+		g.recordWatcher(g.peers.Self)
 		g.applyEntries(entries)
-		afterRevision = max(afterRevision, revision)
+		g.start(func() { g.reportWatch(ctx) })
+		afterRevision, timeout = max(afterRevision, revision), g.options.WatchTimeout
 	}
 }
 
@@ -45,9 +54,65 @@
 	}
 }
 
-// isWatcher reports whether this daemon is among the first WatchersPerRegion of its
-// region by rank, not counting those that are unreachable.
-func (g *Gossip[T]) isWatcher() bool {
+// untilTurn returns the time until this daemon has to call the store, 0 or less if it has to now. A candidate takes
+// over from a watcher of which it has not heard for WatchValidity, in the order of ranks. Of two watchers the one of
+// the lower rank goes on.
+func (g *Gossip[T]) untilTurn() time.Duration {
+	position := g.position()
+	if position >= g.options.WatchCandidates {
+		return g.options.WatchRetryInterval
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	watches := now.Sub(g.answeredAt[g.peers.Self]) < g.options.WatchValidity
+	// Before the start nothing can have been heard.
+	last := g.startedAt.Add(-g.options.WatchValidity)
+	for watcher, at := range g.answeredAt {
+		if watcher != g.peers.Self && at.After(last) && (!watches || rank(watcher) < rank(g.peers.Self)) {
+			last = at
+		}
+	}
+	return last.Add(g.options.WatchValidity + time.Duration(position)*g.options.TurnDelay).Sub(now)
+}
+
+// recordWatcher records that the store has just answered a daemon of this region.
+func (g *Gossip[T]) recordWatcher(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	maps.DeleteFunc(g.answeredAt, func(_ string, at time.Time) bool { return now.Sub(at) > g.options.WatchValidity })
+	g.answeredAt[address] = now
+}
+
+// reportWatch tells the other candidates that the store has answered this daemon.
+func (g *Gossip[T]) reportWatch(ctx context.Context) {
+	candidates := slices.DeleteFunc(slices.Clone(g.peers.SameRegion()), func(peer string) bool { return peer == g.peers.Self || g.isUnreachable(peer) })
+	slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	var group sync.WaitGroup
+	for _, peer := range candidates[:min(len(candidates), g.options.WatchCandidates)] {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if err := g.exchange(ctx, peer, g.peers.Self); err != nil && ctx.Err() == nil {
+				g.reportError(err)
+			}
+		}()
+	}
+	group.Wait()
+}
+
+// retryInterval returns the longest wait after a failed call. Those of all candidates together do not grow with
+// the number of daemons.
+func (g *Gossip[T]) retryInterval() time.Duration {
+	if g.position() == 0 {
+		return g.options.WatchRetryInterval
+	}
+	return g.options.StandbyRetryInterval
+}
+
+// position returns the number of daemons in this region with a lower rank, not counting those that are unreachable.
+func (g *Gossip[T]) position() int {
 	ownRank := rank(g.peers.Self)
 	lowerRanked := 0
 	for _, peer := range g.peers.SameRegion() {
@@ -55,7 +120,7 @@
 			lowerRanked++
 		}
 	}
-	return lowerRanked < g.options.WatchersPerRegion
+	return lowerRanked
 }
 
 func (g *Gossip[T]) isUnreachable(peer string) bool {
--- a/spreader/watch_test.go
+++ b/spreader/watch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cyclamenward/cyclamenward/internal/standin/keyvalue"
 	"github.com/cyclamenward/cyclamenward/keeper"
+	"github.com/cyclamenward/cyclamenward/spreader"
 	"github.com/zeebo/xxh3"
 	"gotest.tools/v3/assert"
 )
@@ -30,26 +31,107 @@
 	return store
 }
 
-// TestRevisionsReachEveryDaemonWhicheverWatchersAreCutOff guards against daemons that wait for revisions from the
-// watchers of their region while these are cut off from the store.
-func TestRevisionsReachEveryDaemonWhicheverWatchersAreCutOff(t *testing.T) {
+// answerTime is within which the store's answers have arrived.
+const answerTime = 100 * time.Millisecond
+
+// byRank returns the daemons of a region in the order in which they take over from each other.
+func (n *network) byRank(region int) []string {
+	addresses := slices.DeleteFunc(slices.Clone(n.addresses), func(address string) bool { return n.daemons[address].region != region })
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(xxh3.HashString(a), xxh3.HashString(b)) })
+	return addresses
+}
+
+// watchFault is what befalls some of the candidates of each region.
+type watchFault struct {
+	daemons, regions int
+	// candidates has a bit for each that fails, in the order in which they take over.
+	candidates uint
+	// fromStore and fromPeers tell from whom they get no answers. A killed or frozen daemon gets none from either.
+	fromStore, fromPeers bool
+	// phase is how long after an answer of the store they fail, and how long before the change.
+	phase time.Duration
+}
+
+// missing returns how many daemons lack a revision maxPropagationTime after it was accepted.
+func (f *watchFault) missing(t *testing.T, options spreader.Options) (missing int) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(12, 1, 4, keyvalue.Faults{})
+		n := newNetworkWith(options, f.daemons, f.regions, 4, keyvalue.Faults{})
 		defer n.close()
 		<-time.After(10 * time.Second)
+		// The store answers all watches.
 		n.accept(t, 1)
-		<-time.After(maxPropagationTime)
-		byRank := slices.Clone(n.addresses)
-		slices.SortFunc(byRank, func(a, b string) int { return cmp.Compare(xxh3.HashString(a), xxh3.HashString(b)) })
+		<-time.After(f.phase)
 		n.mu.Lock()
-		for _, address := range byRank[:3] {
-			n.storeCut[address] = true
+		for region := range f.regions {
+			for i, address := range n.byRank(region) {
+				if f.candidates>>i&1 != 0 {
+					n.storeCut[address], n.down[address] = f.fromStore, f.fromPeers
+				}
+			}
 		}
 		n.mu.Unlock()
+		<-time.After(f.phase)
 		accepted := n.accept(t, 2)
 		<-time.After(maxPropagationTime)
 		synctest.Wait()
-		_, missing := n.propagation(2, accepted)
-		assert.Equal(t, missing, 0)
+		_, missing = n.propagation(2, accepted)
 	})
+	return missing
+}
+
+// TestRevisionsReachEveryDaemonWhicheverWatchersAreCutOff guards against daemons that wait for revisions from the
+// watchers of their region while these are cut off from the store, from the others, or killed.
+func TestRevisionsReachEveryDaemonWhicheverWatchersAreCutOff(t *testing.T) {
+	first := watchFault{daemons: 12, regions: 1, candidates: 0b111, fromStore: true, phase: maxPropagationTime}
+	assert.Equal(t, first.missing(t, spreader.DefaultOptions), 0)
+	for _, size := range []struct {
+		daemons, regions int
+		candidates       []uint
+	}{
+		{5, 1, []uint{0b1, 0b10, 0b101, 0b1110, 0b1111}},
+		{12, 1, []uint{0b1, 0b11, 0b110, 0b1011, 0b10111, 0b11111}},
+		{360, 7, []uint{0b111, 0b11111}},
+	} {
+		for _, candidates := range size.candidates {
+			for _, phase := range []time.Duration{answerTime, 700 * time.Millisecond, 1600 * time.Millisecond} {
+				for _, links := range [][2]bool{{true, false}, {false, true}, {true, true}} {
+					fault := watchFault{size.daemons, size.regions, candidates, links[0], links[1], phase}
+					assert.Check(t, fault.missing(t, spreader.DefaultOptions) == 0, "%+v", fault)
+				}
+			}
+		}
+	}
+}
+
+// TestLateTakeoverIsNoticed has the check above fail where a daemon counts as watching for too long, or only the first
+// three candidates take over.
+func TestLateTakeoverIsNoticed(t *testing.T) {
+	fault := watchFault{daemons: 12, regions: 1, candidates: 0b111, fromStore: true, phase: answerTime}
+	for _, change := range []func(options *spreader.Options){
+		func(options *spreader.Options) { options.WatchValidity = maxPropagationTime },
+		func(options *spreader.Options) { options.TurnDelay = time.Second },
+		func(options *spreader.Options) { options.WatchCandidates = 3 },
+	} {
+		options := spreader.DefaultOptions
+		change(&options)
+		assert.Check(t, fault.missing(t, options) > 0)
+	}
+}
+
+// TestFewStoreCallsAtRest counts the calls of fleets in which nothing fails: they grow with the regions only.
+func TestFewStoreCallsAtRest(t *testing.T) {
+	for _, size := range []struct{ daemons, regions int }{{5, 1}, {12, 1}, {360, 7}} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(size.daemons, size.regions, 5, keyvalue.Faults{})
+			defer n.close()
+			<-time.After(10 * time.Second)
+			before := n.storeState.Counts().Reads
+			<-time.After(time.Minute)
+			calls := n.storeState.Counts().Reads - before
+			// One daemon of each region watches.
+			watches := uint64(time.Minute / spreader.DefaultOptions.WatchTimeout)
+			assert.Check(t, calls <= uint64(size.regions)*(watches+1), "%d daemons: %d calls", size.daemons, calls)
+		})
+	}
 }
