--- a/internal/prober/report.go
+++ b/internal/prober/report.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+
+	"github.com/cyclamenward/cyclamenward/spreader"
 )
 
 // DesignSize is a size and load that the system is designed for. The counts are of the
@@ -148,6 +150,8 @@
 	_, _ = fmt.Fprintf(w, "| memory: replicas %.1f MB, remembered parts %.1f MB, documents %.1f MB | %.1f MB | %d MB | %s |\n",
 		r.replicaPool.CostAt(float64(s.Replicas))/1e6, r.holderIndex.CostAt(maxHolderIndexParts)/1e6, documents/1e6, memory/1e6, BudgetMemoryBytes>>20, verdict(memory, BudgetMemoryBytes))
 	_, _ = fmt.Fprintf(w, "| control traffic: %d links to neighbours each way, changes, telling sidecars | %.1f KB/s | %d KB/s | %s |\n", neighbours, traffic/1024, BudgetBytesPerSecond>>10, verdict(traffic, BudgetBytesPerSecond))
+	traffic += float64(spreader.DefaultOptions.WatchCandidates) * r.openLink.CostAt(1/spreader.DefaultOptions.WatchTimeout.Seconds())
+	_, _ = fmt.Fprintf(w, "| the same of the entry that watches: it reports to %d others | %.1f KB/s | %d KB/s | %s |\n", spreader.DefaultOptions.WatchCandidates, traffic/1024, BudgetBytesPerSecond>>10, verdict(traffic, BudgetBytesPerSecond))
 }
 
 // printSidecar writes the table for a sidecar.
@@ -170,13 +174,12 @@
 	maxStoreReads  = 2000
 )
 
-// printStore writes the table for the platform's key-value service. In each region
-// three daemons watch the store; a watch that sees no change ends after 30 seconds and is
-// repeated. A change takes a read by each of them and three more, and three writes.
+// printStore writes the table for the platform's key-value service. In each region one daemon
+// watches the store, and repeats a watch that has seen no change. A change takes a read by each
+// of them and three more, and three writes.
 func (r results) printStore(w io.Writer, s DesignSize) {
-	watches := float64(3 * s.Regions)
-	const watchTimeoutSeconds = 30
-	readsAtRest := watches / watchTimeoutSeconds
+	watches := float64(s.Regions)
+	readsAtRest := watches / spreader.DefaultOptions.WatchTimeout.Seconds()
 	changes := s.DocumentChangesPerDay / secondsPerDay
 	reads := readsAtRest + changes*(watches+3)
 	writes := changes * 3
