--- a/internal/standin/soaker/case.go
+++ b/internal/standin/soaker/case.go
@@ -55,6 +55,29 @@
 	return nil
 }
 
+const (
+	// garbledReplicas is the number of replicas in trouble in playGarbled, garbledTime its duration, and garbledCallers
+	// the number of callers.
+	garbledReplicas, garbledTime, garbledCallers = 2, 8 * time.Second, 24
+)
+
+// playGarbled has replicas answer with bytes that are no answer.
+func playGarbled(d *deployment, quiet bool) error {
+	if !quiet {
+		for _, w := range d.staying()[:garbledReplicas] {
+			defer d.history.Disturb(w.ID(), "REPLICA "+worker.Garbles.String(), true)()
+			w.SetBehaviour(worker.Garbles)
+		}
+	}
+	stop := make(chan struct{})
+	var tasks sync.WaitGroup
+	d.startCallers(&tasks, stop, "p", garbledCallers, drawPlain)
+	<-time.After(garbledTime)
+	close(stop)
+	tasks.Wait()
+	return nil
+}
+
 const (
 	// leavingShare is the share of the replicas that leave.
 	leavingShare = 0.25
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -40,6 +40,7 @@
 var scenarios = map[string]scenario{
 	"silence":   {Options{Edges: 1, Generators: 2}, playSilence},
 	"form":      {Options{Edges: 1, Workers: 3}, playForms},
+	"garbled":   {Options{Edges: 2, Workers: 3, Places: 6}, playGarbled},
 	"paged":     {Options{Edges: 1, Workers: 800}, playPages},
 	"stalecopy": {Options{Edges: 5, Workers: 1200, Generators: 2}, playOlderCopies},
 	"watchcut":  {Options{Edges: 2, Workers: 40}, playWatchCuts},
--- a/internal/standin/soaker/soak_test.go
+++ b/internal/standin/soaker/soak_test.go
@@ -65,6 +65,13 @@
 	held(t, broken, err)
 }
 
+// TestGarbledAnswersAreNotPassedOn guards against bytes of a replica in trouble that callers get as answers, or as
+// the promise that a booking has not run (MIXED, REFUSED).
+func TestGarbledAnswersAreNotPassedOn(t *testing.T) {
+	broken, err := PlayScenario("garbled", Play{Folder: t.ArtifactDir(), Program: binary(t, "cyclamenward-platform"), Out: t.Output()})
+	held(t, broken, err)
+}
+
 // TestHotWorkspaceStaysWithinItsQuota guards against a workspace that gets more than its quota over all edges
 // while these are killed and restarted (QUOTA).
 func TestHotWorkspaceStaysWithinItsQuota(t *testing.T) {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -42,12 +42,14 @@
 	// Hangs does not answer greyPercent of the requests, Fails answers them with 500.
 	Hangs
 	Fails
+	// Garbles answers garblePercent of the requests with bytes that are no answer.
+	Garbles
 )
 
 // greyPercent is the share of the requests that a replica with a grey failure hangs on or fails.
 const greyPercent = 45
 
-var behaviourNames = [...]string{"behaves", "rejects", "drops before", "drops after", "truncates", "answers late", "", "pauses", "misdirects", "hangs", "fails"}
+var behaviourNames = [...]string{"behaves", "rejects", "drops before", "drops after", "truncates", "answers late", "", "pauses", "misdirects", "hangs", "fails", "garbles"}
 
 func (b Behaviour) String() string { return behaviourNames[b] }
 
@@ -220,7 +222,8 @@
 		run.End(true)
 		panic(http.ErrAbortHandler)
 	}
-	percent := int(w.begun.Add(1) * percentStep % 100)
+	begun := int(w.begun.Add(1))
+	percent := begun * percentStep % 100
 	grey := percent < greyPercent
 	if behaviour == Hangs && grey {
 		<-request.Context().Done()
@@ -231,6 +234,11 @@
 		run.End(false)
 		return
 	}
+	if behaviour == Garbles && percent < garblePercent {
+		run.End(true)
+		w.garble(out, id, begun)
+		return
+	}
 	if behaviour == Fails && grey || percent < w.options.FailurePercent {
 		header.Set(checker.FieldSeal, checker.Seal(w.options.ID, id))
 		run.End(false)
