--- a/internal/standin/launcher/daemon.go
+++ b/internal/standin/launcher/daemon.go
@@ -46,8 +46,9 @@
 	pauses int
 	// kill is the timer that ends the process once the grace time is over.
 	kill *time.Timer
-	// crashes counts the ends that nobody caused.
-	crashes int
+	// crashes counts the ends that nobody caused. lastWords is the end of the log at the last of them.
+	crashes   int
+	lastWords string
 	// caused is set if the process was sent a signal that ends it.
 	caused bool
 	grace  time.Duration
@@ -103,6 +104,13 @@
 	return d.crashes
 }
 
+// LastWords returns the end of the log when the process last ended by itself.
+func (d *Daemon) LastWords() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lastWords
+}
+
 // Running reports whether there is a process.
 func (d *Daemon) Running() bool {
 	d.mu.Lock()
@@ -126,6 +134,7 @@
 		d.running = false
 		if !d.caused {
 			d.crashes++
+			d.lastWords = d.process.LastOutput()
 			// A process that ends by itself counts as running all the while.
 			d.ends = append(d.ends, d.history.Disturb(d.machine.Name, "CRASH", true))
 		}
