Spreader: one parallel exchange, one list of reachable peers, the field's terms

Found on reading the change again: reportWatch repeated the loop of push, and both position and reportWatch filtered the peers of the region. exchangeAll and reachableInRegion serve both now, and isUnreachable is gone. TurnDelay is TakeoverDelay; comments use the terms of failover: active watcher, standby, takeover, response. Behaviour, settings and checks are as they were.

--- a/spreader/gossip.go
+++ b/spreader/gossip.go
@@ -27,7 +27,7 @@
 	Revisions map[string]uint64
 	// Documents are revisions that the receiver lacks.
 	Documents []Document
-	// Watcher is the sender's address if the store has just answered its watch, "" otherwise.
+	// Watcher is the sender's address if the store has just responded to its watch, "" otherwise.
 	Watcher string
 }
 
@@ -49,13 +49,13 @@
 	WatchCandidates int
 	// WatchTimeout is how long one watch call waits for a change.
 	WatchTimeout time.Duration
-	// WatchValidity is how long a daemon counts as watching after the store has answered it. It is longer than
+	// WatchValidity is how long a daemon counts as an active watcher after a response of the store. It exceeds
 	// WatchTimeout.
 	WatchValidity time.Duration
-	// TurnDelay is the time between the calls of two candidates that take over from a watcher.
-	TurnDelay time.Duration
-	// WatchRetryInterval is the wait of the first candidate after a failed watch, and the time after which a daemon
-	// that is no candidate checks whether it has become one. StandbyRetryInterval is the wait of the other candidates.
+	// TakeoverDelay is the time between the calls of successive candidates that take over from a watcher.
+	TakeoverDelay time.Duration
+	// WatchRetryInterval is the wait of the lowest-ranked candidate after a failed watch, and the interval at which other
+	// daemons check whether they have become candidates. StandbyRetryInterval is the wait of the remaining candidates.
 	WatchRetryInterval, StandbyRetryInterval time.Duration
 }
 
@@ -69,7 +69,7 @@
 	WatchCandidates:      6,
 	WatchTimeout:         1700 * time.Millisecond,
 	WatchValidity:        2 * time.Second,
-	TurnDelay:            50 * time.Millisecond,
+	TakeoverDelay:        50 * time.Millisecond,
 	WatchRetryInterval:   time.Second,
 	StandbyRetryInterval: 3 * time.Second,
 }
@@ -133,9 +133,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// answeredAt holds when the store has answered the watchers of this region, by their addresses, as this daemon
-	// knows it.
-	answeredAt map[string]time.Time
+	// respondedAt holds, by address, when each watcher of this region last reported a response of the store.
+	respondedAt map[string]time.Time
 	// neighbours holds the peers that this daemon exchanges with, chosen at
 	// neighboursChosenAt.
 	neighbours         []string
@@ -155,7 +154,7 @@
 	g := &Gossip[T]{
 		table: table, clock: clock, random: random, peers: peers, source: source,
 		options: options, reportError: reportError, cancel: cancel, unreachable: make(map[string]time.Time),
-		answeredAt: make(map[string]time.Time), startedAt: clock.Now(),
+		respondedAt: make(map[string]time.Time), startedAt: clock.Now(),
 	}
 	g.start(func() { g.exchangeLoop(ctx) })
 	g.start(func() { g.pushLoop(ctx) })
@@ -189,7 +188,7 @@
 // Answer applies the documents in a peer's message and returns the answer to it.
 func (g *Gossip[T]) Answer(state SyncState) SyncState {
 	if state.Watcher != "" {
-		g.recordWatcher(state.Watcher)
+		g.recordResponse(state.Watcher)
 	}
 	g.applyDocuments(state.Documents)
 	snapshot := g.table.Snapshot()
@@ -209,7 +208,7 @@
 	return g.exchange(ctx, peer, "")
 }
 
-// exchange is Exchange with the Watcher of the first message.
+// exchange implements Exchange. watcher is the Watcher of the first message.
 func (g *Gossip[T]) exchange(ctx context.Context, peer, watcher string) error {
 	g.exchanges.Add(1)
 	snapshot := g.table.Snapshot()
--- a/spreader/neighbours.go
+++ b/spreader/neighbours.go
@@ -46,13 +46,17 @@
 }
 
 // push exchanges with all neighbours at the same time and waits for the results.
-func (g *Gossip[T]) push(ctx context.Context) {
+func (g *Gossip[T]) push(ctx context.Context) { g.exchangeAll(ctx, g.currentNeighbours(), "") }
+
+// exchangeAll exchanges with the peers at the same time and waits for the results. watcher is the Watcher of the first
+// messages.
+func (g *Gossip[T]) exchangeAll(ctx context.Context, peers []string, watcher string) {
 	var group sync.WaitGroup
-	for _, peer := range g.currentNeighbours() {
+	for _, peer := range peers {
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			if err := g.Exchange(ctx, peer); err != nil && ctx.Err() == nil {
+			if err := g.exchange(ctx, peer, watcher); err != nil && ctx.Err() == nil {
 				g.reportError(err)
 			}
 		}()
--- a/spreader/table.go
+++ b/spreader/table.go
@@ -5,9 +5,9 @@
 // it knows. Readers get an immutable snapshot, which is replaced as a whole.
 // Revisions arrive in four ways:
 //
-//   - One daemon of each region watches the store, and a few others take over when they
-//     no longer hear of its answers; the rest get the revisions by periodic exchanges
-//     with random peers.
+//   - One daemon of each region watches the store. A few standbys take over when its
+//     reports stop. The other daemons get the revisions by periodic exchanges with
+//     random peers.
 //   - A daemon that receives a new revision exchanges with its neighbours at once.
 //   - Every request of an entry to a sidecar carries the revision that the entry
 //     decided by. If one of the two holds an older one, it exchanges with the other.
--- a/spreader/watch.go
+++ b/spreader/watch.go
@@ -5,20 +5,20 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cyclamenward/cyclamenward/keeper"
 	"github.com/zeebo/xxh3"
 )
 
-// watchLoop watches the store while it is this daemon's turn, and applies the changes to the table.
+// watchLoop watches the store while this daemon is the active watcher of its region, and applies the changes to the
+// table.
 func (g *Gossip[T]) watchLoop(ctx context.Context) {
 	var afterRevision uint64
-	// The first call does not wait, so that the other candidates know at once whether the store answers it.
+	// The first call does not wait for changes, so that its response can be reported to the other candidates immediately.
 	var timeout time.Duration
 	for {
-		if wait := g.untilTurn(); wait > 0 {
+		if wait := g.untilTakeover(); wait > 0 {
 			timeout = 0
 			if !g.sleep(ctx, min(wait, g.jitter(g.options.WatchRetryInterval))) {
 				return
@@ -35,9 +35,9 @@
 			}
 			continue
 		}
-		g.recordWatcher(g.peers.Self)
+		g.recordResponse(g.peers.Self)
 		g.applyEntries(entries)
-		g.start(func() { g.reportWatch(ctx) })
+		g.start(func() { g.reportResponse(ctx) })
 		afterRevision, timeout = max(afterRevision, revision), g.options.WatchTimeout
 	}
 }
@@ -54,10 +54,10 @@
 	}
 }
 
-// untilTurn returns the time until this daemon has to call the store, 0 or less if it has to now. A candidate takes
-// over from a watcher of which it has not heard for WatchValidity, in the order of ranks. Of two watchers the one of
-// the lower rank goes on.
-func (g *Gossip[T]) untilTurn() time.Duration {
+// untilTakeover returns the time until this daemon has to call the store, 0 or less if that time has come. A candidate
+// takes over once no watcher has reported a response of the store for WatchValidity, after a delay that grows with its
+// rank. If two daemons watch, the one with the lower rank continues.
+func (g *Gossip[T]) untilTakeover() time.Duration {
 	position := g.position()
 	if position >= g.options.WatchCandidates {
 		return g.options.WatchRetryInterval
@@ -65,45 +65,35 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	watches := now.Sub(g.answeredAt[g.peers.Self]) < g.options.WatchValidity
-	// Before the start nothing can have been heard.
+	active := now.Sub(g.respondedAt[g.peers.Self]) < g.options.WatchValidity
+	// Without a report, the validity counts as expired when this daemon started.
 	last := g.startedAt.Add(-g.options.WatchValidity)
-	for watcher, at := range g.answeredAt {
-		if watcher != g.peers.Self && at.After(last) && (!watches || rank(watcher) < rank(g.peers.Self)) {
+	for watcher, at := range g.respondedAt {
+		if watcher != g.peers.Self && at.After(last) && (!active || rank(watcher) < rank(g.peers.Self)) {
 			last = at
 		}
 	}
-	return last.Add(g.options.WatchValidity + time.Duration(position)*g.options.TurnDelay).Sub(now)
+	return last.Add(g.options.WatchValidity + time.Duration(position)*g.options.TakeoverDelay).Sub(now)
 }
 
-// recordWatcher records that the store has just answered a daemon of this region.
-func (g *Gossip[T]) recordWatcher(address string) {
+// recordResponse records that the store has just responded to a watcher of this region.
+func (g *Gossip[T]) recordResponse(watcher string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	maps.DeleteFunc(g.answeredAt, func(_ string, at time.Time) bool { return now.Sub(at) > g.options.WatchValidity })
-	g.answeredAt[address] = now
+	maps.DeleteFunc(g.respondedAt, func(_ string, at time.Time) bool { return now.Sub(at) > g.options.WatchValidity })
+	g.respondedAt[watcher] = now
 }
 
-// reportWatch tells the other candidates that the store has answered this daemon.
-func (g *Gossip[T]) reportWatch(ctx context.Context) {
-	candidates := slices.DeleteFunc(slices.Clone(g.peers.SameRegion()), func(peer string) bool { return peer == g.peers.Self || g.isUnreachable(peer) })
-	slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	var group sync.WaitGroup
-	for _, peer := range candidates[:min(len(candidates), g.options.WatchCandidates)] {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			if err := g.exchange(ctx, peer, g.peers.Self); err != nil && ctx.Err() == nil {
-				g.reportError(err)
-			}
-		}()
-	}
-	group.Wait()
+// reportResponse reports a response of the store to the other candidates.
+func (g *Gossip[T]) reportResponse(ctx context.Context) {
+	peers := g.reachableInRegion()
+	slices.SortFunc(peers, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	g.exchangeAll(ctx, peers[:min(len(peers), g.options.WatchCandidates)], g.peers.Self)
 }
 
-// retryInterval returns the longest wait after a failed call. Those of all candidates together do not grow with
-// the number of daemons.
+// retryInterval returns the maximum wait after a failed call. Standbys wait longer, which bounds the calls of a region
+// while the store is down.
 func (g *Gossip[T]) retryInterval() time.Duration {
 	if g.position() == 0 {
 		return g.options.WatchRetryInterval
@@ -111,23 +101,27 @@
 	return g.options.StandbyRetryInterval
 }
 
-// position returns the number of daemons in this region with a lower rank, not counting those that are unreachable.
+// position returns the number of reachable daemons in this region with a lower rank.
 func (g *Gossip[T]) position() int {
 	ownRank := rank(g.peers.Self)
 	lowerRanked := 0
-	for _, peer := range g.peers.SameRegion() {
-		if peer != g.peers.Self && rank(peer) < ownRank && !g.isUnreachable(peer) {
+	for _, peer := range g.reachableInRegion() {
+		if rank(peer) < ownRank {
 			lowerRanked++
 		}
 	}
 	return lowerRanked
 }
 
-func (g *Gossip[T]) isUnreachable(peer string) bool {
+// reachableInRegion returns the other daemons of this region that are not known to be unreachable.
+func (g *Gossip[T]) reachableInRegion() []string {
+	region := slices.Clone(g.peers.SameRegion())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, unreachable := g.unreachable[peer]
-	return unreachable
+	return slices.DeleteFunc(region, func(peer string) bool {
+		_, unreachable := g.unreachable[peer]
+		return unreachable || peer == g.peers.Self
+	})
 }
 
 // rank hashes an address. It orders the daemons of a region in the same way on each
--- a/spreader/watch_test.go
+++ b/spreader/watch_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// cuttableStore returns the store as a daemon reaches it that gets no answers while cut reports true.
+// cuttableStore returns a store whose responses are lost while cut reports true.
 func cuttableStore(store keeper.Store, cut func() bool) keeper.Store {
 	watch := store.Watch
 	store.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]keeper.Entry, uint64, error) {
@@ -31,24 +31,25 @@
 	return store
 }
 
-// answerTime is within which the store's answers have arrived.
-const answerTime = 100 * time.Millisecond
+// responseTime is the time in which responses of the store arrive.
+const responseTime = 100 * time.Millisecond
 
-// byRank returns the daemons of a region in the order in which they take over from each other.
+// byRank returns the daemons of a region in ascending rank.
 func (n *network) byRank(region int) []string {
 	addresses := slices.DeleteFunc(slices.Clone(n.addresses), func(address string) bool { return n.daemons[address].region != region })
 	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(xxh3.HashString(a), xxh3.HashString(b)) })
 	return addresses
 }
 
-// watchFault is what befalls some of the candidates of each region.
+// watchFault is a failure of some candidates in each region.
 type watchFault struct {
 	daemons, regions int
-	// candidates has a bit for each that fails, in the order in which they take over.
+	// candidates is a bit mask of the failing candidates, by rank.
 	candidates uint
-	// fromStore and fromPeers tell from whom they get no answers. A killed or frozen daemon gets none from either.
+	// fromStore and fromPeers are set if the candidates are cut off from the store and from their peers. Both apply to
+	// a killed or frozen daemon.
 	fromStore, fromPeers bool
-	// phase is how long after an answer of the store they fail, and how long before the change.
+	// phase is the time from a response of the store to the failure, and from the failure to the change.
 	phase time.Duration
 }
 
@@ -59,7 +60,7 @@
 		n := newNetworkWith(options, f.daemons, f.regions, 4, keyvalue.Faults{})
 		defer n.close()
 		<-time.After(10 * time.Second)
-		// The store answers all watches.
+		// A change ends all watches.
 		n.accept(t, 1)
 		<-time.After(f.phase)
 		n.mu.Lock()
@@ -85,13 +86,13 @@
 func TestRevisionsReachEveryDaemonWhicheverWatchersAreCutOff(t *testing.T) {
 	faults := []watchFault{
 		{daemons: 12, regions: 1, candidates: 0b111, fromStore: true, phase: maxPropagationTime},
-		// The news is latest right after an answer.
-		{daemons: 360, regions: 7, candidates: 0b11111, fromStore: true, phase: answerTime},
-		{daemons: 360, regions: 7, candidates: 0b111, fromStore: true, fromPeers: true, phase: answerTime},
+		// The delay is longest if the watchers fail right after a response.
+		{daemons: 360, regions: 7, candidates: 0b11111, fromStore: true, phase: responseTime},
+		{daemons: 360, regions: 7, candidates: 0b111, fromStore: true, fromPeers: true, phase: responseTime},
 	}
 	for daemons, sets := range map[int][]uint{5: {0b1, 0b10, 0b101, 0b1110, 0b1111}, 12: {0b1, 0b11, 0b110, 0b1011, 0b10111, 0b11111}} {
 		for _, candidates := range sets {
-			for _, phase := range []time.Duration{answerTime, 700 * time.Millisecond, 1600 * time.Millisecond} {
+			for _, phase := range []time.Duration{responseTime, 700 * time.Millisecond, 1600 * time.Millisecond} {
 				for _, links := range [][2]bool{{true, false}, {false, true}, {true, true}} {
 					faults = append(faults, watchFault{daemons, 1, candidates, links[0], links[1], phase})
 				}
@@ -103,13 +104,13 @@
 	}
 }
 
-// TestLateTakeoverIsNoticed has the check above fail where a daemon counts as watching for too long, or only the first
-// three candidates take over.
+// TestLateTakeoverIsNoticed checks that the test above detects options under which candidates take over too late or not
+// at all.
 func TestLateTakeoverIsNoticed(t *testing.T) {
-	fault := watchFault{daemons: 12, regions: 1, candidates: 0b111, fromStore: true, phase: answerTime}
+	fault := watchFault{daemons: 12, regions: 1, candidates: 0b111, fromStore: true, phase: responseTime}
 	for _, change := range []func(options *spreader.Options){
 		func(options *spreader.Options) { options.WatchValidity = 2 * maxPropagationTime },
-		func(options *spreader.Options) { options.TurnDelay = time.Second },
+		func(options *spreader.Options) { options.TakeoverDelay = time.Second },
 		func(options *spreader.Options) { options.WatchCandidates = 3 },
 	} {
 		options := spreader.DefaultOptions
@@ -118,7 +119,7 @@
 	}
 }
 
-// TestFewStoreCallsAtRest counts the calls of fleets in which nothing fails: they grow with the regions only.
+// TestFewStoreCallsAtRest checks that the store calls of a healthy fleet depend on the number of regions only.
 func TestFewStoreCallsAtRest(t *testing.T) {
 	for _, size := range []struct{ daemons, regions int }{{5, 1}, {12, 1}, {360, 7}} {
 		synctest.Test(t, func(t *testing.T) {
