Malformed answers for tests in one package; the field's terms in comments

playGarbled uses crowd, which starts callers of models only where there are any. LastWords is CrashOutput. Comments of verifier, spreader, the soak and the timing use the field's terms (truncated, chunk-size line, active watcher, tail of the log).

--- a/internal/fleet/announcer/announcer.go
+++ b/internal/fleet/announcer/announcer.go
@@ -98,7 +98,7 @@
 	// daemon does not watch the store or its last call failed.
 	StoreAnsweredAt func() time.Time
 	// WatchValidity is how long after an answer of the store a daemon counts as watching it, for
-	// itself and for others, whatever happens to it meanwhile.
+	// itself and for others, regardless of failures in the meantime.
 	WatchValidity time.Duration
 	// PullDelay returns how long this daemon's table may be behind that of another
 	// daemon before it requests the changes. A daemon that watches the store mostly
--- a/internal/standin/launcher/daemon.go
+++ b/internal/standin/launcher/daemon.go
@@ -46,9 +46,10 @@
 	pauses int
 	// kill is the timer that ends the process once the grace time is over.
 	kill *time.Timer
-	// crashes counts the ends that nobody caused. lastWords is the end of the log at the last of them.
-	crashes   int
-	lastWords string
+	// crashes counts the exits that were not caused by a signal of this package. crashOutput is the tail of the log at
+	// the most recent one.
+	crashes     int
+	crashOutput string
 	// caused is set if the process was sent a signal that ends it.
 	caused bool
 	grace  time.Duration
@@ -104,11 +105,11 @@
 	return d.crashes
 }
 
-// LastWords returns the end of the log when the process last ended by itself.
-func (d *Daemon) LastWords() string {
+// CrashOutput returns the tail of the log at the most recent crash.
+func (d *Daemon) CrashOutput() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.lastWords
+	return d.crashOutput
 }
 
 // Running reports whether there is a process.
@@ -134,7 +135,7 @@
 		d.running = false
 		if !d.caused {
 			d.crashes++
-			d.lastWords = d.process.LastOutput()
+			d.crashOutput = d.process.LastOutput()
 			// A process that ends by itself counts as running all the while.
 			d.ends = append(d.ends, d.history.Disturb(d.machine.Name, "CRASH", true))
 		}
--- a/internal/standin/soaker/case.go
+++ b/internal/standin/soaker/case.go
@@ -56,12 +56,12 @@
 }
 
 const (
-	// garbledReplicas is the number of replicas in trouble in playGarbled, garbledTime its duration, and garbledCallers
-	// the number of callers.
+	// garbledReplicas is the number of faulty replicas in playGarbled, garbledTime its duration, and garbledCallers the
+	// number of callers.
 	garbledReplicas, garbledTime, garbledCallers = 2, 8 * time.Second, 24
 )
 
-// playGarbled has replicas answer with bytes that are no answer.
+// playGarbled has replicas send malformed answers.
 func playGarbled(d *deployment, quiet bool) error {
 	if !quiet {
 		for _, w := range d.staying()[:garbledReplicas] {
@@ -69,12 +69,8 @@
 			w.SetBehaviour(worker.Garbles)
 		}
 	}
-	stop := make(chan struct{})
-	var tasks sync.WaitGroup
-	d.startCallers(&tasks, stop, "p", garbledCallers, drawPlain)
+	defer d.crowd(garbledCallers)()
 	<-time.After(garbledTime)
-	close(stop)
-	tasks.Wait()
 	return nil
 }
 
@@ -194,12 +190,14 @@
 	}
 }
 
-// crowd starts callers of both services, half as many of the models, and returns what ends them.
+// crowd starts callers of both services, half as many of the models if there are any, and returns what ends them.
 func (d *deployment) crowd(callers int) (end func()) {
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
 	d.startCallers(&tasks, stop, "p", callers, drawPlain)
-	d.startCallers(&tasks, stop, "s", callers/2, drawStream)
+	if len(d.generators) > 0 {
+		d.startCallers(&tasks, stop, "s", callers/2, drawStream)
+	}
 	return func() {
 		close(stop)
 		tasks.Wait()
--- a/internal/standin/soaker/scenario.go
+++ b/internal/standin/soaker/scenario.go
@@ -98,7 +98,7 @@
 	}
 	for _, daemon := range d.daemons() {
 		if n := daemon.Crashes(); n > 0 {
-			broken = append(broken, fmt.Sprintf("CRASH: %s ended by itself %d times, and wrote last: %s", daemon.Name(), n, daemon.LastWords()))
+			broken = append(broken, fmt.Sprintf("CRASH: %s ended by itself %d times, and wrote last: %s", daemon.Name(), n, daemon.CrashOutput()))
 		}
 	}
 	return broken
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -42,7 +42,7 @@
 	// Hangs does not answer greyPercent of the requests, Fails answers them with 500.
 	Hangs
 	Fails
-	// Garbles answers garblePercent of the requests with bytes that are no answer.
+	// Garbles sends malformed answers to garblePercent of the requests.
 	Garbles
 )
 
--- a/internal/state/watcher/timing.go
+++ b/internal/state/watcher/timing.go
@@ -4,24 +4,24 @@
 
 const (
 	// validityRatio is the part of a change's deadline for which a daemon counts as watching the
-	// store after its last answer. In the rest the others notice, turn to the store themselves and
-	// pass the change on.
+	// store after its last answer. The remaining time is for other daemons to detect the failure,
+	// to call the store and to distribute the change.
 	validityRatio = 0.55
 	// reportMargin is the part of Validity for the message that reports an answer to other daemons:
-	// the longest interval between messages and the time on the way.
+	// the longest interval between messages and the transmission time.
 	reportMargin = 500 * time.Millisecond
 	// defaultDeadline applies without a deadline.
 	defaultDeadline = 2500 * time.Millisecond
-	// Wait is at least minWait, and at most maxWait, so that daemons to which others report the store's
-	// answers know from them that their list of replicas is current.
+	// minWait and maxWait bound Wait. Daemons that do not watch the store conclude from the reports of
+	// its answers that their list of replicas is current, so these must not be too far apart.
 	minWait = 100 * time.Millisecond
 	maxWait = 1500 * time.Millisecond
 )
 
 // Timing divides the time within which a change must be in force on all daemons. Most of them receive
-// changes from a few that watch the store, and turn to it once these have not reported an answer of
-// the store for Validity. Whatever the failure of the watching daemons, a change is then late by
-// Validity and the time to read and pass on one change.
+// changes from a few that watch the store, and call it themselves once these have not reported an answer
+// for Validity. Any failure of the watching daemons delays a change by at most Validity and the time to
+// read and distribute it.
 type Timing struct {
 	// Wait is how long the store holds a watch without changes.
 	Wait time.Duration
--- a/internal/state/watcher/watch.go
+++ b/internal/state/watcher/watch.go
@@ -226,8 +226,8 @@
 	// droppedAt is the table's revision when the store had dropped the history after it, 0 if
 	// the table has a later one.
 	var droppedAt uint64
-	// resumed is set for the first call after a pause. It does not wait for changes, so that others
-	// learn at once that this daemon watches the store.
+	// resumed is set for the first call after a pause. It does not wait for changes, so that its
+	// answer can be reported to other daemons immediately.
 	wasPaused, resumed := false, false
 	w.awaitFilled(ctx)
 	for ctx.Err() == nil {
--- a/internal/wire/verifier/chunk.go
+++ b/internal/wire/verifier/chunk.go
@@ -9,33 +9,31 @@
 )
 
 const (
-	// maxChunkLineBytes bounds the line before a chunk.
+	// maxChunkLineBytes bounds a chunk-size line.
 	maxChunkLineBytes = 4 << 10
-	// maxOverheadBytes bounds what the lines before chunks may have beyond allowedOverhead for each chunk and
-	// twice the bytes in it.
+	// maxOverheadBytes bounds the accumulated length of chunk-size lines in excess of allowedOverhead plus twice the
+	// size of each chunk.
 	maxOverheadBytes, allowedOverhead = 16 << 10, 16
-	// lineEnd ends chunks.
+	// lineEnd terminates the data of a chunk.
 	lineEnd = "\r\n"
 )
 
-// ChunkedReader reads a body in chunks that conform to the grammar. It ends behind the last chunk, where the trailer
-// follows.
+// ChunkedReader decodes a chunked body and validates its framing. It stops after the last chunk, before the trailer.
 type ChunkedReader struct {
 	reader *bufio.Reader
-	// remaining counts the bytes that are left of a chunk. endsChunk is set while the line end behind one has
-	// not been read.
+	// remaining is the number of bytes left in the chunk. endsChunk is set until the line end after the chunk is read.
 	remaining uint64
 	endsChunk bool
-	// overhead is what the lines so far had beyond what is allowed.
+	// overhead is the accumulated excess length of chunk-size lines.
 	overhead int
-	// err is what all further reads return.
+	// err is the result of all further reads.
 	err error
 }
 
-// NewChunkedReader returns a reader of the chunks that begin at the next byte.
+// NewChunkedReader returns a reader of the chunked body that begins at the next byte of reader.
 func NewChunkedReader(reader *bufio.Reader) *ChunkedReader { return &ChunkedReader{reader: reader} }
 
-// Read implements io.Reader. It does not wait for more than the next byte of the body.
+// Read implements io.Reader. It returns available data without waiting for the next chunk.
 func (r *ChunkedReader) Read(p []byte) (int, error) {
 	if len(p) == 0 || r.err != nil {
 		return 0, r.err
@@ -54,7 +52,7 @@
 	return n, r.err
 }
 
-// beginChunk reads what stands before the next chunk. It returns io.EOF behind the last one.
+// beginChunk reads the end of the previous chunk and the next chunk-size line. It returns io.EOF for the last chunk.
 func (r *ChunkedReader) beginChunk() error {
 	if r.endsChunk {
 		end, err := r.reader.Peek(len(lineEnd))
@@ -85,15 +83,14 @@
 	return nil
 }
 
-// chunkScanner scans a body in chunks, piece by piece, with its trailer.
+// chunkScanner validates the framing and the trailer of a chunked body incrementally.
 type chunkScanner struct {
-	// remaining counts the bytes that are left of a chunk. endsChunk is set while the line end behind one has
-	// not been scanned.
+	// remaining is the number of bytes left in the chunk. endsChunk is set until the line end after the chunk is scanned.
 	remaining uint64
 	endsChunk bool
-	// inTrailer is set behind the last chunk, and done behind the trailer.
+	// inTrailer is set after the last chunk, done after the trailer.
 	inTrailer, done bool
-	// line holds the beginning of a line whose end has not arrived.
+	// line holds an incomplete line.
 	line []byte
 }
 
@@ -145,7 +142,7 @@
 	return nil
 }
 
-// parseChunkLine returns the size in the line before a chunk, without its line feed.
+// parseChunkLine returns the size in a chunk-size line without its line feed.
 func parseChunkLine(line []byte) (uint64, error) {
 	text, found := bytes.CutSuffix(line, []byte{'\r'})
 	digits, extensions := text, []byte(nil)
@@ -159,7 +156,7 @@
 	return size, nil
 }
 
-// areExtensions reports whether text holds chunk extensions, or nothing.
+// areExtensions reports whether text is a possibly empty sequence of chunk extensions.
 func areExtensions(text []byte) bool {
 	for len(text) > 0 {
 		var ok bool
@@ -183,7 +180,7 @@
 	return true
 }
 
-// cutSeparator cuts a separator from the beginning of text, with the blanks around it.
+// cutSeparator removes a leading separator and the blanks around it.
 func cutSeparator(text []byte, separator byte) ([]byte, bool) {
 	rest := bytes.TrimLeft(text, " \t")
 	if len(rest) == 0 || rest[0] != separator {
@@ -192,7 +189,7 @@
 	return bytes.TrimLeft(rest[1:], " \t"), true
 }
 
-// cutToken cuts a token from the beginning of text.
+// cutToken removes a leading token.
 func cutToken(text []byte) ([]byte, bool) {
 	n := 0
 	for n < len(text) && tokenCharacters[text[n]] {
@@ -201,7 +198,7 @@
 	return text[n:], n > 0
 }
 
-// cutQuoted cuts a quoted string from the beginning of text.
+// cutQuoted removes a leading quoted string.
 func cutQuoted(text []byte) ([]byte, bool) {
 	if len(text) == 0 || text[0] != '"' {
 		return text, false
--- a/internal/wire/verifier/chunk_test.go
+++ b/internal/wire/verifier/chunk_test.go
@@ -15,7 +15,7 @@
 // chunkedHead is the head of an answer in chunks.
 const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-// assertRefused checks that a library does not get an answer whole whose body in chunks is malformed.
+// assertRefused checks that a library does not receive a complete answer if its chunked body is malformed.
 func assertRefused(t *testing.T, body string) {
 	t.Helper()
 	text := chunkedHead + body
@@ -36,8 +36,8 @@
 	return string(body), err
 }
 
-// TestMalformedChunksAreNoBody guards against bodies that are taken for whole though a line before a chunk is none, such as
-// the beginning of one with the status line of the next answer.
+// TestMalformedChunksAreNoBody guards against bodies that count as complete although their framing is malformed, such as
+// a truncated chunk-size line that the status line of the next answer follows.
 func TestMalformedChunksAreNoBody(t *testing.T) {
 	for _, line := range []string{
 		"", " ", "6 ", "6\t", " 6", "g", "+6", "-6", "0x6", "6_0", "6\r", "6\r\r", "ffffffffffffffff", "10000000000000000", "6HTTP/1.1 200 OK", "0HTTP/1.1 200 OK", "6;aHTTP/1.1 200 OK", "0;a=bHTTP/1.1 200 OK",
@@ -85,7 +85,7 @@
 	}
 }
 
-// TestChunksAreDeliveredAsTheyArrive guards against a chunk that waits for the next one.
+// TestChunksAreDeliveredAsTheyArrive guards against a chunk that is held back until the next one arrives.
 func TestChunksAreDeliveredAsTheyArrive(t *testing.T) {
 	client, server := net.Pipe()
 	defer func() { _, _ = client.Close(), server.Close() }()
@@ -106,7 +106,7 @@
 	}
 }
 
-// TestChunkLinesAreBounded sends lines that are long, and many of them before small chunks.
+// TestChunkLinesAreBounded checks the limits of single chunk-size lines and of their total length.
 func TestChunkLinesAreBounded(t *testing.T) {
 	long := "1;" + strings.Repeat("a", 1<<10) + "\r\nb\r\n"
 	_, err := readChunks(t, strings.Repeat(long, 8)+"0\r\n")
@@ -120,8 +120,8 @@
 	assert.ErrorIs(t, err, ErrTooLarge)
 }
 
-// TestAnswerAfterOneWithoutItsBodyIsWhole guards against an answer that is refused since the one before it on the
-// connection, to a HEAD, has announced chunks.
+// TestAnswerAfterOneWithoutItsBodyIsWhole guards against an answer that is refused because the previous answer on the
+// connection, to a HEAD request, announced a chunked body.
 func TestAnswerAfterOneWithoutItsBodyIsWhole(t *testing.T) {
 	answer := "HTTP/1.1 200 OK\r\n" + fields + "o\n"
 	server := &serverConn{unread: strings.NewReader(chunkedHead)}
--- a/internal/wire/verifier/conn.go
+++ b/internal/wire/verifier/conn.go
@@ -17,21 +17,21 @@
 	maxHeadBytes = 8 << 10
 )
 
-// Conn is a connection to a server whose answers a library reads: it yields the bytes of a head only
-// once the whole head conforms to the grammar, and those of a body in chunks only if the lines among them
-// do. One goroutine at a time may use it, but for Close.
+// Conn validates the answers that an HTTP library reads from a connection: it returns the bytes of a head once the
+// complete head is valid, and those of a chunked body as far as its framing is valid. It is not safe for concurrent use,
+// except for Close.
 type Conn struct {
 	net.Conn
-	// awaitsHead is set from a write until the head of the final answer to it has been checked.
+	// awaitsHead is set from a write until the head of its final answer is valid.
 	awaitsHead bool
-	// received holds bytes that were read ahead. The first checked of them may be returned.
+	// received holds bytes that were read ahead. The first checked bytes of it may be returned.
 	received []byte
 	checked  int
-	// chunks scans the body if it is sent in chunks; nil if it is not.
+	// chunks scans the body if it is chunked, else it is nil.
 	chunks *chunkScanner
 }
 
-// NewConn returns a connection that checks the answers on another one.
+// NewConn returns a Conn that reads from conn.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
 // Dial opens a TCP connection to a server and returns it as NewConn does.
@@ -43,7 +43,7 @@
 	return NewConn(conn), nil
 }
 
-// Write implements net.Conn. It fails if bytes have arrived behind the answer before.
+// Write implements net.Conn. It fails if excess bytes have arrived after the previous answer.
 func (c *Conn) Write(p []byte) (int, error) {
 	if len(c.received) > 0 {
 		return 0, fmt.Errorf("%w: %d bytes behind an answer", ErrMalformed, len(c.received))
@@ -71,7 +71,8 @@
 	return n, nil
 }
 
-// checkHead checks the next head. What has arrived behind that of a final answer may be returned, too.
+// checkHead scans the next head, reading more of it if it is incomplete. The bytes received after a final head may be
+// returned with it.
 func (c *Conn) checkHead() error {
 	head, err := scanHead(c.received[c.checked:])
 	switch {
@@ -93,7 +94,7 @@
 	return nil
 }
 
-// scanBody scans bytes behind the head.
+// scanBody scans the next bytes of the body.
 func (c *Conn) scanBody(p []byte) error {
 	if c.chunks == nil {
 		return nil
--- a/internal/wire/verifier/verify.go
+++ b/internal/wire/verifier/verify.go
@@ -1,5 +1,5 @@
-// Package verifier checks the heads and trailers of answers against the grammar of HTTP/1.1 (RFC 9112), which HTTP
-// libraries apply loosely: what is no answer by the grammar, or may be parts of two, is not taken for one.
+// Package verifier validates the heads, chunks and trailers of HTTP/1.1 answers (RFC 9112). HTTP libraries accept
+// malformed ones, and heads that are joined from the parts of two answers.
 package verifier
 
 import (
@@ -18,10 +18,10 @@
 
 // Errors of a head.
 var (
-	// ErrMalformed means that bytes are no answer by the grammar.
+	// ErrMalformed means that bytes violate the grammar of HTTP/1.1.
 	ErrMalformed = faults.NewType("malformed").New("no answer by the grammar of HTTP/1.1")
-	// ErrNested means that a head holds the status line of another answer: it may be the beginning of one, which its
-	// sender left unfinished, and the whole other one.
+	// ErrNested means that a head contains a second status line. It may consist of a truncated head and the complete
+	// head that follows it.
 	ErrNested = faults.NewType("nested").New("status line within the head of an answer")
 	// ErrTooLarge means that a head is larger than the buffer for it.
 	ErrTooLarge = faults.NewType("tooLarge").New("head of an answer is too large")
@@ -30,7 +30,7 @@
 const (
 	// minStatus and maxStatus bound valid status codes (RFC 9110, section 15).
 	minStatus, maxStatus = 100, 599
-	// versionPrefix begins each answer.
+	// versionPrefix is the prefix of every status line.
 	versionPrefix = "HTTP/1."
 )
 
@@ -50,7 +50,7 @@
 	return nil
 }
 
-// ReadTrailer reads the fields behind the last chunk of a body, if they conform to the grammar.
+// ReadTrailer reads the trailer of a chunked body, if it conforms to the grammar.
 func ReadTrailer(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	err := await(reader, func(received []byte) (int, error) {
 		length, _, err := scanFields(received, true)
@@ -65,7 +65,7 @@
 	return nil
 }
 
-// await waits until scan finds a whole section at the beginning of what has been received.
+// await reads until scan finds a complete section in the buffered bytes.
 func await(reader *bufio.Reader, scan func(received []byte) (length int, err error)) error {
 	for n := 1; ; {
 		if _, err := reader.Peek(n); err != nil {
@@ -82,7 +82,7 @@
 	}
 }
 
-// incomplete returns the error of a read within a head of which a part has arrived.
+// incomplete returns the error of a read that ended within a section. partial is set if a part of it has arrived.
 func incomplete(err error, partial bool) error {
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
@@ -93,16 +93,15 @@
 	return err
 }
 
-// head is what a head says of itself and of the body behind it.
+// head holds the properties of a head.
 type head struct {
-	// length is 0 if the head has not arrived whole.
+	// length is 0 if the head is incomplete.
 	length, status int
 	// encoded is set if the body has a transfer encoding.
 	encoded bool
 }
 
-// scanHead scans the head at the beginning of what has been received. It returns ErrMalformed or ErrNested as
-// soon as that is certain.
+// scanHead scans the head that received begins with. It returns ErrMalformed or ErrNested as soon as that is certain.
 func scanHead(received []byte) (head, error) {
 	line, rest, whole := bytes.Cut(received, []byte{'\n'})
 	if !whole {
@@ -119,9 +118,9 @@
 	return head{length, status, encoded}, err
 }
 
-// scanFields returns the length of the fields at the beginning of what has been received, with the empty line
-// that ends them, or 0 if they have not arrived whole. mayEncode is set if the body may have a transfer
-// encoding, encoded if it has one. It returns ErrMalformed or ErrNested as soon as that is certain.
+// scanFields returns the length of the fields that received begins with, including the empty line that ends them, or 0
+// if they are incomplete. mayEncode is set if the body may have a transfer encoding, encoded if it has one. It returns
+// ErrMalformed or ErrNested as soon as that is certain.
 func scanFields(received []byte, mayEncode bool) (length int, encoded bool, err error) {
 	rest := received
 	for {
@@ -148,7 +147,7 @@
 
 // parseField returns the name of a field in a line without its line feed.
 func parseField(line []byte) ([]byte, error) {
-	// A line that begins with a blank continues the one before it in an obsolete form, which may be refused.
+	// Obsolete line folding (RFC 9112, section 5.2) is refused: a folded line begins with a blank.
 	text, found := bytes.CutSuffix(line, []byte{'\r'})
 	name, value, hasValue := bytes.Cut(text, []byte{':'})
 	if !found || !hasValue || !isToken(name) || !isText(value) {
@@ -160,7 +159,7 @@
 	return name, nil
 }
 
-// tokenCharacters holds the characters of tokens, which names of fields are.
+// tokenCharacters holds the characters of tokens, such as field names.
 var tokenCharacters = func() (set [256]bool) {
 	const others = "!#$%&'*+-.^_`|~"
 	for c := range set {
@@ -201,8 +200,8 @@
 	return status, nil
 }
 
-// splitStatusLine returns the parts of a status line without its end, or a status of 0 if text is none. As many
-// servers do, it may leave out the space before an empty reason.
+// splitStatusLine returns the status and the reason in a status line without its line end, or a status of 0 if text is
+// not a status line. The space before an empty reason is optional, since many servers omit it.
 func splitStatusLine(text []byte) (status int, reason []byte) {
 	version, rest, _ := bytes.Cut(text, []byte{' '})
 	code, reason, _ := bytes.Cut(rest, []byte{' '})
@@ -213,7 +212,7 @@
 	return status, reason
 }
 
-// holdsStatusLine reports whether a status line begins anywhere within text.
+// holdsStatusLine reports whether a status line begins anywhere in text.
 func holdsStatusLine(text []byte) bool {
 	for {
 		i := bytes.Index(text, []byte(versionPrefix))
@@ -242,7 +241,7 @@
 	return status
 }
 
-// isText reports whether text holds no control characters but tabs.
+// isText reports whether text has no control characters except tabs.
 func isText(text []byte) bool {
 	for _, c := range text {
 		if c < ' ' && c != '\t' || c == 0x7f {
--- a/internal/wire/verifier/verify_test.go
+++ b/internal/wire/verifier/verify_test.go
@@ -122,8 +122,8 @@
 	"X-A: HTTP/1.1 200 OHTTP/1.1 200 OK", "X-A: 1HTTP/1.1 100 Continue", "X-A: 1HTTP/1.1 599 a b",
 }
 
-// TestHeadsWithinHeadsAreNoAnswers guards against the beginning of an answer, cut at any byte, that is read as one head
-// with the answer behind it.
+// TestHeadsWithinHeadsAreNoAnswers guards against a head truncated at any byte that is read as one with the head that
+// follows it.
 func TestHeadsWithinHeadsAreNoAnswers(t *testing.T) {
 	const status = "HTTP/1.1 200 OK\r\n"
 	for _, line := range nestedLines {
@@ -133,7 +133,7 @@
 		}
 		for _, head := range heads {
 			if strings.HasPrefix(head, "HTTP/1.1 503H") {
-				// There is no space behind the status.
+				// The space after the status is missing.
 				continue
 			}
 			_, err := readHead(t, head)
--- a/peer/replica/answer.go
+++ b/peer/replica/answer.go
@@ -179,9 +179,9 @@
 	return nil
 }
 
-// awaitWrite returns the result of writing the request body once the server has ended the connection. A
-// connection reports its reset only once: if the write got it, the read has seen an end like any
-// other. A server that ends the connection before it has read the body resets it.
+// awaitWrite returns the result of writing the request body after the server has closed the connection. The
+// operating system reports a connection reset to only one call: if the write received it, the read returned
+// io.EOF. A server that closes the connection before it has read the body resets it.
 func (a *Answer) awaitWrite() error {
 	if a.writeResult == nil {
 		return nil
@@ -192,7 +192,7 @@
 	}
 	_ = a.conn.SetWriteDeadline(deadline)
 	err := <-a.writeResult
-	// A further read at the end has the same result.
+	// Further reads need the result, too.
 	a.writeResult <- err
 	return err
 }
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -53,8 +53,7 @@
 	maxStaleBodyBytes = 64 << 10
 	// freeBufferBytes of each answer need no reservation; ordinary ones stay within.
 	freeBufferBytes = 64 << 10
-	// writeEndTimeout is how long a request body that has not been written whole is written on after the
-	// server has ended the connection.
+	// writeEndTimeout bounds the write of a request body after the server has closed the connection.
 	writeEndTimeout = 250 * time.Millisecond
 	// memoryTimeout is how long an answer of unknown length waits for memory. Servers in
 	// trouble may send bytes without end.
--- a/peer/replica/form_test.go
+++ b/peer/replica/form_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"testing"
 
+	"github.com/cyclamenward/cyclamenward/internal/wire/answerer"
 	"github.com/cyclamenward/cyclamenward/internal/wire/verifier"
 	"gotest.tools/v3/assert"
 )
@@ -12,7 +13,7 @@
 // TestAnswersWithInvalidStatusAreNoAnswers guards against an answer of a faulty replica with status 000 that
 // its caller gets as a 200, and against statuses beyond 599.
 func TestAnswersWithInvalidStatusAreNoAnswers(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "600", "999"} {
+	for _, status := range answerer.InvalidStatuses {
 		text := "HTTP/1.1 " + status + " Trouble\r\n" + idField + ": r\r\nContent-Length: 6\r\n\r\nbooked"
 		for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\n" + idField + ": earlier\r\nContent-Length: 0\r\n\r\n"} {
 			got, err := readCut(before+text, 1<<10, io.EOF)
@@ -27,7 +28,7 @@
 // blank or a control character: its caller got the line, or what follows it as the body.
 func TestAnswersWithMalformedFieldNamesAreNoAnswers(t *testing.T) {
 	const fields = "\r\n" + idField + ": r\r\n"
-	for _, field := range []string{"X A: 1", "X-A : 1", "Content-Length : 1", " X-A: 1", "\tX-A: 1", "\nX-A: 1", "\nContent-Length: 1", "X\x01A: 1"} {
+	for _, field := range answerer.MalformedFields {
 		for _, text := range []string{
 			"HTTP/1.1 200 OK" + fields + field + "\r\nContent-Length: 6\r\n\r\nbooked",
 			"HTTP/1.1 200 OK" + fields + field + "\r\n\r\nbooked",
@@ -40,7 +41,7 @@
 	}
 }
 
-// nestedHeads begin an answer within the head of another that was not finished.
+// nestedHeads consist of a truncated head and a second status line.
 var nestedHeads = []string{
 	"HTTP/1.1 503 ServiceHTTP/1.1 200 OK\r\n",
 	"HTTP/1.1 503 HTTP/1.1 200 OK\r\n",
--- a/peer/replica/grammar_test.go
+++ b/peer/replica/grammar_test.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// parseModelBody returns the body behind a head.
+// parseModelBody returns the body that follows a head.
 func parseModelBody(head *modelHead, rest string) (string, bool) {
 	switch {
 	case head.status == 204 || head.status == 304:
@@ -146,7 +146,7 @@
 	}
 }
 
-// soundParts are whole parts of answers. Those drawn in a row may be an answer.
+// soundParts are complete parts of answers. A sequence of them may form an answer.
 var soundParts = []string{
 	"HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Service Unavailable\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 204\r\n", "HTTP/1.1 304 Not Modified\r\n", "HTTP/1.1 103 Early Hints\r\n", "HTTP/1.1 100 \r\n",
 	idField + ": r\r\n", "x-test-id:r \r\n", idField + ": earlier\r\n", "Content-Length: 6\r\n", "Content-Length:0\r\n", "Transfer-Encoding: chunked\r\n", "X-A: b; c=\"d\"\r\n", "X-\xfc: 1\r\n", "X-A: \xfc\r\n",
@@ -158,8 +158,8 @@
 	"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
 }
 
-// drawAnswer returns the bytes of a server in trouble: parts of answers, some of them cut, with a byte changed or with
-// one left out.
+// drawAnswer returns the bytes of a faulty server: parts of answers, some of them truncated or with one byte changed or
+// missing.
 func drawAnswer(random *rand.Rand) string {
 	var text strings.Builder
 	for range 1 + random.IntN(9) {
