--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -58,7 +58,21 @@
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("id=%s status=%d sealed=%t whole=%t replica=%s pieces=%d took=%.3f err=%v", r.id, r.status, r.sealed, r.whole, r.replica, r.pieces, r.took.Seconds(), r.err)
+	text := fmt.Sprintf("%s %d", r.id, r.status)
+	if r.sealed {
+		text += " sealed by " + r.replica
+	}
+	if !r.whole {
+		text += " not whole"
+	}
+	if r.pieces > 0 {
+		text += fmt.Sprintf(" %d pieces", r.pieces)
+	}
+	text += fmt.Sprintf(" after %.3f s", r.took.Seconds())
+	if r.err != nil {
+		text += ": " + r.err.Error()
+	}
+	return text
 }
 
 // pause returns how long the caller waits after a refusal.
@@ -110,7 +124,7 @@
 	begun := time.Now()
 	defer func() {
 		r.took = time.Since(begun)
-		traffic.note("sent %s to %s, answered: %v", kind, c.conn.RemoteAddr(), r)
+		traffic.note("%s to %s: %v", kind, c.conn.RemoteAddr(), r)
 	}()
 	_ = c.conn.SetDeadline(begun.Add(deadline))
 	if _, r.err = c.conn.Write(request(kind, r.id, deadline, extra)); r.err != nil {
--- a/review/standin-3/descriptors.go
+++ b/review/standin-3/descriptors.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,6 +13,8 @@
 const (
 	// requestsPerSecond is the traffic of the sheet of roegeri-net, all kinds together.
 	requestsPerSecond = 152
+	// ownDescriptors is how many files the callers and replicas of this process may need.
+	ownDescriptors = 7000
 	// keptConnections carry streams one after the other, each request on the connection of the last.
 	keptConnections = 24
 )
@@ -19,6 +22,10 @@
 // playDescriptors loses two of three edges under the usual traffic. Each caller has a connection of its own, which it
 // leaves open after its answer, for the server to close when it has been idle for too long.
 func playDescriptors(d *deployment, trouble bool) (bool, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < ownDescriptors {
+		return false, fmt.Errorf("this process may open %d files, the callers need %d (%v)", limit.Cur, ownDescriptors, err)
+	}
 	l, err := d.lay(11, 1, func(p *replica) {
 		if p.hasModel {
 			p.work = 300 * time.Millisecond
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -242,7 +242,7 @@
 	p.running.Add(1)
 	p.runs = append(p.runs, run{id: id, replica: p.id, method: r.Method, path: r.URL.RequestURI(), body: string(body), at: time.Now(), version: version})
 	p.mu.Unlock()
-	traffic.note("runs at %s: %s %s %s, %d bytes, version %d", p.id, id, r.Method, r.URL.RequestURI(), len(body), version)
+	traffic.note("runs at %s: %s %s %s", p.id, id, r.Method, r.URL.RequestURI())
 	defer p.running.Add(-1)
 	select {
 	case <-time.After(p.work):
