--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -32,9 +32,11 @@
 		routes = append(routes, map[string]any{"name": "r-stream", "host": streamHost, "prefix": streamPath, "route-kind": "streaming", "timeout-ms": 12000, "target-latency-ms": 800, "priority": 1, "service": modelService, "max-attempts": 1, "public": false, "session-affinity": true, "resumable": false, "gap-aim-ms": 250})
 		services = append(services, map[string]any{"name": modelService, "health-path": "/health", "max-conns": 230, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 32, "kv-capacity-tokens": 210254, "kv-token-bytes": 327680, "link-mbps": 740000.0, "moves": true, "backups": true, "stride": 7, "max-inflight": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": model}}}})
 	}
-	return map[string]any{"version": version, "routes": routes, "services": services,
+	return map[string]any{
+		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api-keys": []string{apiKey}, "priority": 1, "dedicated": false}}}
+		"tenants": []any{map[string]any{"name": tenant, "api-keys": []string{apiKey}, "priority": 1, "dedicated": false}},
+	}
 }
 
 // traffic is the record of what is sent, answered and run.
--- a/review/standin-3/holders.go
+++ b/review/standin-3/holders.go
@@ -46,7 +46,7 @@
 		}
 		return true
 	}
-	d.store.onWrite = func(from, key string, removed bool, revision uint64) {
+	d.store.onWrite = func(_, key string, removed bool, revision uint64) {
 		d.record.note("store: %s, removed %t, revision %d", key, removed, revision)
 	}
 	name := func() {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -36,7 +36,7 @@
 	log      []item
 	leases   map[uint64]*lease
 	changed  chan struct{}
-	// writes receives each change made by a daemon.
+	// onWrite is called with each change that daemons make, and with the end of their leases.
 	onWrite func(from, key string, removed bool, revision uint64)
 }
 
