Listener: an error of accept closes no connection

Cause: gnet ends its engine, and with it all event loops, on each error of accept but EINTR, EAGAIN, ECONNRESET and ECONNABORTED. Nobody noticed: Accept of the adapter went on waiting, and Ready did not ask. EMFILE is one of those errors, ENFILE, ENOBUFS, ENOMEM, EPROTO and EPERM are others.

Ruled out: the loss of the edges itself. The new test needs one listener and no free descriptor.

Change: the adapter accepts from a socket of its own and hands the connections to gnet's event loops (gnet.Client, Enroll). An error of accept is logged, followed by a pause of 5 to 100 ms, and ends nothing. A front that has failed to accept within the last second is not ready.

Not in this commit: nothing keeps the process from running out of descriptors.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -165,6 +165,7 @@
 		linkServer.Close()
 		return nil, fmt.Errorf("caller address: %w", err)
 	}
+	e.callerListener.OnAcceptFailed(func(err error) { d.Logger.Error("entry: cannot accept connections.", "err", err) })
 	if settings.OutboundBytes > 0 {
 		e.callerListener.LimitOutbound(listener.OutboundLimit{Bytes: settings.OutboundBytes, StallTimeout: callerStallTimeout, OnStalled: func() { e.recorder.Count("callers.stalled") }})
 	}
@@ -212,10 +213,10 @@
 // CallerAddr returns the address on which callers connect.
 func (e *Entry) CallerAddr() net.Addr { return e.callerListener.Addr() }
 
-// Ready reports whether the entry can serve: it has a configuration and is not
+// Ready reports whether the entry can serve: it has a configuration, accepts connections and is not
 // draining.
 func (e *Entry) Ready() bool {
-	return !e.stopper.Stopping() && len(e.common.RevisionTable().Snapshot().Services()) > 0
+	return !e.stopper.Stopping() && e.callerListener.Accepting() && len(e.common.RevisionTable().Snapshot().Services()) > 0
 }
 
 // Drain keeps serving for the shutdown delay, and then for as long as requests run or arrive,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,7 @@
 	if g.callerListener, err = listener.New(settings.Address, maxInboundBytes); err != nil {
 		return nil, fmt.Errorf("caller address: %w", err)
 	}
+	g.callerListener.OnAcceptFailed(func(err error) { logger.Error("gateway: cannot accept connections.", "err", err) })
 	if settings.OutboundBytes > 0 {
 		g.callerListener.LimitOutbound(listener.OutboundLimit{Bytes: settings.OutboundBytes, StallTimeout: stallTimeout, OnStalled: func() {
 			logger.Info("gateway: connection closed, its caller takes nothing of its answer.", "after", stallTimeout)
@@ -142,8 +143,10 @@
 	}
 }
 
-// Ready reports whether the gateway can serve requests and is not draining.
-func (g *Gateway) Ready() bool { return !g.stopper.Stopping() && g.canServe() }
+// Ready reports whether the gateway accepts connections, can serve requests and is not draining.
+func (g *Gateway) Ready() bool {
+	return !g.stopper.Stopping() && g.canServe() && g.callerListener.Accepting()
+}
 
 // handleReady answers a readiness check.
 func (g *Gateway) handleReady(ctx *fasthttp.RequestCtx) {
--- a/listener/export_test.go
+++ b/listener/export_test.go
@@ -29,6 +29,9 @@
 	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
 }
 
+// NewOn returns a listener that accepts from a socket.
+func NewOn(socket net.Listener) (*Listener, error) { return newListener(socket, 1<<20) }
+
 // Detached returns the number of connections that are off the event loop.
 func Detached(l *Listener) int {
 	count := 0
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -1,6 +1,6 @@
 // Package listener lets fasthttp serve connections whose sockets are owned by gnet.
 //
-// gnet accepts, reads and writes; each connection is handed to the HTTP library
+// gnet reads and writes; each connection is handed to the HTTP library
 // as a net.Conn. Buffers are bounded in both directions: a client that sends more than
 // maxAheadBytes ahead of what the server has read is taken off gnet's event loop and read
 // at the pace of the server, and a write waits while a slow client has more than
@@ -40,26 +40,27 @@
 	maxPendingConnections = 1024
 )
 
-// Listener implements net.Listener with a gnet engine, for which it is the event
-// handler.
+// Listener implements net.Listener for connections whose events gnet handles.
 type Listener struct {
 	gnet.BuiltinEventEngine
-	address net.Addr
+	// socket is accepted from by the listener itself: gnet closes all connections when accept fails.
+	socket net.Listener
+	events *gnet.Client
 	// maxInboundBytes is how many received bytes may wait to be read per connection.
 	maxInboundBytes int
 	// pending holds open connections that wait for Accept.
 	pending chan net.Conn
-	// booted is closed once gnet listens and engine is set.
-	booted chan struct{}
-	engine gnet.Engine
 	// openMu is held while a connection is added to pending or closed is closed, so that none is
 	// added after that.
 	openMu sync.Mutex
 	// closed is closed by Close.
 	closed chan struct{}
-	// stopped is closed once gnet has stopped and runErr is set.
-	stopped chan struct{}
-	runErr  error
+	// acceptEnded is closed once no further connection is accepted.
+	acceptEnded chan struct{}
+	// acceptFailedAt is when accept last failed, nil if it never has. onAcceptFailed is called for the
+	// first of a series of failures.
+	acceptFailedAt atomic.Pointer[time.Time]
+	onAcceptFailed atomic.Pointer[func(error)]
 	// detached holds the connections that were taken off the event loop.
 	detached sync.Map
 	// refusal is what a client gets whose request is not read any more, nil for nothing.
@@ -74,29 +75,38 @@
 // New listens on a TCP address. A client that sends ahead while its last answer is not taken yet is
 // disconnected when more than maxInboundBytes wait to be read.
 func New(address string, maxInboundBytes int) (*Listener, error) {
-	resolved, err := resolveAddress(address)
+	// Connections are kept alive by their servers' own timeouts.
+	config := net.ListenConfig{KeepAlive: -1}
+	socket, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	return newListener(socket, maxInboundBytes)
+}
+
+// newListener returns a listener that accepts from a socket, which it closes.
+func newListener(socket net.Listener, maxInboundBytes int) (*Listener, error) {
 	l := &Listener{
-		address:         resolved,
 		maxInboundBytes: maxInboundBytes,
 		pending:         make(chan net.Conn, maxPendingConnections),
-		booted:          make(chan struct{}),
 		closed:          make(chan struct{}),
-		stopped:         make(chan struct{}),
+		acceptEnded:     make(chan struct{}),
 		outbound:        outbound{conns: make(map[*conn]bool)},
 	}
+	l.socket = NewPersistent(socket, l.recordAcceptFailure)
+	var err error
+	// Accepted sockets have TCP_NODELAY already.
+	if l.events, err = gnet.NewClient(l, gnet.WithMulticore(true), gnet.WithLogger(discardLogger{}), gnet.WithTCPNoDelay(gnet.TCPDelay)); err == nil {
+		err = l.events.Start()
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("start event loops of %s: %w", socket.Addr(), err), socket.Close())
+	}
 	go func() {
-		l.runErr = gnet.Run(l, "tcp://"+resolved.String(), gnet.WithMulticore(true), gnet.WithReuseAddr(true), gnet.WithLogger(discardLogger{}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
-		close(l.stopped)
+		defer close(l.acceptEnded)
+		l.acceptAll()
 	}()
-	select {
-	case <-l.booted:
-		return l, nil
-	case <-l.stopped:
-		return nil, fmt.Errorf("listen on %s: %w", address, l.runErr)
-	}
+	return l, nil
 }
 
 // SetRefusal sets the answer to requests that arrive on idle connections while these are closed.
@@ -125,24 +135,6 @@
 	})
 }
 
-// resolveAddress replaces port 0 by a free port, since gnet does not report which port it
-// listens on.
-func resolveAddress(address string) (net.Addr, error) {
-	temporary, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	defer func() { _ = temporary.Close() }()
-	return temporary.Addr(), nil
-}
-
-// OnBoot implements gnet.EventHandler.
-func (l *Listener) OnBoot(engine gnet.Engine) gnet.Action {
-	l.engine = engine
-	close(l.booted)
-	return gnet.None
-}
-
 // OnOpen implements gnet.EventHandler.
 func (l *Listener) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
 	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, refusal: &l.refusal, outbound: &l.outbound, disconnected: make(chan struct{})}
@@ -231,21 +223,27 @@
 	return nil
 }
 
-// Stop stops gnet and closes every connection. It waits for that until ctx ends.
+// Stop closes the socket and every connection. It waits for that until ctx ends.
 func (l *Listener) Stop(ctx context.Context) error {
 	_ = l.Close()
 	l.detached.Range(func(c, _ any) bool {
 		_ = c.(*conn).direct.Close()
 		return true
 	})
-	// gnet itself looks only each half second whether its engine has stopped.
-	initiated, cancel := context.WithCancel(ctx)
-	cancel()
-	if err := l.engine.Stop(initiated); err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+	if err := l.socket.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("stop listener: %w", err)
 	}
+	stopped := make(chan error, 1)
+	go func() {
+		// The event loops must run for as long as connections are handed to them.
+		<-l.acceptEnded
+		stopped <- l.events.Stop()
+	}()
 	select {
-	case <-l.stopped:
+	case err := <-stopped:
+		if err != nil {
+			return fmt.Errorf("stop listener: %w", err)
+		}
 		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("stop listener: %w", ctx.Err())
@@ -253,7 +251,7 @@
 }
 
 // Addr implements net.Listener.
-func (l *Listener) Addr() net.Addr { return l.address }
+func (l *Listener) Addr() net.Addr { return l.socket.Addr() }
 
 // conn implements net.Conn for one gnet connection.
 type conn struct {
