Listener: callers' connections stay within the descriptors

Cause: nothing bounded callers' connections by max-fds or the system's limit.

At that bound the connection that has waited longest for a request is closed for a new one: never one with a request, with bytes of one, or whose client has not taken its last answer. If requests run on all, up to 64 further clients get 503 with Retry-After at once, the rest waits in the kernel, and the front is not ready for a second. The same on the product's own interface, by the system's limit.

Evidence: TestConnectionsStayWithinTheirLimit draws connects, requests, ends and leaves; without a limit no connection was ever closed for another.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/cyclamenward/cyclamenward/internal/daemon"
+	"github.com/cyclamenward/cyclamenward/internal/daemon/apportioner"
 	"github.com/cyclamenward/cyclamenward/internal/entry"
 	"github.com/cyclamenward/cyclamenward/registrar"
 	"github.com/urfave/cli/v3"
@@ -39,7 +40,12 @@
 	if err != nil {
 		return err
 	}
+	descriptors, err := apportioner.Limit(0)
+	if err != nil {
+		return fmt.Errorf("start entry: %w", err)
+	}
 	settings := entry.Settings{
+		Connections:       apportioner.Divide(descriptors).Callers,
 		CallerAddress:     c.String("caller-address"),
 		OperatorTokenHash: c.String("operator-token-hash"),
 		ShutdownDelay:     durationOf(c, "settle"),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,9 @@
 	bodyRetryAfter = time.Second
 	// closedRetryAfter is when a caller may come back whose connection is closed in a planned stop.
 	closedRetryAfter = time.Second
+	// fullRetryAfter is when a caller may come back whose connection finds no room: others are closed as
+	// requests end.
+	fullRetryAfter = time.Second
 	// requestReadTimeout bounds the time in which a whole request must arrive.
 	requestReadTimeout = 10 * time.Second
 	// callerIdleTimeout is how long a caller's connection is kept open between requests.
@@ -77,6 +80,8 @@
 	// ShutdownDelay is how long a draining entry keeps serving after Ready turns false, so
 	// that the load balancer detects that first.
 	ShutdownDelay time.Duration
+	// Connections bounds the open connections of callers, 0 for no such bound.
+	Connections int
 	// OutboundBytes bounds what all callers together have not taken yet of their answers, 0 for no such
 	// bound.
 	OutboundBytes int
@@ -166,6 +171,12 @@
 		return nil, fmt.Errorf("caller address: %w", err)
 	}
 	e.callerListener.OnAcceptFailed(func(err error) { d.Logger.Error("entry: cannot accept connections.", "err", err) })
+	if settings.Connections > 0 {
+		e.callerListener.LimitConnections(listener.ConnectionLimit{
+			Connections: settings.Connections, Refusal: stopper.Refusal(fullRetryAfter),
+			OnEvicted: func() { e.recorder.Count("callers.evicted") }, OnRefused: func() { e.recorder.Count("callers.refused") },
+		})
+	}
 	if settings.OutboundBytes > 0 {
 		e.callerListener.LimitOutbound(listener.OutboundLimit{Bytes: settings.OutboundBytes, StallTimeout: callerStallTimeout, OnStalled: func() { e.recorder.Count("callers.stalled") }})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,9 @@
 	// closedRetryAfter is when a caller may come back whose connection is closed in a planned stop:
 	// other daemons take its request at once.
 	closedRetryAfter = 50 * time.Millisecond
+	// fullRetryAfter is when a caller may come back whose connection finds no room: others are closed as
+	// requests end, and the load balancer turns to other daemons within two seconds.
+	fullRetryAfter = time.Second
 	// maxHeadBytes bounds the request line and header fields of a request. Operators may
 	// allow callers 16 KB of them, and the HTTP library adds no margin of its own.
 	maxHeadBytes = 20 << 10
@@ -74,6 +77,8 @@
 	Grace time.Duration
 	// Memory is what the bodies of all requests and the answers take together.
 	Memory *reserver.Budget
+	// Connections bounds the open connections of callers, 0 for no such bound.
+	Connections int
 	// OutboundBytes bounds what all callers together have not taken yet of their answers, 0 for no such bound.
 	OutboundBytes int
 }
@@ -103,6 +108,11 @@
 		return nil, fmt.Errorf("caller address: %w", err)
 	}
 	g.callerListener.OnAcceptFailed(func(err error) { logger.Error("gateway: cannot accept connections.", "err", err) })
+	if settings.Connections > 0 {
+		g.callerListener.LimitConnections(listener.ConnectionLimit{Connections: settings.Connections, Refusal: stopper.Refusal(fullRetryAfter), OnRefused: func() {
+			logger.Info("gateway: connection refused, requests run on all others.", "open", settings.Connections)
+		}})
+	}
 	if settings.OutboundBytes > 0 {
 		g.callerListener.LimitOutbound(listener.OutboundLimit{Bytes: settings.OutboundBytes, StallTimeout: stallTimeout, OnStalled: func() {
 			logger.Info("gateway: connection closed, its caller takes nothing of its answer.", "after", stallTimeout)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -47,6 +47,12 @@
 // newFixture starts a gateway. Complete streams wait before their second event until
 // release is closed.
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newLimitedFixture(t, 0)
+}
+
+// newLimitedFixture is newFixture with a limit of callers' connections.
+func newLimitedFixture(t *testing.T, connections int) *fixture {
 	t.Helper()
 	clock := timekeeper.System{}
 	f := &fixture{callerAddress: freeAddress(t), readyAddress: freeAddress(t), release: make(chan struct{})}
@@ -58,7 +64,7 @@
 	}
 	r := router.New(options, pool, router.Transport{Send: f.send}, clock, log.New(io.Discard), recorder.New())
 	var err error
-	f.gateway, err = gateway.New(gateway.Settings{Address: f.callerAddress, ReadyAddress: f.readyAddress, IdleTimeout: time.Minute, Grace: 5 * time.Second, Memory: reserver.NewBudget(1<<20, 1<<20, timekeeper.System{})},
+	f.gateway, err = gateway.New(gateway.Settings{Address: f.callerAddress, ReadyAddress: f.readyAddress, IdleTimeout: time.Minute, Grace: 5 * time.Second, Connections: connections, Memory: reserver.NewBudget(1<<20, 1<<20, timekeeper.System{})},
 		gateway.Protocol{MaxBody: maxBody, Parse: parse, WriteHead: writeHead, WriteFailure: writeFailure}, r, func() bool { return true }, clock, log.New(io.Discard))
 	assert.NilError(t, err)
 	return f
@@ -339,3 +345,28 @@
 	assert.Equal(t, string(rest), "id: 1\n\nid: 2\n\nid: 3\n\n")
 	<-drained
 }
+
+// TestFullGatewayRefusesAtOnce guards against callers that wait in vain for a daemon whose connections all carry
+// requests, and against a load balancer that sends it more.
+func TestFullGatewayRefusesAtOnce(t *testing.T) {
+	f := newLimitedFixture(t, 1)
+	defer f.gateway.Drain()
+	stream := get(t, f.callerAddress, "/whole")
+	assert.Check(t, f.gateway.Ready())
+	refused := get(t, f.callerAddress, "/whole")
+	assert.Equal(t, refused.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, refused.Header.Get("Retry-After"), "1")
+	assert.Check(t, !f.gateway.Ready())
+	assert.Equal(t, get(t, f.readyAddress, "/").StatusCode, http.StatusServiceUnavailable)
+	close(f.release)
+	body, err := io.ReadAll(stream.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "id: 1\n\nid: 2\n\nid: 3\n\n")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !f.gateway.Ready() {
+			return poll.Continue("the gateway has refused a caller lately")
+		}
+		return poll.Success()
+	}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(20*time.Second))
+	assert.Equal(t, get(t, f.callerAddress, "/new/whole").StatusCode, http.StatusOK)
+}
--- a/internal/gateway/stopper/stop.go
+++ b/internal/gateway/stopper/stop.go
@@ -55,12 +55,15 @@
 // seconds after which the caller may come back. The request has not run.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %g\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
+// Refusal returns the answer to a request that is not read, whose caller may come back after retryAfter.
+func Refusal(retryAfter time.Duration) []byte { return fmt.Appendf(nil, refusal, retryAfter.Seconds()) }
+
 // New returns the stopper of a server on a listener, neither of which serves yet. Callers whose
 // connections are closed may come back after retryAfter. announce is called at the begin of a stop
 // with a context that ends when requests must have ended, and the delay of Stop.
 func New(server *fasthttp.Server, l *listener.Listener, retryAfter time.Duration, announce func(ctx context.Context, delay time.Duration), clock timekeeper.Clock) *Stopper {
 	server.ConnState = listener.RecordState
-	l.SetRefusal(fmt.Appendf(nil, refusal, retryAfter.Seconds()))
+	l.SetRefusal(Refusal(retryAfter))
 	return &Stopper{server: server, listener: l, announce: announce, clock: clock}
 }
 
--- a/listener/accept.go
+++ b/listener/accept.go
@@ -11,8 +11,8 @@
 	// failure.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = 100 * time.Millisecond
-	// acceptFailureAge is how long a failure to accept counts: several of the longest pauses.
-	acceptFailureAge = time.Second
+	// declinedAge is how long a failure to accept and a refusal count: several of the longest pauses.
+	declinedAge = time.Second
 )
 
 // Persistent is a socket whose Accept fails only once the socket is closed. A process that lacks descriptors or
@@ -43,21 +43,22 @@
 // OnAcceptFailed has f called for the first of each series of failures to accept a connection.
 func (l *Listener) OnAcceptFailed(f func(error)) { l.onAcceptFailed.Store(&f) }
 
-// Accepting reports whether connections are accepted.
+// Accepting reports whether clients can connect: the listener is not closed, and within the last second none was
+// refused and accept has not failed.
 func (l *Listener) Accepting() bool {
-	failedAt := l.acceptFailedAt.Load()
-	return !l.isClosed() && (failedAt == nil || time.Since(*failedAt) >= acceptFailureAge)
+	declinedAt := l.declinedAt.Load()
+	return !l.isClosed() && (declinedAt == nil || time.Since(*declinedAt) >= declinedAge)
 }
 
 // acceptAll hands connections to the event loops until the socket is closed.
 func (l *Listener) acceptAll() {
 	for {
+		l.awaitPlace()
 		accepted, err := l.socket.Accept()
 		if err != nil {
 			return
 		}
-		// This closes the accepted connection, also if it fails.
-		if _, err := l.events.Enroll(accepted); err != nil {
+		if err := l.enroll(accepted); err != nil {
 			l.recordAcceptFailure(err)
 		}
 	}
@@ -65,9 +66,15 @@
 
 // recordAcceptFailure records that a connection could not be accepted.
 func (l *Listener) recordAcceptFailure(err error) {
-	isFirst, now := l.Accepting(), time.Now()
-	l.acceptFailedAt.Store(&now)
+	isFirst := l.Accepting()
+	l.recordDeclined()
 	if f := l.onAcceptFailed.Load(); f != nil && isFirst {
 		(*f)(err)
 	}
 }
+
+// recordDeclined records that a client could not connect or was refused.
+func (l *Listener) recordDeclined() {
+	now := time.Now()
+	l.declinedAt.Store(&now)
+}
--- a/listener/export_test.go
+++ b/listener/export_test.go
@@ -3,11 +3,15 @@
 import (
 	"errors"
 	"net"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 )
 
+// MaxRefused is how many connections beyond the limit may be open.
+const MaxRefused = maxRefused
+
 // StallLoop stops the event loop of a connection, as on a machine that gives the process no
 // processor time, until resume is called. It returns once the loop stands still.
 func StallLoop(c net.Conn) (resume func()) {
@@ -32,6 +36,27 @@
 // NewOn returns a listener that accepts from a socket.
 func NewOn(socket net.Listener) (*Listener, error) { return newListener(socket, 1<<20) }
 
+// SetNow sets the clock by which connections wait for requests.
+func SetNow(l *Listener, now func() time.Time) {
+	l.places.mu.Lock()
+	defer l.places.mu.Unlock()
+	l.places.now = now
+}
+
+// Idle returns the number of connections that wait for a request.
+func Idle(l *Listener) int {
+	l.places.mu.Lock()
+	defer l.places.mu.Unlock()
+	return l.places.idle.Len()
+}
+
+// Refused returns the number of open connections beyond the limit.
+func Refused(l *Listener) int {
+	l.places.mu.Lock()
+	defer l.places.mu.Unlock()
+	return l.places.refused
+}
+
 // Detached returns the number of connections that are off the event loop.
 func Detached(l *Listener) int {
 	count := 0
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -8,6 +8,7 @@
 package listener
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -57,9 +58,9 @@
 	closed chan struct{}
 	// acceptEnded is closed once no further connection is accepted.
 	acceptEnded chan struct{}
-	// acceptFailedAt is when accept last failed, nil if it never has. onAcceptFailed is called for the
-	// first of a series of failures.
-	acceptFailedAt atomic.Pointer[time.Time]
+	// declinedAt is when a client last was refused or could not be accepted, nil if none was.
+	// onAcceptFailed is called for the first of a series of failures to accept.
+	declinedAt     atomic.Pointer[time.Time]
 	onAcceptFailed atomic.Pointer[func(error)]
 	// detached holds the connections that were taken off the event loop.
 	detached sync.Map
@@ -70,6 +71,8 @@
 	readsEnded bool
 	// outbound counts what is outstanding for all clients.
 	outbound outbound
+	// places counts the open connections.
+	places places
 }
 
 // New listens on a TCP address. A client that sends ahead while its last answer is not taken yet is
@@ -92,6 +95,7 @@
 		closed:          make(chan struct{}),
 		acceptEnded:     make(chan struct{}),
 		outbound:        outbound{conns: make(map[*conn]bool)},
+		places:          places{now: time.Now, freed: make(chan struct{}, 1)},
 	}
 	l.socket = NewPersistent(socket, l.recordAcceptFailure)
 	var err error
@@ -121,6 +125,7 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.idle, own.readWhileIdle = state == fasthttp.StateNew || state == fasthttp.StateIdle, false
+	own.places.setIdle(own, own.idle)
 }
 
 // EndReads makes all reads time out that would wait for clients, so that requests which have not
@@ -137,9 +142,18 @@
 
 // OnOpen implements gnet.EventHandler.
 func (l *Listener) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
-	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, refusal: &l.refusal, outbound: &l.outbound, disconnected: make(chan struct{})}
+	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, refusal: &l.refusal, outbound: &l.outbound, places: &l.places, disconnected: make(chan struct{})}
 	c.changed = sync.NewCond(&c.mu)
+	if t, ok := raw.Context().(*ticket); ok {
+		c.admitted, t.redeemed = t.admission, true
+		if t.admission == refused {
+			l.refuse(raw, c, t.refusal)
+		}
+	}
 	raw.SetContext(c)
+	if c.refusing {
+		return nil, gnet.None
+	}
 	l.openMu.Lock()
 	defer l.openMu.Unlock()
 	if l.isClosed() {
@@ -193,6 +207,7 @@
 	if c, ok := raw.Context().(*conn); ok && !c.isDetached() {
 		c.markEnded()
 		l.conns.Delete(c)
+		l.places.release(c)
 	}
 	return gnet.None
 }
@@ -262,6 +277,12 @@
 	refusal *atomic.Pointer[[]byte]
 	// disconnected is closed when ended is set.
 	disconnected chan struct{}
+	// places is that of the listener; its mu guards the three fields below. place is the connection's element
+	// of idle, nil if it does not wait for a request, else it has since idleSince.
+	places    *places
+	admitted  admission
+	place     *list.Element
+	idleSince time.Time
 
 	// mu guards the fields below; changed is broadcast whenever one changes for which a
 	// reader or writer may wait, and when a deadline passes.
