Replica client: a bound for all connections, and own lack is no failure

Idle connections to replicas, 32 each, could take all descriptors that callers leave.

Cause: the client counted connections by server only, and an error of dial was the server's whatever it said.

EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL and the bound itself are ErrNoDescriptor: the request has not run, and the router records no failure.

--- a/internal/routing/router/dispatch.go
+++ b/internal/routing/router/dispatch.go
@@ -451,7 +451,7 @@
 	d.router.recorder.Count("attempts.lost")
 	d.router.logger.Info("route: attempt failed.", "request", d.request.ID, "content", d.request.ContentKey, "replica", replica.ID(), "notSent", notSent, "err", err)
 	d.excluded = append(d.excluded, replica)
-	if d.ctx.Err() == nil && !d.recalled.Load() {
+	if d.ctx.Err() == nil && !d.recalled.Load() && !errors.Is(err, ErrNoDescriptor) {
 		d.recordFailure(notSent)
 	}
 	if notSent {
--- a/internal/routing/router/opening_test.go
+++ b/internal/routing/router/opening_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -447,3 +448,27 @@
 		}
 	})
 }
+
+// TestReplicaIsNotBlamedForOwnLack guards against sound replicas that get no requests since this daemon could open
+// no connection to them.
+func TestReplicaIsNotBlamedForOwnLack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lacks := true
+		b := newTestBed(1, func(int, *Attempt) (*Reply, error) {
+			if lacks {
+				return nil, errors.Join(ErrNotSent, ErrNoDescriptor)
+			}
+			return answerReply(200, "whole"), nil
+		})
+		b.router.options.PacedStarts = func(string) bool { return true }
+		for range seriesOfFailures {
+			failure := b.router.Begin(newRequest(route(AtMostOnce, 1, false))).Failure
+			assert.Assert(t, failure != nil && failure.NotRun && failure.RetryAfter > 0, "%v", failure)
+		}
+		replica := b.pool.ReplicaByID("i-0")
+		backingOff, failureRate := replica.inBackoff(time.Now())
+		assert.Check(t, !backingOff && failureRate == 0 && !replica.pacer.Load().Paced())
+		lacks = false
+		assert.Check(t, b.router.Begin(newRequest(route(AtMostOnce, 1, false))).Failure == nil)
+	})
+}
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -22,6 +22,9 @@
 var (
 	// ErrNotSent means that no part of the request was sent.
 	ErrNotSent = errorNamespace.NewType("notSent").New("request was not sent")
+	// ErrNoDescriptor means that this daemon lacks what a connection takes, whatever the replica is like. It
+	// comes with ErrNotSent.
+	ErrNoDescriptor = errorNamespace.NewType("noDescriptor").New("daemon lacks descriptors")
 	// ErrInvalidAnswer means that what the server sent is not a valid answer to the
 	// request.
 	ErrInvalidAnswer = errorNamespace.NewType("invalid").New("invalid answer")
--- a/peer/replica/client.go
+++ b/peer/replica/client.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,6 +67,9 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = faults.NewType("notSent").New("request was not sent")
+	// ErrNoDescriptor means that this process could not open a connection since it lacks descriptors, ports or
+	// memory. It says nothing about the server and comes with ErrNotSent.
+	ErrNoDescriptor = faults.NewType("noDescriptor").New("no descriptor for a connection")
 	// ErrExchangeFailed means that the exchange failed after at least part of the
 	// request may have been sent.
 	ErrExchangeFailed = faults.NewType("broken").New("exchange broke off")
@@ -135,10 +139,15 @@
 	clock   timekeeper.Clock
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 
-	// mu guards idle.
+	// maxConns bounds the open connections to all servers, 0 for no bound.
+	maxConns int
+
+	// mu guards the fields below.
 	mu sync.Mutex
 	// idle holds the idle connections by server address, the most recently used last.
 	idle map[string][]*conn
+	// open counts the connections that are open or being opened.
+	open int
 }
 
 // conn is one connection to a server.
@@ -151,11 +160,19 @@
 	// unacknowledged is how many sent bytes the server had not acknowledged when the exchange
 	// was aborted, -1 if it was not or the number is not known.
 	unacknowledged atomic.Int64
+	// release ends the count of the connection at its client.
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
 }
 
 // newConn returns a connection without an exchange.
-func newConn(netConn net.Conn) *conn {
-	c := &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), idleTimeout: defaultIdleTimeout}
+func newConn(netConn net.Conn, release func()) *conn {
+	c := &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), idleTimeout: defaultIdleTimeout, release: sync.OnceFunc(release)}
 	c.unacknowledged.Store(-1)
 	return c
 }
@@ -213,6 +230,9 @@
 	}
 }
 
+// LimitConnections bounds the open connections to all servers, 0 for no bound. It must be called before Do.
+func (c *Client) LimitConnections(limit int) { c.maxConns = limit }
+
 // Do sends a request and reads the head of its answer. The caller must call
 // Close on the answer. ErrNotSent is returned only if no byte was sent. If ctx ends
 // before Close, the connection is reset.
@@ -258,13 +278,67 @@
 		}
 		_ = kept.Close()
 	}
+	surplus, reserved := c.reserve()
+	if surplus != nil {
+		_ = surplus.Close()
+	}
+	if !reserved {
+		return nil, fmt.Errorf("connect to %s: %w: %d are in use", request.Address, ErrNoDescriptor, c.maxConns)
+	}
 	ctx, cancel := context.WithTimeout(ctx, request.ConnectTimeout)
 	defer cancel()
 	netConn, err := c.dial(ctx, request.Address)
 	if err != nil {
+		c.release()
+		if isOwnLack(err) {
+			err = fmt.Errorf("%w: %w", ErrNoDescriptor, err)
+		}
 		return nil, fmt.Errorf("connect to %s: %w", request.Address, err)
 	}
-	return newConn(netConn), nil
+	return newConn(netConn, c.release), nil
+}
+
+// isOwnLack reports whether a connection could not be opened for lack of something on this host.
+func isOwnLack(err error) bool {
+	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}, func(lack error) bool { return errors.Is(err, lack) })
+}
+
+// reserve counts a connection that is to be opened. At the limit it needs the place of one that is idle, which
+// it returns to be closed first; without one it returns false.
+func (c *Client) reserve() (surplus *conn, reserved bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.maxConns > 0 && c.open >= c.maxConns {
+		if surplus = c.removeLongestIdle(); surplus == nil {
+			return nil, false
+		}
+	}
+	c.open++
+	return surplus, true
+}
+
+// removeLongestIdle removes and returns the connection that has been idle for longest, nil if none is idle. The
+// caller holds mu.
+func (c *Client) removeLongestIdle() *conn {
+	oldestAddress := ""
+	for address, conns := range c.idle {
+		if len(conns) > 0 && (oldestAddress == "" || conns[0].idleSince.Before(c.idle[oldestAddress][0].idleSince)) {
+			oldestAddress = address
+		}
+	}
+	if oldestAddress == "" {
+		return nil
+	}
+	oldest := c.idle[oldestAddress][0]
+	c.idle[oldestAddress] = c.idle[oldestAddress][1:]
+	return oldest
+}
+
+// release ends the count of a connection.
+func (c *Client) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
 }
 
 // takeIdle removes and returns the most recently used idle connection to a server. It
