Roster: entries that the configuration does not know name no replica

Cause: the newest start at an address wins, whatever else its entry says, and nothing asked whether the entry is of a configured service.

Ruled out: the orders themselves. The side of such a replica sends none: its load queue has no replica of its service at its own address.

Change: the roster lists only replicas that the configuration knows: its service is configured and, where the service has models, the entry has a version of one of them (without that a side sent its orders for the wrong ID, or none). It is asked anew with each configuration, since an entry does not change when the configuration does.

Not in this commit: an entry of a configured service with a wrong address.

--- a/internal/fleet/announcer/return_test.go
+++ b/internal/fleet/announcer/return_test.go
@@ -240,7 +240,8 @@
 		Decode: func(item replicator.Item) (router.Descriptor, error) {
 			return router.Descriptor{ID: item.Key, StartUnixMilli: 1}, nil
 		},
-		Outage: d.watcher.Outage, StoreWatchedSince: d.StoreWatchedSince, Clock: timekeeper.System{}, Logger: log.New(io.Discard),
+		Configured: func(router.Descriptor) bool { return true },
+		Outage:     d.watcher.Outage, StoreWatchedSince: d.StoreWatchedSince, Clock: timekeeper.System{}, Logger: log.New(io.Discard),
 	})
 	for ctx.Err() == nil {
 		changed := d.deps.Table.Changed()
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -31,6 +31,9 @@
 type Dependencies struct {
 	// Decode returns the replica that an item of the list describes.
 	Decode func(replicator.Item) (router.Descriptor, error)
+	// Configured reports whether a replica is one that the configuration knows. Its answer may change with
+	// the configuration, after which Update must be called.
+	Configured func(router.Descriptor) bool
 	// Outage returns the store's current or last outage as this daemon's calls show it.
 	Outage func() watcher.Outage
 	// StoreWatchedSince returns since when other daemons have watched the store without a
@@ -60,6 +63,8 @@
 	value []byte
 	// valid is set if the descriptor is that of an existing replica.
 	valid bool
+	// foreign is set if the configuration did not know the replica when it was last asked.
+	foreign bool
 	// missingSince is when the item was found missing during or soon after an outage,
 	// zero if it is present or was removed otherwise.
 	missingSince time.Time
@@ -71,7 +76,7 @@
 }
 
 // Update applies the items of the list, including removed ones, and returns the
-// existing replicas. After recheckAfter, it must be called again even if no item has
+// existing replicas that the configuration knows. After recheckAfter, it must be called again even if no item has
 // changed; 0 means that it need not.
 func (r *Roster) Update(items []replicator.Item) (list []router.Descriptor, recheckAfter time.Duration) {
 	r.observeEra(items)
@@ -101,7 +106,9 @@
 			}
 			recheckAfter = max(recheckAfter, remaining)
 		}
-		list = append(list, m.descriptor)
+		if r.isConfigured(m) {
+			list = append(list, m.descriptor)
+		}
 	}
 	for key := range r.members {
 		if !present[key] {
@@ -111,6 +118,17 @@
 	return list, recheckAfter
 }
 
+// isConfigured reports whether a valid member is a replica that the configuration knows. Others may write items,
+// too: one that the configuration does not know must not take the place of a replica at the same address.
+func (r *Roster) isConfigured(m *member) bool {
+	wasForeign := m.foreign
+	m.foreign = !r.deps.Configured(m.descriptor)
+	if m.foreign != wasForeign {
+		r.deps.Logger.Info("roster: configuration of a replica's service changed.", "replica", m.descriptor.ID, "service", m.descriptor.Service, "address", m.descriptor.Address, "configured", !m.foreign)
+	}
+	return !m.foreign
+}
+
 // observeEra records the newest era of the items.
 func (r *Roster) observeEra(items []replicator.Item) {
 	newest := r.era
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -22,6 +22,8 @@
 	outage watcher.Outage
 	// storeWatchedSince is zero if no other daemon watches the store.
 	storeWatchedSince time.Time
+	// unknown holds the services that the configuration does not know.
+	unknown map[string]bool
 }
 
 func newFixture() *fixture {
@@ -31,8 +33,9 @@
 			if string(item.Value) == "bad" {
 				return router.Descriptor{}, errors.New("unreadable")
 			}
-			return router.Descriptor{ID: item.Key, Draining: string(item.Value) == "draining"}, nil
+			return router.Descriptor{ID: item.Key, Service: string(item.Value), Draining: string(item.Value) == "draining"}, nil
 		},
+		Configured:        func(d router.Descriptor) bool { return !f.unknown[d.Service] },
 		Outage:            func() watcher.Outage { return f.outage },
 		StoreWatchedSince: func() (time.Time, bool) { return f.storeWatchedSince, !f.storeWatchedSince.IsZero() },
 		Clock:             timekeeper.System{},
@@ -194,3 +197,22 @@
 	assert.DeepEqual(t, f.update(bad, present("b", 2), invalid), []string{"b"})
 	assert.DeepEqual(t, f.update(present("a", 5), present("b", 2), invalid), []string{"a", "b"})
 }
+
+// TestReplicasOfUnknownServicesAreNotListed guards against items of services that are not configured which are taken
+// for replicas, and against replicas that are not listed though a later configuration names their service.
+func TestReplicasOfUnknownServicesAreNotListed(t *testing.T) {
+	f := newFixture()
+	f.unknown = map[string]bool{"other": true}
+	items := []replicator.Item{present("a", 1), {Key: "b", Value: []byte("other"), Revision: 2}}
+	assert.DeepEqual(t, f.update(items...), []string{"a"})
+	f.unknown = nil
+	assert.DeepEqual(t, f.update(items...), []string{"a", "b"})
+	f.unknown = map[string]bool{"ready": true}
+	assert.DeepEqual(t, f.update(items...), []string{"b"})
+	f.unknown = nil
+	f.outage = watcher.Outage{Failing: true}
+	items[1] = replicator.Item{Key: "b", Revision: 3, Removed: true}
+	assert.DeepEqual(t, f.update(items...), []string{"a", "b"})
+	f.unknown = map[string]bool{"other": true}
+	assert.DeepEqual(t, f.update(items...), []string{"a"})
+}
--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -80,6 +80,8 @@
 	TokenBytes float64
 	// LinkBitsPerSecond is the bandwidth for a replica's transfers.
 	LinkBitsPerSecond float64
+	// Models are the names of the models that replicas serve, empty if they are not known.
+	Models []string
 	// NoTransfers is set if replicas cannot fetch cached parts from each other.
 	NoTransfers bool
 	// PrefillTokensPerSecond overrides the router's option of this name if it is set.
@@ -212,6 +214,17 @@
 // Service returns a service by name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// Describes reports whether a listed replica is one that the configuration knows: its service is configured, and
+// it has a version of one of the service's models.
+func (c *Catalog) Describes(d Descriptor) bool {
+	service := c.services[d.Service]
+	if service == nil {
+		return false
+	}
+	return service.Engine == nil || len(service.Engine.Models) == 0 ||
+		slices.ContainsFunc(service.Engine.Models, func(model string) bool { return d.WeightsVersions[model] > 0 })
+}
+
 // CacheStores returns the cache stores, which must not be changed.
 func (c *Catalog) CacheStores() []*CacheStore { return c.cacheStores }
 
--- /dev/null
+++ b/internal/routing/router/describes_test.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestConfigurationKnowsItsReplicas guards against replicas that serve none of the configured models of their
+// service, and so can take neither requests nor orders.
+func TestConfigurationKnowsItsReplicas(t *testing.T) {
+	catalog := NewCatalog(1, Limits{}, nil, []*Service{
+		{Name: "plain"},
+		{Name: "unnamed", Engine: &Engine{Slots: 1}},
+		{Name: "engine", Engine: &Engine{Models: []string{"m", "n"}}},
+	}, nil)
+	for _, c := range []struct {
+		service  string
+		versions map[string]int
+		known    bool
+	}{
+		{"plain", nil, true},
+		{"unnamed", nil, true},
+		{"other", nil, false},
+		{"other", map[string]int{"m": 1}, false},
+		{"engine", map[string]int{"n": 1}, true},
+		{"engine", map[string]int{"x": 1, "m": 2}, true},
+		{"engine", map[string]int{"x": 1}, false},
+		{"engine", map[string]int{"m": 0}, false},
+		{"engine", nil, false},
+	} {
+		assert.Equal(t, catalog.Describes(Descriptor{Service: c.service, WeightsVersions: c.versions}), c.known, "%v", c)
+	}
+}
