A later start in the list does not outweigh what a replica says of itself

Cause: the start that an entry claims decided between entries at one address. The server there was not asked, though each report names its start.

Change: a side takes the entry whose start is that of its replica's report. An edge does when reports have named an earlier start than the newest entry for 2 s; until then the report may be older than the entry. Entries that the server contradicts are disputed until it confirms them, so that a report that was held up ends no replica. Sessions with sidecars no longer depend on which entry at an address holds.

Replicas without sidecars are not asked; there only 421 tells.

--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,9 @@
 	// failure. The first backoff is short so that a restarted replica serves soon.
 	minBackoff = 300 * time.Millisecond
 	maxBackoff = 3 * time.Second
+	// disputeTimeout is how long the server at an address must have named an earlier start than the newest entry
+	// there before another entry with that start holds. Reports are late by less.
+	disputeTimeout = 2 * time.Second
 	// removedMemory is how long a replica that is no longer in the list is remembered: as long
 	// as it may have asked for a pause.
 	removedMemory = maxReplicaPause
@@ -58,12 +62,16 @@
 }
 
 // LatestByAddress returns the list with only the entries of the replica that started
-// last at each address. Entries of ended replicas expire only after a while.
-func LatestByAddress(list []Descriptor) []Descriptor {
+// last at each address. Entries of ended replicas expire only after a while. At the address own, whose
+// replica says that it started at ownStart unless that is 0, the entry with that start is kept if there is one.
+func LatestByAddress(list []Descriptor, own string, ownStart int64) []Descriptor {
 	latestStart := make(map[string]int64, len(list))
 	for _, d := range list {
 		latestStart[d.Address] = max(latestStart[d.Address], d.StartUnixMilli)
 	}
+	if ownStart != 0 && slices.ContainsFunc(list, func(d Descriptor) bool { return d.Address == own && d.StartUnixMilli == ownStart }) {
+		latestStart[own] = ownStart
+	}
 	var current []Descriptor
 	for _, d := range list {
 		if d.StartUnixMilli == latestStart[d.Address] {
@@ -127,6 +135,11 @@
 	pausedUntil atomic.Int64
 	// ended is set once another replica or incarnation was found at the address.
 	ended atomic.Bool
+	// disputed is set while the server at the address says that another entry describes it. The pool's mu is
+	// held while it changes.
+	disputed atomic.Bool
+	// listedAt is when the replica was first listed, with its incarnation.
+	listedAt time.Time
 	// backlogTokens is the number of tokens, by priority, that the replica must prefill
 	// for this daemon's requests, until the first event of each.
 	backlogTokens [PriorityLevels]atomic.Int64
@@ -332,7 +345,7 @@
 		}
 		if replica == nil || replica.descriptor.Load().StartUnixMilli != descriptor.StartUnixMilli || replica.Address() != descriptor.Address {
 			last := replica
-			replica = &Replica{hash: xxh3.HashString(descriptor.ID)}
+			replica = &Replica{hash: xxh3.HashString(descriptor.ID), listedAt: p.clock.Now()}
 			replica.descriptor.Store(&descriptor)
 			p.noteStart(replica, last, old)
 		}
@@ -379,18 +392,28 @@
 }
 
 // add adds a replica to the view. If there are several at one address, byAddress holds
-// the one that started last; the entries of the others have not expired yet.
+// the one that started last; the entries of the others have not expired yet. One that is disputed does not count.
 func (v *view) add(replica *Replica) {
 	d := replica.descriptor.Load()
 	v.byID[d.ID] = replica
-	if other := v.byAddress[d.Address]; other != nil && !other.ended.Load() {
-		if replica.ended.Load() || other.descriptor.Load().StartUnixMilli > d.StartUnixMilli {
+	if other := v.byAddress[d.Address]; other != nil && !other.outOfPlace() {
+		if replica.outOfPlace() || other.descriptor.Load().StartUnixMilli > d.StartUnixMilli {
 			return
 		}
 	}
 	v.byAddress[d.Address] = replica
 }
 
+// disputes reports whether a report of the server at the replica's address is not of this replica, or is although it was
+// disputed.
+func (r *Replica) disputes(state *State) bool {
+	start := r.descriptor.Load().StartUnixMilli
+	return start != 0 && state.StartUnixMilli != 0 && (start != state.StartUnixMilli || r.disputed.Load())
+}
+
+// outOfPlace reports whether the replica is known not to be the one at its address.
+func (r *Replica) outOfPlace() bool { return r.ended.Load() || r.disputed.Load() }
+
 // MarkEnded records that a replica is no longer at its address.
 func (p *Pool) MarkEnded(replica *Replica) {
 	if !replica.ended.CompareAndSwap(false, true) {
@@ -398,20 +421,75 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refreshAddress(replica.Address())
+}
+
+// refreshAddress brings byAddress up to date for an address. The caller holds mu.
+func (p *Pool) refreshAddress(address string) {
 	old := p.view.Load()
 	next := &view{byID: old.byID, byService: old.byService, byAddress: maps.Clone(old.byAddress)}
-	delete(next.byAddress, replica.Address())
+	delete(next.byAddress, address)
 	for _, other := range old.byID {
-		if other.Address() == replica.Address() && !other.ended.Load() {
+		if other.Address() == address && !other.outOfPlace() {
 			next.add(other)
 		}
 	}
 	p.view.Store(next)
 }
 
+// settle decides between the entries at an address by a report of its server that does not fit current, which
+// may be nil. It returns the replica that the report is of if that was not the one at the address.
+func (p *Pool) settle(address string, current *Replica, state *State) *Replica {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	named := p.startedAt(address, state.StartUnixMilli)
+	switch {
+	case current == nil && (named == nil || !named.disputed.Load()):
+		return nil // The list does not have the replica yet, or not any more.
+	case current == nil, current == named:
+		named.disputed.Store(false)
+	case state.StartUnixMilli > current.descriptor.Load().StartUnixMilli:
+		current.ended.Store(true)
+		if named != nil {
+			named.disputed.Store(false)
+		}
+		p.refreshAddress(address)
+		return nil
+	case named == nil, state.Phase == Unreachable, p.clock.Now().Sub(current.listedAt) < disputeTimeout:
+		// The report may be older than the entry.
+		return nil
+	default:
+		p.dispute(address, named)
+	}
+	p.refreshAddress(address)
+	return named
+}
+
+// dispute has named hold at an address in place of all entries that its server has had time to confirm. The caller
+// holds mu.
+func (p *Pool) dispute(address string, named *Replica) {
+	named.disputed.Store(false)
+	for _, replica := range p.view.Load().byID {
+		if replica != named && replica.Address() == address && p.clock.Now().Sub(replica.listedAt) >= disputeTimeout {
+			replica.disputed.Store(true)
+		}
+	}
+}
+
+// startedAt returns the listed replica at an address that started at start, nil if there is none or it has ended. The
+// caller holds mu.
+func (p *Pool) startedAt(address string, start int64) *Replica {
+	for _, replica := range p.view.Load().byID {
+		if replica.Address() == address && replica.descriptor.Load().StartUnixMilli == start && !replica.ended.Load() {
+			return replica
+		}
+	}
+	return nil
+}
+
 // isCurrent reports whether the replica is the one at its address.
 func (p *Pool) isCurrent(replica *Replica) bool {
-	return !replica.ended.Load() && p.view.Load().byAddress[replica.Address()] == replica
+	return !replica.outOfPlace() && p.view.Load().byAddress[replica.Address()] == replica
 }
 
 // takesRequests reports whether a replica gets new requests as far as is known: it does not
@@ -519,18 +597,14 @@
 func (p *Pool) Len() int { return len(p.view.Load().byID) }
 
 // UpdateState stores a report of the sidecar of the replica at an address. A report
-// about an older incarnation is ignored; one about a newer incarnation ends the
-// replica.
+// about an older incarnation is ignored, unless the list still has that and has had the newer one for
+// disputeTimeout: then the newer entry is wrong. One about a newer incarnation ends the replica.
 func (p *Pool) UpdateState(address string, state State) {
 	replica := p.view.Load().byAddress[address]
-	if replica == nil {
-		return
-	}
-	if knownStart := replica.descriptor.Load().StartUnixMilli; knownStart != 0 && state.StartUnixMilli != 0 && state.StartUnixMilli != knownStart {
-		if state.StartUnixMilli > knownStart {
-			p.MarkEnded(replica)
+	if replica == nil || replica.disputes(&state) {
+		if replica = p.settle(address, replica, &state); replica == nil {
+			return
 		}
-		return
 	}
 	state.ReceivedAt = p.clock.Now()
 	for i := range replica.stateBacklog {
--- a/internal/weights/orderer/order_test.go
+++ b/internal/weights/orderer/order_test.go
@@ -402,7 +402,7 @@
 	alive := router.Descriptor{ID: "b-alive", Service: "s", Address: "1", StartUnixMilli: 2}
 	other := router.Descriptor{ID: "c", Service: "s", Address: "2", StartUnixMilli: 1}
 	for _, list := range [][]router.Descriptor{{ended, alive, other}, {alive, other, ended}} {
-		current := router.LatestByAddress(list)
+		current := router.LatestByAddress(list, "", 0)
 		assert.Equal(t, len(current), 2)
 		queue, found := orderer.NewLoadQueue(current, "s", "2")
 		assert.Assert(t, found)
