--- a/listener/accept.go
+++ b/listener/accept.go
@@ -15,21 +15,21 @@
 	declinedAge = time.Second
 )
 
-// Persistent is a socket whose Accept fails only once the socket is closed. A process that lacks descriptors or
+// RetryListener is a socket whose Accept fails only once the socket is closed. A process that lacks descriptors or
 // memory has them again once connections have ended.
-type Persistent struct {
+type RetryListener struct {
 	net.Listener
 	// onFailure is called with each error of accept.
 	onFailure func(error)
 }
 
-// NewPersistent returns a socket that accepts from another one.
-func NewPersistent(socket net.Listener, onFailure func(error)) *Persistent {
-	return &Persistent{Listener: socket, onFailure: onFailure}
+// NewRetryListener returns a socket that accepts from another one.
+func NewRetryListener(socket net.Listener, onFailure func(error)) *RetryListener {
+	return &RetryListener{Listener: socket, onFailure: onFailure}
 }
 
 // Accept implements net.Listener.
-func (p *Persistent) Accept() (net.Conn, error) {
+func (p *RetryListener) Accept() (net.Conn, error) {
 	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
 		accepted, err := p.Listener.Accept()
 		if err == nil || errors.Is(err, net.ErrClosed) {
@@ -53,7 +53,7 @@
 // acceptAll hands connections to the event loops until the socket is closed.
 func (l *Listener) acceptAll() {
 	for {
-		l.awaitPlace()
+		l.awaitCapacity()
 		accepted, err := l.socket.Accept()
 		if err != nil {
 			return
--- a/listener/detached.go
+++ b/listener/detached.go
@@ -41,7 +41,7 @@
 		defer func() {
 			l.detached.Delete(c)
 			l.conns.Delete(c)
-			l.places.release(c)
+			l.limiter.release(c)
 		}()
 		c.receive()
 	}()
--- a/listener/export_test.go
+++ b/listener/export_test.go
@@ -38,23 +38,23 @@
 
 // SetNow sets the clock by which connections wait for requests.
 func SetNow(l *Listener, now func() time.Time) {
-	l.places.mu.Lock()
-	defer l.places.mu.Unlock()
-	l.places.now = now
+	l.limiter.mu.Lock()
+	defer l.limiter.mu.Unlock()
+	l.limiter.now = now
 }
 
 // Idle returns the number of connections that wait for a request.
 func Idle(l *Listener) int {
-	l.places.mu.Lock()
-	defer l.places.mu.Unlock()
-	return l.places.idle.Len()
+	l.limiter.mu.Lock()
+	defer l.limiter.mu.Unlock()
+	return l.limiter.idle.Len()
 }
 
 // Refused returns the number of open connections beyond the limit.
 func Refused(l *Listener) int {
-	l.places.mu.Lock()
-	defer l.places.mu.Unlock()
-	return l.places.refused
+	l.limiter.mu.Lock()
+	defer l.limiter.mu.Unlock()
+	return l.limiter.refused
 }
 
 // Detached returns the number of connections that are off the event loop.
--- a/listener/places.go
+++ b/listener/limit.go
@@ -21,7 +21,7 @@
 	// maxRefused is how many connections beyond the limit may be open to be told so. Further clients wait
 	// in the kernel.
 	maxRefused = 64
-	// refusalTimeout is how long a connection beyond the limit may take to send a request.
+	// refusalTimeout is how long a connection beyond the limit may acquire to send a request.
 	refusalTimeout = time.Second
 )
 
@@ -37,17 +37,17 @@
 	OnEvicted, OnRefused func()
 }
 
-// places holds the connections of a listener that count towards its limit.
-type places struct {
+// connLimiter counts the open connections of a listener.
+type connLimiter struct {
 	limit atomic.Pointer[ConnectionLimit]
 	// now is time.Now.
 	now func() time.Time
-	// freed is sent, without waiting, when a place or a connection beyond the limit is given up.
+	// freed is sent, without waiting, when a counted connection is closed.
 	freed chan struct{}
 
-	// mu guards the fields below, and place, idleSince and admitted of all conns. It is locked after their mu.
+	// mu guards the fields below, and idleElement, idleSince and admitted of all conns. It is locked after their mu.
 	mu sync.Mutex
-	// open and refused count the connections that have a place and those beyond the limit.
+	// open and refused count the connections within and beyond the limit.
 	open, refused int
 	// idle holds the connections that wait for a request, the longest waiting first.
 	idle list.List
@@ -57,44 +57,46 @@
 type admission int
 
 const (
-	// notAdmitted connections count nowhere, also if they did before.
-	notAdmitted admission = iota
-	// placed connections have a place.
-	placed
+	// uncounted connections count nowhere, also if they did before.
+	uncounted admission = iota
+	// withinLimit connections are handed to the server.
+	withinLimit
 	// refused connections are beyond the limit and closed after their first bytes.
 	refused
 )
 
-// ticket passes an admission to the event loop, which redeems it for a connection.
-type ticket struct {
+// grant passes an admission to the event loop that opens the connection.
+type grant struct {
 	admission admission
-	refusal   *[]byte
-	redeemed  bool
+	// refusal is the answer of a refused connection.
+	refusal *[]byte
+	// opened is set once the connection is open, which then ends the admission when it is closed.
+	opened bool
 }
 
 // LimitConnections bounds the open connections. Without a limit their number is not bounded.
-func (l *Listener) LimitConnections(limit ConnectionLimit) { l.places.limit.Store(&limit) }
+func (l *Listener) LimitConnections(limit ConnectionLimit) { l.limiter.limit.Store(&limit) }
 
 // Connections returns the number of open connections that count towards the limit.
 func (l *Listener) Connections() int {
-	l.places.mu.Lock()
-	defer l.places.mu.Unlock()
-	return l.places.open
+	l.limiter.mu.Lock()
+	defer l.limiter.mu.Unlock()
+	return l.limiter.open
 }
 
-// awaitPlace waits until a connection can be admitted or refused, or the listener is closed.
-func (l *Listener) awaitPlace() {
+// awaitCapacity waits until a connection can be admitted or refused, or the listener is closed.
+func (l *Listener) awaitCapacity() {
 	for !l.isClosed() {
-		limit := l.places.limit.Load()
-		l.places.mu.Lock()
-		full := limit != nil && l.places.open >= limit.Connections && l.places.refused >= maxRefused
-		l.places.mu.Unlock()
+		limit := l.limiter.limit.Load()
+		l.limiter.mu.Lock()
+		full := limit != nil && l.limiter.open >= limit.Connections && l.limiter.refused >= maxRefused
+		l.limiter.mu.Unlock()
 		if !full || l.evictIdle(limit) {
 			return
 		}
 		l.recordDeclined()
 		select {
-		case <-l.places.freed:
+		case <-l.limiter.freed:
 		case <-l.closed:
 		case <-time.After(maxAcceptPause):
 		}
@@ -102,110 +104,110 @@
 }
 
 // admit decides about a connection that was accepted.
-func (l *Listener) admit() *ticket {
-	limit := l.places.limit.Load()
-	t := l.places.take(limit)
-	if t.admission == refused && l.evictIdle(limit) {
-		l.places.giveBack(t.admission)
-		t = l.places.take(limit)
+func (l *Listener) admit() *grant {
+	limit := l.limiter.limit.Load()
+	g := l.limiter.acquire(limit)
+	if g.admission == refused && l.evictIdle(limit) {
+		l.limiter.free(g.admission)
+		g = l.limiter.acquire(limit)
 	}
-	if t.admission == refused {
+	if g.admission == refused {
 		l.recordDeclined()
 		if limit.OnRefused != nil {
 			limit.OnRefused()
 		}
 	}
-	return t
+	return g
 }
 
-// take counts a connection and returns how it is admitted.
-func (p *places) take(limit *ConnectionLimit) *ticket {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if limit != nil && p.open >= limit.Connections {
-		p.refused++
-		return &ticket{admission: refused, refusal: &limit.Refusal}
+// acquire counts a connection and returns how it is admitted.
+func (cl *connLimiter) acquire(limit *ConnectionLimit) *grant {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if limit != nil && cl.open >= limit.Connections {
+		cl.refused++
+		return &grant{admission: refused, refusal: &limit.Refusal}
 	}
-	p.open++
-	return &ticket{admission: placed}
+	cl.open++
+	return &grant{admission: withinLimit}
 }
 
-// giveBack ends the count of an admission.
-func (p *places) giveBack(a admission) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.giveBackLocked(a)
+// free ends an admission.
+func (cl *connLimiter) free(a admission) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.freeLocked(a)
 }
 
-// giveBackLocked is giveBack for callers that hold mu.
-func (p *places) giveBackLocked(a admission) {
+// freeLocked is free for callers that hold mu.
+func (cl *connLimiter) freeLocked(a admission) {
 	switch a {
-	case placed:
-		p.open--
+	case withinLimit:
+		cl.open--
 	case refused:
-		p.refused--
+		cl.refused--
 	default:
 		return
 	}
 	select {
-	case p.freed <- struct{}{}:
+	case cl.freed <- struct{}{}:
 	default:
 	}
 }
 
-// release ends the count of a connection that is closed. Further calls do nothing.
-func (p *places) release(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.removeIdle(c)
-	p.giveBackLocked(c.admitted)
-	c.admitted = notAdmitted
+// release ends the admission of a connection that is closed. Further calls do nothing.
+func (cl *connLimiter) release(c *conn) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.removeIdle(c)
+	cl.freeLocked(c.admitted)
+	c.admitted = uncounted
 }
 
 // setIdle records whether a connection waits for a request.
-func (p *places) setIdle(c *conn, idle bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.removeIdle(c)
-	if idle && c.admitted == placed {
-		c.idleSince = p.now()
-		c.place = p.idle.PushBack(c)
+func (cl *connLimiter) setIdle(c *conn, idle bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.removeIdle(c)
+	if idle && c.admitted == withinLimit {
+		c.idleSince = cl.now()
+		c.idleElement = cl.idle.PushBack(c)
 	}
 }
 
 // removeIdle removes a connection from idle. The caller holds mu.
-func (p *places) removeIdle(c *conn) {
-	if c.place != nil {
-		p.idle.Remove(c.place)
-		c.place = nil
+func (cl *connLimiter) removeIdle(c *conn) {
+	if c.idleElement != nil {
+		cl.idle.Remove(c.idleElement)
+		c.idleElement = nil
 	}
 }
 
 // longestIdle removes and returns the connection that has waited longest for a request, nil if none has for
 // minEvictionAge.
-func (p *places) longestIdle() *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	front := p.idle.Front()
-	if front == nil || p.now().Sub(front.Value.(*conn).idleSince) < minEvictionAge {
+func (cl *connLimiter) longestIdle() *conn {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	front := cl.idle.Front()
+	if front == nil || cl.now().Sub(front.Value.(*conn).idleSince) < minEvictionAge {
 		return nil
 	}
 	c := front.Value.(*conn)
-	p.removeIdle(c)
+	cl.removeIdle(c)
 	return c
 }
 
 // evictIdle closes the connection that has waited longest for a request, and reports whether there was one.
 func (l *Listener) evictIdle(limit *ConnectionLimit) bool {
 	for range maxEvictionTries {
-		c := l.places.longestIdle()
+		c := l.limiter.longestIdle()
 		if c == nil {
 			return false
 		}
 		if !c.beginEviction() {
 			continue
 		}
-		l.places.release(c)
+		l.limiter.release(c)
 		_ = c.Close()
 		if limit.OnEvicted != nil {
 			limit.OnEvicted()
@@ -221,7 +223,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.idle || c.ended || c.readWhileIdle || len(c.inbound) > 0 || c.outstanding() > 0 || hasBytes(c.fd) {
-		c.places.setIdle(c, c.idle && !c.ended)
+		c.limiter.setIdle(c, c.idle && !c.ended)
 		return false
 	}
 	c.refusing = c.refusal.Load() != nil
@@ -246,11 +248,11 @@
 
 // enroll hands an accepted connection to an event loop, and closes it if that fails.
 func (l *Listener) enroll(accepted net.Conn) error {
-	t := l.admit()
+	g := l.admit()
 	clearZones(accepted)
-	_, err := l.events.EnrollContext(accepted, t)
-	if !t.redeemed {
-		l.places.giveBack(t.admission)
+	_, err := l.events.EnrollContext(accepted, g)
+	if !g.opened {
+		l.limiter.free(g.admission)
 	}
 	return err
 }
--- a/listener/places_test.go
+++ b/listener/limit_test.go
@@ -22,8 +22,8 @@
 
 const fullAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// crowd is a server with a limit of connections, and its clients.
-type crowd struct {
+// limitedServer is a server with a limit of connections, and its clients.
+type limitedServer struct {
 	t interface {
 		assert.TestingT
 		Helper()
@@ -39,12 +39,12 @@
 	begun  chan string
 	finish sync.Map
 	// idle holds the clients that wait, the longest waiting first, and running those whose request runs.
-	idle, running []*crowdClient
+	idle, running []*limitedClient
 	requests      int
 }
 
-// crowdClient is a client and the path of its request.
-type crowdClient struct {
+// limitedClient is a client of a limitedServer and the path of its request.
+type limitedClient struct {
 	net.Conn
 	reader *bufio.Reader
 	path   string
@@ -52,14 +52,14 @@
 	readable chan struct{}
 }
 
-func newCrowd(t interface {
+func newLimitedServer(t interface {
 	assert.TestingT
 	Helper()
 }, limit int,
-) *crowd {
+) *limitedServer {
 	l, err := listener.New("127.0.0.1:0", 1<<20)
 	assert.NilError(t, err)
-	c := &crowd{t: t, listener: l, limit: limit, begun: make(chan string)}
+	c := &limitedServer{t: t, listener: l, limit: limit, begun: make(chan string)}
 	listener.SetNow(l, func() time.Time { return time.Now().Add(time.Duration(c.elapsed.Load())) })
 	l.SetRefusal([]byte(fullAnswer))
 	l.LimitConnections(listener.ConnectionLimit{Connections: limit, Refusal: []byte(fullAnswer), OnEvicted: func() { c.evicted.Add(1) }, OnRefused: func() { c.refused.Add(1) }})
@@ -75,7 +75,7 @@
 }
 
 // await waits until something holds.
-func (c *crowd) await(what string, holds func() bool) {
+func (c *limitedServer) await(what string, holds func() bool) {
 	c.t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
 		assert.Assert(c.t, time.Now().Before(deadline), what)
@@ -83,7 +83,7 @@
 }
 
 // pass lets time pass, after which any connection that waits for a request may be closed.
-func (c *crowd) pass() {
+func (c *limitedServer) pass() {
 	c.t.Helper()
 	c.await("the server waits for requests and has sent its answers", func() bool {
 		return listener.Idle(c.listener) == len(c.idle) && c.listener.OutboundBytes() == 0
@@ -92,16 +92,16 @@
 }
 
 // connect connects a client.
-func (c *crowd) connect() *crowdClient {
+func (c *limitedServer) connect() *limitedClient {
 	c.t.Helper()
 	connection, err := net.Dial("tcp", c.listener.Addr().String())
 	assert.NilError(c.t, err)
 	assert.NilError(c.t, connection.SetDeadline(time.Now().Add(20*time.Second)))
-	return &crowdClient{Conn: connection, reader: bufio.NewReader(connection)}
+	return &limitedClient{Conn: connection, reader: bufio.NewReader(connection)}
 }
 
 // read reads an answer.
-func (c *crowd) read(client *crowdClient) int {
+func (c *limitedServer) read(client *limitedClient) int {
 	c.t.Helper()
 	<-client.readable
 	response, err := http.ReadResponse(client.reader, nil)
@@ -110,7 +110,7 @@
 }
 
 // begin sends a request that runs until end, and reports whether it runs; else it was refused.
-func (c *crowd) begin(client *crowdClient) bool {
+func (c *limitedServer) begin(client *limitedClient) bool {
 	c.t.Helper()
 	c.requests++
 	client.path = fmt.Sprintf("/run/%d", c.requests)
@@ -137,7 +137,7 @@
 }
 
 // end ends the request of the running client with an index, which must get its answer.
-func (c *crowd) end(i int) {
+func (c *limitedServer) end(i int) {
 	c.t.Helper()
 	client := c.running[i]
 	c.running = append(c.running[:i:i], c.running[i+1:]...)
@@ -150,7 +150,7 @@
 
 // add has a new client send a request. It must run if there is a place or another client can give its own up:
 // the one that has waited longest, whose connection must then be closed.
-func (c *crowd) add() {
+func (c *limitedServer) add() {
 	c.t.Helper()
 	full, mayEvict := len(c.running)+len(c.idle) >= c.limit, len(c.idle) > 0
 	client := c.connect()
@@ -168,7 +168,7 @@
 }
 
 // leave closes the idle client with an index.
-func (c *crowd) leave(i int) {
+func (c *limitedServer) leave(i int) {
 	c.t.Helper()
 	_ = c.idle[i].Close()
 	c.idle = append(c.idle[:i:i], c.idle[i+1:]...)
@@ -176,7 +176,7 @@
 }
 
 // close ends all requests and the server. Connections must be counted until then and no longer.
-func (c *crowd) close() {
+func (c *limitedServer) close() {
 	c.t.Helper()
 	for len(c.running) > 0 {
 		c.end(0)
@@ -194,7 +194,7 @@
 // who gets no place is refused at once.
 func TestConnectionsStayWithinTheirLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCrowd(t, rapid.IntRange(1, 5).Draw(t, "limit"))
+		c := newLimitedServer(t, rapid.IntRange(1, 5).Draw(t, "limit"))
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			c.pass()
 			switch step := rapid.IntRange(0, 9).Draw(t, "step"); {
@@ -218,7 +218,7 @@
 // TestNewConnectionsAreNotClosedForOthers guards against clients that take each other's place before their first
 // request arrives.
 func TestNewConnectionsAreNotClosedForOthers(t *testing.T) {
-	c := newCrowd(t, 1)
+	c := newLimitedServer(t, 1)
 	first := c.connect()
 	c.await("the first client has a place", func() bool { return listener.Idle(c.listener) == 1 })
 	second := c.connect()
@@ -229,14 +229,14 @@
 	c.close()
 }
 
-// TestClientsBeyondTheLimitWaitInTheKernel guards against refused clients that together take what descriptors are
+// TestClientsBeyondTheLimitWaitInTheKernel guards against refused clients that together acquire what descriptors are
 // left: only some are open at once, and each is closed if it sends nothing.
 func TestClientsBeyondTheLimitWaitInTheKernel(t *testing.T) {
 	const clients = 200
-	c := newCrowd(t, 1)
+	c := newLimitedServer(t, 1)
 	assert.Assert(t, c.begin(c.connect()))
 	most := 0
-	connections := make([]*crowdClient, clients)
+	connections := make([]*limitedClient, clients)
 	for i := range connections {
 		connections[i] = c.connect()
 		most = max(most, listener.Refused(c.listener))
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -71,8 +71,8 @@
 	readsEnded bool
 	// outbound counts what is outstanding for all clients.
 	outbound outbound
-	// places counts the open connections.
-	places places
+	// limiter bounds the open connections.
+	limiter connLimiter
 }
 
 // New listens on a TCP address. A client that sends ahead while its last answer is not taken yet is
@@ -95,9 +95,9 @@
 		closed:          make(chan struct{}),
 		acceptEnded:     make(chan struct{}),
 		outbound:        outbound{conns: make(map[*conn]bool)},
-		places:          places{now: time.Now, freed: make(chan struct{}, 1)},
+		limiter:         connLimiter{now: time.Now, freed: make(chan struct{}, 1)},
 	}
-	l.socket = NewPersistent(socket, l.recordAcceptFailure)
+	l.socket = NewRetryListener(socket, l.recordAcceptFailure)
 	var err error
 	// Accepted sockets have TCP_NODELAY already.
 	if l.events, err = gnet.NewClient(l, gnet.WithMulticore(true), gnet.WithLogger(discardLogger{}), gnet.WithTCPNoDelay(gnet.TCPDelay)); err == nil {
@@ -125,7 +125,7 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.idle, own.readWhileIdle = state == fasthttp.StateNew || state == fasthttp.StateIdle, false
-	own.places.setIdle(own, own.idle)
+	own.limiter.setIdle(own, own.idle)
 }
 
 // EndReads makes all reads time out that would wait for clients, so that requests which have not
@@ -142,12 +142,12 @@
 
 // OnOpen implements gnet.EventHandler.
 func (l *Listener) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
-	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, refusal: &l.refusal, outbound: &l.outbound, places: &l.places, disconnected: make(chan struct{})}
+	c := &conn{raw: raw, fd: raw.Fd(), local: raw.LocalAddr(), remote: raw.RemoteAddr(), maxInboundBytes: l.maxInboundBytes, refusal: &l.refusal, outbound: &l.outbound, limiter: &l.limiter, disconnected: make(chan struct{})}
 	c.changed = sync.NewCond(&c.mu)
-	if t, ok := raw.Context().(*ticket); ok {
-		c.admitted, t.redeemed = t.admission, true
-		if t.admission == refused {
-			l.refuse(raw, c, t.refusal)
+	if g, ok := raw.Context().(*grant); ok {
+		c.admitted, g.opened = g.admission, true
+		if g.admission == refused {
+			l.refuse(raw, c, g.refusal)
 		}
 	}
 	raw.SetContext(c)
@@ -207,7 +207,7 @@
 	if c, ok := raw.Context().(*conn); ok && !c.isDetached() {
 		c.markEnded()
 		l.conns.Delete(c)
-		l.places.release(c)
+		l.limiter.release(c)
 	}
 	return gnet.None
 }
@@ -277,12 +277,12 @@
 	refusal *atomic.Pointer[[]byte]
 	// disconnected is closed when ended is set.
 	disconnected chan struct{}
-	// places is that of the listener; its mu guards the three fields below. place is the connection's element
-	// of idle, nil if it does not wait for a request, else it has since idleSince.
-	places    *places
-	admitted  admission
-	place     *list.Element
-	idleSince time.Time
+	// limiter is that of the listener; its mu guards the three fields below. idleElement is the connection's
+	// element of idle, nil if it does not wait for a request, else it has since idleSince.
+	limiter     *connLimiter
+	admitted    admission
+	idleElement *list.Element
+	idleSince   time.Time
 
 	// mu guards the fields below; changed is broadcast whenever one changes for which a
 	// reader or writer may wait, and when a deadline passes.
@@ -546,7 +546,7 @@
 	}
 }
 
-// Close implements net.Conn. It waits at most closeTimeout for the client to take bytes
+// Close implements net.Conn. It waits at most closeTimeout for the client to acquire bytes
 // already written.
 func (c *conn) Close() error {
 	deadline := time.Now().Add(closeTimeout)
