Listener: the last descriptor costs no request

Cause: gnet's event loop takes a connection over by duplicating its descriptor, and closes the connection if it cannot.

Change: an accepted connection is handed over once its descriptor can be duplicated; until then it waits, and the listener counts as not accepting. Two system calls more a connection. The timer of a refused connection ends with it.

--- a/listener/accept.go
+++ b/listener/accept.go
@@ -2,8 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -64,6 +68,30 @@
 	}
 }
 
+// awaitDescriptor waits until a connection can be duplicated, which an event loop does to take it over. The client of
+// one that had to be closed for lack of a descriptor would lose its request.
+func (l *Listener) awaitDescriptor(accepted net.Conn) error {
+	socket, err := accepted.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return fmt.Errorf("socket of a connection: %w", err)
+	}
+	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		var duplicated int
+		var duplicateErr error
+		if err := socket.Control(func(fd uintptr) { duplicated, duplicateErr = unix.FcntlInt(fd, unix.F_DUPFD_CLOEXEC, 0) }); err != nil {
+			return fmt.Errorf("duplicate a connection: %w", err)
+		}
+		if duplicateErr == nil {
+			return unix.Close(duplicated)
+		}
+		l.recordAcceptFailure(duplicateErr)
+		if l.isClosed() {
+			return fmt.Errorf("duplicate a connection: %w", duplicateErr)
+		}
+		time.Sleep(pause)
+	}
+}
+
 // recordAcceptFailure records that a connection could not be accepted.
 func (l *Listener) recordAcceptFailure(err error) {
 	isFirst := l.Accepting()
--- a/listener/accept_test.go
+++ b/listener/accept_test.go
@@ -44,6 +44,31 @@
 	return response.StatusCode
 }
 
+// TestLastDescriptorCostsNoRequest guards against a client whose connection is accepted with the last descriptor and
+// then closed, as the event loop needs one more to take it over.
+func TestLastDescriptorCostsNoRequest(t *testing.T) {
+	address := serve(t, func(*fasthttp.RequestCtx) {})
+	kept, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = kept.Close() }()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &unix.Timeval{Sec: 20}))
+	client := os.NewFile(uintptr(fd), "client")
+	defer func() { _ = client.Close() }()
+	last, err := unix.Dup(int(os.Stdout.Fd()))
+	assert.NilError(t, err)
+	restore := exhaustDescriptors(t)
+	assert.NilError(t, unix.Close(last))
+	assert.NilError(t, unix.Connect(fd, &unix.SockaddrInet4{Port: kept.RemoteAddr().(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}))
+	_, err = io.WriteString(client, getRequest)
+	assert.NilError(t, err)
+	// The connection is accepted in this time.
+	time.Sleep(50 * time.Millisecond)
+	restore()
+	assert.Equal(t, readStatus(t, client), http.StatusOK)
+}
+
 // TestConnectionsOutliveLackOfDescriptors guards against a listener that closes all connections and accepts
 // none again once the process has run out of descriptors (LOST).
 func TestConnectionsOutliveLackOfDescriptors(t *testing.T) {
@@ -126,7 +151,7 @@
 				assert.Check(t, errors.Is(err, failure))
 				reported.Add(1)
 			})
-			server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}, CloseOnShutdown: true}
+			server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}, CloseOnShutdown: true, MaxIdleWorkerDuration: 10 * time.Millisecond}
 			go func() { _ = server.Serve(l) }()
 			kept, err := net.Dial("tcp", l.Addr().String())
 			assert.NilError(t, err)
--- a/listener/limit.go
+++ b/listener/limit.go
@@ -243,11 +243,14 @@
 	c.refusal = new(atomic.Pointer[[]byte])
 	c.refusal.Store(refusal)
 	c.refusing = true
-	time.AfterFunc(refusalTimeout, func() { _ = raw.Close() })
+	c.readTimer = time.AfterFunc(refusalTimeout, func() { _ = raw.Close() })
 }
 
 // enroll hands an accepted connection to an event loop, and closes it if that fails.
 func (l *Listener) enroll(accepted net.Conn) error {
+	if err := l.awaitDescriptor(accepted); err != nil {
+		return errors.Join(err, accepted.Close())
+	}
 	g := l.admit()
 	clearZones(accepted)
 	_, err := l.events.EnrollContext(accepted, g)
--- a/listener/limit_test.go
+++ b/listener/limit_test.go
@@ -63,7 +63,8 @@
 	listener.SetNow(l, func() time.Time { return time.Now().Add(time.Duration(c.elapsed.Load())) })
 	l.SetRefusal([]byte(fullAnswer))
 	l.LimitConnections(listener.ConnectionLimit{Connections: limit, Refusal: []byte(fullAnswer), OnEvicted: func() { c.evicted.Add(1) }, OnRefused: func() { c.refused.Add(1) }})
-	c.server = &fasthttp.Server{ConnState: listener.RecordState, CloseOnShutdown: true, Handler: func(ctx *fasthttp.RequestCtx) {
+	// Idle workers hold the buffers of a server that has stopped.
+	c.server = &fasthttp.Server{MaxIdleWorkerDuration: 10 * time.Millisecond, ConnState: listener.RecordState, CloseOnShutdown: true, Handler: func(ctx *fasthttp.RequestCtx) {
 		if path := string(ctx.Path()); strings.HasPrefix(path, "/run/") {
 			finish, _ := c.finish.Load(path)
 			c.begun <- path
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -206,6 +206,9 @@
 func (l *Listener) OnClose(raw gnet.Conn, _ error) gnet.Action {
 	if c, ok := raw.Context().(*conn); ok && !c.isDetached() {
 		c.markEnded()
+		if c.isRefusing() {
+			_ = c.SetReadDeadline(time.Time{})
+		}
 		l.conns.Delete(c)
 		l.limiter.release(c)
 	}
