Tests wait on conditions; comments of the limit of connections

Cause: four new tests slept, two of them for 50 ms in which accept was expected to fail, so that a slow machine could pass them without the fault.

Change: the tests wait until the listener says that it has declined a connection, or until a connection is no longer counted, with poll.WaitOn as their siblings do. No assertion and no bound is changed. Elsewhere comments only.

--- a/listener/accept_test.go
+++ b/listener/accept_test.go
@@ -36,6 +36,17 @@
 	return func() { assert.Check(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &limit)) }
 }
 
+// awaitDeclined waits until the listener has failed to take a connection over.
+func awaitDeclined(t *testing.T, l *listener.Listener) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if l.Accepting() {
+			return poll.Continue("nothing has failed")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
 // readStatus reads an answer from a connection and returns its status.
 func readStatus(t *testing.T, client io.Reader) int {
 	t.Helper()
@@ -47,8 +58,8 @@
 // TestLastDescriptorCostsNoRequest guards against a client whose connection is accepted with the last descriptor and
 // then closed, as the event loop needs one more to take it over.
 func TestLastDescriptorCostsNoRequest(t *testing.T) {
-	address := serve(t, func(*fasthttp.RequestCtx) {})
-	kept, err := net.Dial("tcp", address)
+	l := serveOn(t, func(*fasthttp.RequestCtx) {})
+	kept, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = kept.Close() }()
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
@@ -63,8 +74,7 @@
 	assert.NilError(t, unix.Connect(fd, &unix.SockaddrInet4{Port: kept.RemoteAddr().(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}))
 	_, err = io.WriteString(client, getRequest)
 	assert.NilError(t, err)
-	// The connection is accepted in this time.
-	time.Sleep(50 * time.Millisecond)
+	awaitDeclined(t, l)
 	restore()
 	assert.Equal(t, readStatus(t, client), http.StatusOK)
 }
@@ -74,13 +84,13 @@
 func TestConnectionsOutliveLackOfDescriptors(t *testing.T) {
 	const lateClients = 4
 	handled, answer := make(chan struct{}), make(chan struct{})
-	address := serve(t, func(ctx *fasthttp.RequestCtx) {
+	l := serveOn(t, func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == "/long" {
 			close(handled)
 			<-answer
 		}
 	})
-	kept, err := net.Dial("tcp", address)
+	kept, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = kept.Close() }()
 	assert.NilError(t, kept.SetDeadline(time.Now().Add(20*time.Second)))
@@ -102,8 +112,7 @@
 		_, err := io.WriteString(client, getRequest)
 		assert.NilError(t, err)
 	}
-	// Accept fails in this time.
-	time.Sleep(50 * time.Millisecond)
+	awaitDeclined(t, l)
 	close(answer)
 	assert.Equal(t, readStatus(t, kept), http.StatusOK)
 	restore()
--- a/listener/limit.go
+++ b/listener/limit.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	// minEvictionAge is how long a connection must have waited for a request to be closed for another:
-	// the first request of a new one is in transit.
+	// minEvictionAge is the idle time from which a connection may be evicted: the first request of a new one
+	// is in transit.
 	minEvictionAge = 500 * time.Millisecond
-	// maxEvictionTries bounds the connections that are looked at for one to close.
+	// maxEvictionTries bounds the candidates for one eviction.
 	maxEvictionTries = 16
-	// maxRefused is how many connections beyond the limit may be open to be told so. Further clients wait
-	// in the kernel.
+	// maxRefused bounds the connections over the limit that are held open to receive the refusal. Further ones
+	// stay in the accept backlog.
 	maxRefused = 64
-	// refusalTimeout is how long a connection beyond the limit may acquire to send a request.
+	// refusalTimeout is how long a connection over the limit may take to send a request.
 	refusalTimeout = time.Second
 )
 
--- a/listener/limit_test.go
+++ b/listener/limit_test.go
@@ -17,6 +17,7 @@
 	"github.com/cyclamenward/cyclamenward/listener"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 )
 
@@ -24,10 +25,7 @@
 
 // limitedServer is a server with a limit of connections, and its clients.
 type limitedServer struct {
-	t interface {
-		assert.TestingT
-		Helper()
-	}
+	t        testingT
 	listener *listener.Listener
 	server   *fasthttp.Server
 	limit    int
@@ -52,11 +50,14 @@
 	readable chan struct{}
 }
 
-func newLimitedServer(t interface {
+// testingT is what *testing.T and *rapid.T have in common.
+type testingT interface {
 	assert.TestingT
+	poll.TestingT
 	Helper()
-}, limit int,
-) *limitedServer {
+}
+
+func newLimitedServer(t testingT, limit int) *limitedServer {
 	l, err := listener.New("127.0.0.1:0", 1<<20)
 	assert.NilError(t, err)
 	c := &limitedServer{t: t, listener: l, limit: limit, begun: make(chan string)}
@@ -78,9 +79,12 @@
 // await waits until something holds.
 func (c *limitedServer) await(what string, holds func() bool) {
 	c.t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
-		assert.Assert(c.t, time.Now().Before(deadline), what)
-	}
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if !holds() {
+			return poll.Continue("%s", what)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
 }
 
 // pass lets time pass, after which any connection that waits for a request may be closed.
@@ -230,7 +234,7 @@
 	c.close()
 }
 
-// TestClientsBeyondTheLimitWaitInTheKernel guards against refused clients that together acquire what descriptors are
+// TestClientsBeyondTheLimitWaitInTheKernel guards against refused clients that together take what descriptors are
 // left: only some are open at once, and each is closed if it sends nothing.
 func TestClientsBeyondTheLimitWaitInTheKernel(t *testing.T) {
 	const clients = 200
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -549,7 +549,7 @@
 	}
 }
 
-// Close implements net.Conn. It waits at most closeTimeout for the client to acquire bytes
+// Close implements net.Conn. It waits at most closeTimeout for the client to take bytes
 // already written.
 func (c *conn) Close() error {
 	deadline := time.Now().Add(closeTimeout)
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -23,6 +23,12 @@
 
 // serve runs an HTTP server on a listener and returns its address.
 func serve(t *testing.T, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	return serveOn(t, handler).Addr().String()
+}
+
+// serveOn runs an HTTP server and returns its listener.
+func serveOn(t *testing.T, handler fasthttp.RequestHandler) *listener.Listener {
 	t.Helper()
 	l, err := listener.New("127.0.0.1:0", 1<<20)
 	assert.NilError(t, err)
@@ -37,7 +43,7 @@
 		assert.Check(t, l.Stop(context.Background()))
 		<-done
 	})
-	return l.Addr().String()
+	return l
 }
 
 // heldBytes returns the size of what the process holds.
--- a/peer/replica/limit_test.go
+++ b/peer/replica/limit_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 )
 
@@ -144,9 +145,12 @@
 		assert.NilError(t, err)
 		cancel()
 		answer.Close()
-		for deadline := time.Now().Add(20 * time.Second); c.openConns() > 0; time.Sleep(time.Millisecond) {
-			assert.Assert(t, time.Now().Before(deadline), "a closed connection is counted")
-		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if c.openConns() > 0 {
+				return poll.Continue("a closed connection is counted")
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
 		assert.Equal(t, c.openConns(), 0)
 	}
 }
