One choice of entries per address, and one division of descriptors

Both daemons divided their descriptors with the same two calls.

Change: router.ModelReplicas keeps one entry per address, one that does not drain if there is one, for sessions with sidecars and for their replacement; Catalog.Describes rules out nothing on a nil catalog; apportioner.DivideOwn serves both daemons.

Result: TestModelReplicasAreOneAnAddress is new. platform, entry, orderer, roster, replacer and apportioner pass under the race detector, router's tests of lists and configurations without it.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -40,12 +40,12 @@
 	if err != nil {
 		return err
 	}
-	descriptors, err := apportioner.Limit(0)
+	connections, err := apportioner.DivideOwn(0)
 	if err != nil {
 		return fmt.Errorf("start entry: %w", err)
 	}
 	settings := entry.Settings{
-		Connections:       apportioner.Divide(descriptors).Callers,
+		Connections:       connections.Callers,
 		CallerAddress:     c.String("caller-address"),
 		OperatorTokenHash: c.String("operator-token-hash"),
 		ShutdownDelay:     durationOf(c, "settle"),
--- a/internal/daemon/apportioner/apportion.go
+++ b/internal/daemon/apportioner/apportion.go
@@ -28,6 +28,15 @@
 	Callers, Servers int
 }
 
+// DivideOwn divides the descriptors that this process may have: see Limit.
+func DivideOwn(configured int) (Parts, error) {
+	descriptors, err := Limit(configured)
+	if err != nil {
+		return Parts{}, err
+	}
+	return Divide(descriptors), nil
+}
+
 // Divide divides a number of descriptors. It is 0 if there is no limit.
 func Divide(descriptors int) Parts {
 	available := float64(max(descriptors-reservedFiles, descriptors/2))
--- a/internal/routing/router/catalog.go
+++ b/internal/routing/router/catalog.go
@@ -215,8 +215,11 @@
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
 // Describes reports whether a listed replica is one that the configuration knows: its service is configured, and
-// it has a version of one of the service's models.
+// it has a version of one of the service's models. A nil catalog stands for no configuration yet, which rules out none.
 func (c *Catalog) Describes(d Descriptor) bool {
+	if c == nil {
+		return true
+	}
 	service := c.services[d.Service]
 	if service == nil {
 		return false
--- a/internal/routing/router/describes_test.go
+++ b/internal/routing/router/describes_test.go
@@ -32,3 +32,21 @@
 		assert.Equal(t, catalog.Describes(Descriptor{Service: c.service, WeightsVersions: c.versions}), c.known, "%v", c)
 	}
 }
+
+// TestModelReplicasAreOneAnAddress guards against two sessions or tickets for one address, and against a replica whose
+// sidecar nobody replaces since an entry of an earlier one at its address drains.
+func TestModelReplicasAreOneAnAddress(t *testing.T) {
+	versions := map[string]int{"m": 1}
+	list := []Descriptor{
+		{ID: "plain", Address: "1"},
+		{ID: "drains", Address: "1", WeightsVersions: versions, Draining: true},
+		{ID: "serves", Address: "1", WeightsVersions: versions},
+		{ID: "second", Address: "1", WeightsVersions: versions},
+		{ID: "alone", Address: "2", WeightsVersions: versions, Draining: true},
+	}
+	var ids []string
+	for _, d := range ModelReplicas(list) {
+		ids = append(ids, d.ID)
+	}
+	assert.DeepEqual(t, ids, []string{"serves", "alone"})
+}
--- a/internal/routing/router/pool.go
+++ b/internal/routing/router/pool.go
@@ -81,6 +81,27 @@
 	return current
 }
 
+// ModelReplicas returns the entries of replicas that serve models, one for each address: one that does not drain if
+// there is one.
+func ModelReplicas(list []Descriptor) []Descriptor {
+	var replicas []Descriptor
+	indexes := make(map[string]int, len(list))
+	for _, d := range list {
+		if len(d.WeightsVersions) == 0 {
+			continue
+		}
+		i, found := indexes[d.Address]
+		switch {
+		case !found:
+			indexes[d.Address] = len(replicas)
+			replicas = append(replicas, d)
+		case replicas[i].Draining && !d.Draining:
+			replicas[i] = d
+		}
+	}
+	return replicas
+}
+
 // Phase tells which requests a replica takes.
 type Phase int
 
